--- /dev/null
+++ b/src/backend/mod.rs
@@ -0,0 +1,3 @@
+//! Clients of backend servers: model engines and plain services.
+
+pub mod wire;
--- /dev/null
+++ b/src/bin/buckthorncleat.rs
@@ -0,0 +1,3 @@
+//! The daemon or tool `buckthorncleat`.
+
+fn main() {}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,3 @@
+//! Settings files of the daemons and the planners' sheet.
+
+pub mod settings;
--- /dev/null
+++ b/src/filter/mod.rs
@@ -0,0 +1,1 @@
+//! The chain of filters that every caller request passes.
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,1 @@
+//! The HTTP interfaces towards callers and operators.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,21 @@
+//! A router between callers and separate prefill and decode pools, and the plain services beside
+//! them.
+
+mod macros;
+
+pub mod backend;
+pub mod clock;
+pub mod config;
+pub mod controller;
+pub mod error;
+pub mod event;
+pub mod filter;
+pub mod http;
+pub mod id;
+pub mod peer;
+pub mod replica;
+pub mod sorted;
+pub mod state;
+pub mod unit;
+
+pub use error::{Category, Error, Result};
--- /dev/null
+++ b/src/peer/frame.rs
@@ -0,0 +1,188 @@
+//! Frames: an authenticated envelope around one message.
+
+use std::collections;
+use std::path;
+
+use hmac::Mac as _;
+
+use crate::error;
+use crate::event;
+use crate::id;
+use crate::macros;
+
+type HmacSha256 = hmac::Hmac<sha2::Sha256>;
+
+/// The length of the authentication code, in bytes.
+const MAC_BYTES: usize = 32;
+
+/// The shortest shared secret, in bytes.
+const MIN_SECRET_BYTES: usize = 16;
+
+/// The sequence numbers below the highest one seen that are still told apart.
+const WINDOW: u64 = 4_096;
+
+/// The senders whose sequence numbers are kept.
+const MAX_SENDERS: usize = 4_096;
+
+/// The secret that all processes of the system share.
+#[derive(Clone)]
+pub struct Secret(std::sync::Arc<[u8]>);
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+impl Secret {
+    /// Wraps secret bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there are fewer than 16 bytes.
+    pub fn from_bytes(bytes: &[u8]) -> error::Result<Self> {
+        if bytes.len() < MIN_SECRET_BYTES {
+            let remedy = "put at least 16 random bytes into the secret file";
+            return Err(error::Error::bad_value("secret", "(hidden)", remedy));
+        }
+        Ok(Self(bytes.into()))
+    }
+
+    /// Reads the secret from a file; white space at its ends does not count.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file can't be read or the secret is too short.
+    pub fn from_file(path: &path::Path) -> error::Result<Self> {
+        let bytes = std::fs::read(path)
+            .map_err(|e| error::Error::io(format!("reading secret file {}", path.display()), e))?;
+        Self::from_bytes(bytes.trim_ascii())
+    }
+
+    /// Returns the authentication code of a text under this secret.
+    pub fn sign(&self, text: &[u8]) -> [u8; MAC_BYTES] {
+        let mut mac = self.mac();
+        mac.update(text);
+        mac.finalize().into_bytes().into()
+    }
+
+    /// Tells whether `code` is the authentication code of `text`.
+    pub fn verify(&self, text: &[u8], code: &[u8]) -> bool {
+        let mut mac = self.mac();
+        mac.update(text);
+        mac.verify_slice(code).is_ok()
+    }
+
+    fn mac(&self) -> HmacSha256 {
+        HmacSha256::new_from_slice(&self.0).expect("HMAC takes a secret of any length")
+    }
+}
+
+macros::data! {
+    /// The head of a frame.
+    pub struct Head {
+        /// The sender.
+        pub from: id::InstanceId,
+        /// The life of the sender.
+        pub from_incarnation: id::Incarnation,
+        /// The life of the receiver as the sender knows it; zero when it does not.
+        pub to_incarnation: id::Incarnation,
+        /// The number of the request, unique in the sender's life.
+        pub sequence: u64,
+        /// The sender's hybrid logical clock.
+        pub stamp: event::Stamp,
+    }
+}
+
+/// A frame whose authentication code was right.
+#[derive(Clone, Debug)]
+pub struct Frame {
+    /// The head.
+    pub head: Head,
+    /// The encoded message.
+    pub body: Vec<u8>,
+}
+
+impl Frame {
+    /// Encodes and signs a frame.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the head can't be encoded.
+    pub fn to_bytes(&self, secret: &Secret) -> error::Result<Vec<u8>> {
+        let mut buf = postcard::to_stdvec(&self.head)
+            .map_err(|e| error::Error::damaged(format!("frame head: {e}"), "report this fault"))?;
+        buf.extend_from_slice(&self.body);
+        let code = secret.sign(&buf);
+        buf.extend_from_slice(&code);
+        Ok(buf)
+    }
+
+    /// Checks and decodes a frame.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the frame is too short, not authentic or not of this version.
+    pub fn from_bytes(buf: &[u8], secret: &Secret) -> error::Result<Self> {
+        let signed = buf.len().checked_sub(MAC_BYTES).ok_or_else(not_authentic)?;
+        let (text, code) = buf.split_at(signed);
+        if !secret.verify(text, code) {
+            return Err(not_authentic());
+        }
+        let (head, body) = postcard::take_from_bytes(text)
+            .map_err(|e| error::Error::damaged(format!("frame head: {e}"), "run one version"))?;
+        let body = body.to_vec();
+        Ok(Self { head, body })
+    }
+}
+
+fn not_authentic() -> error::Error {
+    let remedy = "give every process the same secret file";
+    error::Error::damaged("a frame that is not authentic", remedy)
+}
+
+/// Tells new frames from repeated ones.
+#[derive(Debug, Default)]
+pub struct ReplayFilter {
+    senders: collections::HashMap<id::Incarnation, Seen>,
+    order: collections::VecDeque<id::Incarnation>,
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    highest: u64,
+    recent: collections::BTreeSet<u64>,
+}
+
+impl ReplayFilter {
+    /// Tells whether the frame is seen for the first time, and remembers it.
+    pub fn accept(&mut self, head: &Head) -> bool {
+        if !self.senders.contains_key(&head.from_incarnation) {
+            self.make_room();
+            self.order.push_back(head.from_incarnation);
+        }
+        let seen = self.senders.entry(head.from_incarnation).or_default();
+        if head.sequence + WINDOW <= seen.highest || !seen.recent.insert(head.sequence) {
+            return false;
+        }
+        seen.highest = seen.highest.max(head.sequence);
+        let oldest = seen.highest.saturating_sub(WINDOW);
+        while seen
+            .recent
+            .first()
+            .is_some_and(|s| *s <= oldest && seen.highest > WINDOW)
+        {
+            seen.recent.pop_first();
+        }
+        true
+    }
+
+    fn make_room(&mut self) {
+        if self.order.len() < MAX_SENDERS {
+            return;
+        }
+        if let Some(oldest) = self.order.pop_front() {
+            self.senders.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/src/peer/link.rs
@@ -0,0 +1,264 @@
+//! The calling side of the links between processes.
+
+use std::ffi;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+
+use anng::protocols::reqrep0;
+use tokio::time;
+
+use crate::clock;
+use crate::error;
+use crate::event;
+use crate::id;
+use crate::macros;
+use crate::peer::frame;
+use crate::peer::message;
+
+/// The time after which a peer that did not answer may be asked again.
+const RETRY_AFTER: clock::Millis = clock::Millis::new(200);
+
+/// The times that one request is sent again because the peer has a new life.
+const MAX_CHALLENGES: u32 = 3;
+
+/// Who this process is, towards its peers.
+#[derive(Debug)]
+pub struct Identity {
+    /// The name of the instance.
+    pub instance: id::InstanceId,
+    /// The life of the process.
+    pub incarnation: id::Incarnation,
+    /// The secret shared by all processes of the system.
+    pub secret: frame::Secret,
+    /// Where events go.
+    pub recorder: sync::Arc<event::Recorder>,
+    sequence: atomic::AtomicU64,
+}
+
+impl Identity {
+    /// Makes the identity of a new life.
+    pub fn new(
+        instance: id::InstanceId,
+        secret: frame::Secret,
+        recorder: sync::Arc<event::Recorder>,
+    ) -> Self {
+        Self {
+            instance,
+            incarnation: id::Incarnation::random(),
+            secret,
+            recorder,
+            sequence: atomic::AtomicU64::new(1),
+        }
+    }
+
+    fn next_sequence(&self) -> u64 {
+        self.sequence.fetch_add(1, atomic::Ordering::Relaxed)
+    }
+}
+
+macros::data! {float
+    /// What a reply frame carries.
+    pub enum Envelope {
+        /// The request named another life of the receiver; the head names the present one.
+        Challenge,
+        /// The answer.
+        Answer(Box<message::Reply>),
+    }
+}
+
+/// The links of a process to its peers, one for each address.
+#[derive(Debug)]
+pub struct Links {
+    identity: sync::Arc<Identity>,
+    links: sync::RwLock<Vec<sync::Arc<Link>>>,
+}
+
+impl Links {
+    /// Makes the links of a process; each is dialled when it is first used.
+    pub fn new(identity: sync::Arc<Identity>) -> Self {
+        Self {
+            identity,
+            links: sync::RwLock::default(),
+        }
+    }
+
+    /// Returns who this process is.
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// Sends a request to a peer and waits for its reply.
+    ///
+    /// A connection that stays silent for the whole of `timeout` is dropped and dialled anew by
+    /// the next request, since nng notices only a visible close.
+    ///
+    /// # Errors
+    ///
+    /// Fails as unavailable when no authentic reply comes within `timeout`. The peer may have
+    /// acted on the request all the same.
+    pub async fn request(
+        &self,
+        address: net::SocketAddr,
+        request: &message::Request,
+        timeout: clock::Millis,
+    ) -> error::Result<message::Reply> {
+        let link = self.link(address);
+        match time::timeout(timeout.as_duration(), link.request(&self.identity, request)).await {
+            Ok(result) => result,
+            Err(_) => {
+                link.replace(&self.identity);
+                let reason = format!("no answer from {address} within {timeout}");
+                Err(error::Error::unavailable(reason, RETRY_AFTER))
+            }
+        }
+    }
+
+    fn link(&self, address: net::SocketAddr) -> sync::Arc<Link> {
+        let find = |links: &[sync::Arc<Link>]| links.binary_search_by_key(&address, |l| l.address);
+        let links = self
+            .links
+            .read()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        if let Ok(at) = find(&links) {
+            return sync::Arc::clone(&links[at]);
+        }
+        drop(links);
+        let mut links = self
+            .links
+            .write()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        match find(&links) {
+            Ok(at) => sync::Arc::clone(&links[at]),
+            Err(at) => {
+                let link = sync::Arc::new(Link::new(address));
+                links.insert(at, sync::Arc::clone(&link));
+                link
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Link {
+    address: net::SocketAddr,
+    socket: sync::Mutex<Option<sync::Arc<anng::Socket<reqrep0::Req0>>>>,
+    peer_incarnation: atomic::AtomicU64,
+}
+
+impl Link {
+    fn new(address: net::SocketAddr) -> Self {
+        Self {
+            address,
+            socket: sync::Mutex::default(),
+            peer_incarnation: atomic::AtomicU64::new(0),
+        }
+    }
+
+    async fn request(
+        &self,
+        identity: &Identity,
+        request: &message::Request,
+    ) -> error::Result<message::Reply> {
+        let body = encode(request)?;
+        for _ in 0..MAX_CHALLENGES {
+            let frame = frame::Frame {
+                head: self.head(identity),
+                body: body.clone(),
+            };
+            let reply = self.exchange(identity, &frame).await?;
+            let life = reply.head.from_incarnation.as_u64();
+            self.peer_incarnation.store(life, atomic::Ordering::Relaxed);
+            if let Envelope::Answer(answer) = decode(&reply.body)? {
+                return Ok(*answer);
+            }
+        }
+        let reason = format!("{} restarts all the time", self.address);
+        Err(error::Error::unavailable(reason, RETRY_AFTER))
+    }
+
+    fn head(&self, identity: &Identity) -> frame::Head {
+        let peer = self.peer_incarnation.load(atomic::Ordering::Relaxed);
+        frame::Head {
+            from: identity.instance.clone(),
+            from_incarnation: identity.incarnation,
+            to_incarnation: id::Incarnation::new(peer),
+            sequence: identity.next_sequence(),
+            stamp: identity.recorder.stamp(),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        identity: &Identity,
+        frame: &frame::Frame,
+    ) -> error::Result<frame::Frame> {
+        let socket = self.connected().await?;
+        let mut cx = socket.context();
+        let bytes = frame.to_bytes(&identity.secret)?;
+        let sent = cx.request(anng::Message::from(bytes.as_slice())).await;
+        let reply = match sent {
+            Ok(reply) => reply.await,
+            Err((e, _)) => Err(e),
+        };
+        let reply = reply.map_err(|e| {
+            error::Error::unavailable(format!("link to {}: {e}", self.address), RETRY_AFTER)
+        })?;
+        let reply = frame::Frame::from_bytes(reply.as_slice(), &identity.secret)?;
+        identity.recorder.observe(reply.head.stamp);
+        check_reply(&frame.head, &reply.head)?;
+        Ok(reply)
+    }
+
+    async fn connected(&self) -> error::Result<sync::Arc<anng::Socket<reqrep0::Req0>>> {
+        if let Some(socket) = self.lock().as_ref() {
+            return Ok(sync::Arc::clone(socket));
+        }
+        let dialled = reqrep0::Req0::dial(url(self.address)?).await;
+        let socket = dialled.map_err(|e| {
+            error::Error::unavailable(format!("dialling {}: {e}", self.address), RETRY_AFTER)
+        })?;
+        let socket = sync::Arc::new(socket);
+        *self.lock() = Some(sync::Arc::clone(&socket));
+        Ok(socket)
+    }
+
+    fn replace(&self, identity: &Identity) {
+        if self.lock().take().is_some() {
+            let detail = format!("{} was silent", self.address);
+            identity.recorder.record(event::Kind::Redialled, detail);
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, Option<sync::Arc<anng::Socket<reqrep0::Req0>>>> {
+        self.socket
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+fn check_reply(sent: &frame::Head, reply: &frame::Head) -> error::Result<()> {
+    if reply.to_incarnation == sent.from_incarnation && reply.sequence == sent.sequence {
+        return Ok(());
+    }
+    let remedy = "look for a process that forwards frames";
+    Err(error::Error::damaged("a reply to another request", remedy))
+}
+
+/// Returns the URL that nng dials or listens on.
+pub(super) fn url(address: net::SocketAddr) -> error::Result<ffi::CString> {
+    ffi::CString::new(format!("tcp://{address}"))
+        .map_err(|_| error::Error::bad_value("address", address, "use an IP address and a port"))
+}
+
+/// Encodes a message of the links.
+pub(super) fn encode<T: serde::Serialize>(message: &T) -> error::Result<Vec<u8>> {
+    postcard::to_stdvec(message)
+        .map_err(|e| error::Error::damaged(format!("message: {e}"), "report this fault"))
+}
+
+/// Decodes a message of the links.
+pub(super) fn decode<T: serde::de::DeserializeOwned>(buf: &[u8]) -> error::Result<T> {
+    postcard::from_bytes(buf)
+        .map_err(|e| error::Error::damaged(format!("message: {e}"), "run one version everywhere"))
+}
--- /dev/null
+++ b/src/peer/server.rs
@@ -0,0 +1,144 @@
+//! The answering side of the links between processes.
+
+use std::future;
+use std::net;
+use std::sync;
+
+use anng::protocols::reqrep0;
+use tokio::sync::watch;
+use tokio::task;
+
+use crate::error;
+use crate::event;
+use crate::id;
+use crate::peer::frame;
+use crate::peer::link;
+use crate::peer::message;
+
+/// The requests that are handled at once, long polls included.
+const CONTEXTS: usize = 256;
+
+/// Answers the requests of other processes.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request of the named instance.
+    fn handle(
+        &self,
+        from: id::InstanceId,
+        request: message::Request,
+    ) -> impl Future<Output = message::Reply> + Send;
+}
+
+/// Listens for peers until `stop` turns true, then returns when all handlers have ended.
+///
+/// # Errors
+///
+/// Fails when the address can't be listened on.
+pub async fn serve<H: Handler>(
+    address: net::SocketAddr,
+    identity: sync::Arc<link::Identity>,
+    handler: sync::Arc<H>,
+    stop: watch::Receiver<bool>,
+) -> error::Result<()> {
+    let socket = reqrep0::Rep0::listen(link::url(address)?)
+        .await
+        .map_err(|e| error::Error::io(format!("listening for peers on {address}"), e))?;
+    let receiver = sync::Arc::new(Receiver {
+        identity,
+        handler,
+        filter: sync::Mutex::default(),
+    });
+    let socket = sync::Arc::new(socket);
+    let mut workers = task::JoinSet::new();
+    for _ in 0..CONTEXTS {
+        let socket = sync::Arc::clone(&socket);
+        let receiver = sync::Arc::clone(&receiver);
+        let stop = stop.clone();
+        workers.spawn(async move { receiver.run(&socket, stop).await });
+    }
+    while workers.join_next().await.is_some() {}
+    Ok(())
+}
+
+#[derive(Debug)]
+struct Receiver<H> {
+    identity: sync::Arc<link::Identity>,
+    handler: sync::Arc<H>,
+    filter: sync::Mutex<frame::ReplayFilter>,
+}
+
+impl<H: Handler> Receiver<H> {
+    async fn run(&self, socket: &anng::Socket<reqrep0::Rep0>, mut stop: watch::Receiver<bool>) {
+        let mut cx = socket.context();
+        loop {
+            let received = tokio::select! {
+                received = cx.receive() => received,
+                () = stopped(&mut stop) => return,
+            };
+            let Ok((request, responder)) = received else {
+                return;
+            };
+            let Some(reply) = self.answer(request.as_slice()).await else {
+                continue;
+            };
+            // A reply that can't be sent is lost like one on a cut line; the peer times out.
+            let _ = responder.reply(anng::Message::from(reply.as_slice())).await;
+        }
+    }
+
+    /// Returns the bytes of the reply, or `None` for a frame that is refused.
+    async fn answer(&self, bytes: &[u8]) -> Option<Vec<u8>> {
+        let frame = match frame::Frame::from_bytes(bytes, &self.identity.secret) {
+            Ok(frame) => frame,
+            Err(e) => return self.refuse(&e.to_string()),
+        };
+        self.identity.recorder.observe(frame.head.stamp);
+        if frame.head.to_incarnation != self.identity.incarnation {
+            return self.reply(&frame.head, &link::Envelope::Challenge);
+        }
+        if !self.is_new(&frame.head) {
+            return self.refuse("a repeated frame");
+        }
+        let request = match link::decode(&frame.body) {
+            Ok(request) => request,
+            Err(e) => return self.refuse(&e.to_string()),
+        };
+        let answer = self.handler.handle(frame.head.from.clone(), request).await;
+        self.reply(&frame.head, &link::Envelope::Answer(Box::new(answer)))
+    }
+
+    fn is_new(&self, head: &frame::Head) -> bool {
+        self.filter
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+            .accept(head)
+    }
+
+    fn refuse(&self, why: &str) -> Option<Vec<u8>> {
+        metrics::counter!("buckthorncleat_frames_refused_total").increment(1);
+        self.identity
+            .recorder
+            .record(event::Kind::FrameRefused, why);
+        None
+    }
+
+    fn reply(&self, to: &frame::Head, envelope: &link::Envelope) -> Option<Vec<u8>> {
+        let head = frame::Head {
+            from: self.identity.instance.clone(),
+            from_incarnation: self.identity.incarnation,
+            to_incarnation: to.from_incarnation,
+            sequence: to.sequence,
+            stamp: self.identity.recorder.stamp(),
+        };
+        let body = link::encode(envelope).ok()?;
+        frame::Frame { head, body }
+            .to_bytes(&self.identity.secret)
+            .ok()
+    }
+}
+
+/// Returns when `stop` is true or its sender is gone.
+pub async fn stopped(stop: &mut watch::Receiver<bool>) {
+    if stop.wait_for(|stop| *stop).await.is_err() {
+        future::ready(()).await;
+    }
+}
--- /dev/null
+++ b/src/replica/mod.rs
@@ -0,0 +1,1 @@
+//! The replicated log of the control group.
--- /dev/null
+++ b/tests/peer.rs
@@ -0,0 +1,189 @@
+//! The contract of the links between processes: authentic, fresh and answered, or refused.
+
+use std::net;
+use std::sync;
+
+use buckthorncleat::clock;
+use buckthorncleat::event;
+use buckthorncleat::id;
+use buckthorncleat::peer::frame;
+use buckthorncleat::peer::link;
+use buckthorncleat::peer::message;
+use buckthorncleat::peer::server;
+use tokio::sync::watch;
+
+const TIMEOUT: clock::Millis = clock::Millis::new(2_000);
+
+struct Echo;
+
+impl server::Handler for Echo {
+    async fn handle(&self, _: id::InstanceId, request: message::Request) -> message::Reply {
+        match request {
+            message::Request::Ping => message::Reply::Accepted,
+            _ => message::Reply::Unsupported,
+        }
+    }
+}
+
+fn identity(name: &str, secret: &str) -> sync::Arc<link::Identity> {
+    let instance: id::InstanceId = name.parse().unwrap();
+    let recorder = sync::Arc::new(event::Recorder::new(instance.clone()));
+    let secret = frame::Secret::from_bytes(secret.as_bytes()).unwrap();
+    sync::Arc::new(link::Identity::new(instance, secret, recorder))
+}
+
+fn free_address() -> net::SocketAddr {
+    net::TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+struct Peer {
+    address: net::SocketAddr,
+    stop: watch::Sender<bool>,
+    task: tokio::task::JoinHandle<buckthorncleat::Result<()>>,
+}
+
+impl Peer {
+    fn start(address: net::SocketAddr, secret: &str) -> Self {
+        let (stop, stopped) = watch::channel(false);
+        let identity = identity("server", secret);
+        let task = tokio::spawn(server::serve(
+            address,
+            identity,
+            sync::Arc::new(Echo),
+            stopped,
+        ));
+        Self {
+            address,
+            stop,
+            task,
+        }
+    }
+
+    async fn end(self) {
+        self.stop.send(true).unwrap();
+        self.task.await.unwrap().unwrap();
+    }
+}
+
+async fn ask(links: &link::Links, address: net::SocketAddr) -> buckthorncleat::Result<()> {
+    let mut last = None;
+    for _ in 0..20 {
+        match links
+            .request(address, &message::Request::Ping, TIMEOUT)
+            .await
+        {
+            Ok(reply) => {
+                assert_eq!(reply, message::Reply::Accepted);
+                return Ok(());
+            }
+            Err(e) => last = Some(e),
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    Err(last.unwrap())
+}
+
+#[tokio::test]
+async fn a_request_is_answered_also_by_the_next_life_of_a_peer() {
+    let links = link::Links::new(identity("client", "0123456789abcdef"));
+    let address = free_address();
+    for _ in 0..2 {
+        let peer = Peer::start(address, "0123456789abcdef");
+        ask(&links, peer.address).await.unwrap();
+        peer.end().await;
+    }
+}
+
+#[tokio::test]
+async fn a_stranger_gets_no_answer() {
+    let peer = Peer::start(free_address(), "0123456789abcdef");
+    let links = link::Links::new(identity("client", "another-secret-of-16"));
+    let timeout = clock::Millis::new(300);
+    for _ in 0..2 {
+        let result = links
+            .request(peer.address, &message::Request::Ping, timeout)
+            .await;
+        assert!(result.unwrap_err().is_unavailable());
+    }
+    peer.end().await;
+}
+
+#[tokio::test]
+async fn a_silent_peer_ends_in_a_timeout() {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let links = link::Links::new(identity("client", "0123456789abcdef"));
+    let address = listener.local_addr().unwrap();
+    let timeout = clock::Millis::new(200);
+    let result = links
+        .request(address, &message::Request::Ping, timeout)
+        .await;
+    assert!(result.unwrap_err().is_unavailable());
+}
+
+#[test]
+fn damaged_frames_are_refused() {
+    let secret = frame::Secret::from_bytes(b"0123456789abcdef").unwrap();
+    let frame = sample_frame(7);
+    let good = frame.to_bytes(&secret).unwrap();
+    assert_eq!(
+        frame::Frame::from_bytes(&good, &secret).unwrap().body,
+        b"body"
+    );
+    for at in 0..good.len() {
+        let mut bad = good.clone();
+        bad[at] ^= 1;
+        assert!(
+            frame::Frame::from_bytes(&bad, &secret).is_err(),
+            "byte {at}"
+        );
+        assert!(
+            frame::Frame::from_bytes(&good[..at], &secret).is_err(),
+            "cut at {at}"
+        );
+    }
+}
+
+#[test]
+fn repeated_and_late_frames_are_refused() {
+    let mut filter = frame::ReplayFilter::default();
+    let cases = [
+        (10, true),
+        (10, false),
+        (9, true),
+        (9, false),
+        (20_000, true),
+        (19_999, true),
+        (11, false),
+        (10, false),
+        (20_000, false),
+    ];
+    for (sequence, expected) in cases {
+        assert_eq!(
+            filter.accept(&sample_frame(sequence).head),
+            expected,
+            "{sequence}"
+        );
+    }
+}
+
+#[test]
+fn a_short_secret_is_refused_with_the_remedy() {
+    let e = frame::Secret::from_bytes(b"short").unwrap_err();
+    assert!(e.to_string().contains("16 random bytes"), "{e}");
+}
+
+fn sample_frame(sequence: u64) -> frame::Frame {
+    frame::Frame {
+        head: frame::Head {
+            from: "client".parse().unwrap(),
+            from_incarnation: id::Incarnation::new(1),
+            to_incarnation: id::Incarnation::new(2),
+            sequence,
+            stamp: event::Stamp::default(),
+        },
+        body: b"body".to_vec(),
+    }
+}
