--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,1 @@
+//! The gateway daemon: callers, owner roles and the link to the control group.
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -16,6 +16,8 @@
         Replica(Vec<u8>),
         /// A gateway's heartbeat, and its wish for commits after a revision.
         Watch(Watch),
+        /// A gateway's last message: it holds no role, request or stream any more.
+        Leave(id::Incarnation),
         /// A command for the replicated log, for the leader only.
         Propose(command::Command),
         /// A request to the limiter owner of an account.
