--- /dev/null
+++ b/src/backend/engine.rs
@@ -0,0 +1,294 @@
+//! The client of one model engine.
+
+use std::fmt;
+use std::net;
+use std::pin;
+
+use eventsource_stream::Eventsource as _;
+use futures_util::StreamExt as _;
+use futures_util::stream;
+use hyper::header;
+use tokio::time;
+
+use crate::backend::client;
+use crate::backend::wire;
+use crate::clock;
+use crate::id;
+use crate::macros;
+
+/// The largest answer of an engine that is not a stream, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// The longest time of a call that only reads or cancels.
+const SHORT_CALL: clock::Millis = clock::Millis::new(700);
+
+/// The client of one model engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Engine {
+    address: net::SocketAddr,
+}
+
+macros::data! {
+    /// Why an engine did not do what it was asked.
+    pub enum EngineError {
+        /// The call failed.
+        Call(client::Failure),
+        /// The engine has no room; nothing was started.
+        Full,
+        /// The engine no longer has the KV cache or the stream.
+        Gone,
+        /// The engine refused the call for another reason.
+        Refused(u16, String),
+    }
+}
+
+impl EngineError {
+    /// Tells whether the call surely started nothing.
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, Self::Call(client::Failure::NotSent(_)) | Self::Full)
+    }
+}
+
+impl fmt::Display for EngineError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Call(failure) => failure.fmt(f),
+            Self::Full => f.write_str("the engine has no room"),
+            Self::Gone => f.write_str("the engine no longer has it"),
+            Self::Refused(status, why) => write!(f, "status {status}: {why}"),
+        }
+    }
+}
+
+macros::data! {
+    /// One event of a token stream.
+    pub enum StreamEvent {
+        /// The next token.
+        Token(wire::Token),
+        /// The proper end.
+        Done(wire::Done),
+    }
+}
+
+impl Engine {
+    /// Makes a client; it connects when it is first used.
+    pub const fn new(address: net::SocketAddr) -> Self {
+        Self { address }
+    }
+
+    /// Computes the KV cache of a prompt.
+    ///
+    /// # Errors
+    ///
+    /// See [`EngineError`].
+    pub async fn prefill(
+        &self,
+        body: &wire::Prefill,
+        timeout: clock::Millis,
+    ) -> Result<wire::Prefilled, EngineError> {
+        self.post("/v1/prefill", body, timeout).await
+    }
+
+    /// Makes this engine fetch KV cache.
+    ///
+    /// # Errors
+    ///
+    /// See [`EngineError`].
+    pub async fn import(
+        &self,
+        body: &wire::Import,
+        timeout: clock::Millis,
+    ) -> Result<(), EngineError> {
+        let _: serde_json::Value = self.post("/v1/import", body, timeout).await?;
+        Ok(())
+    }
+
+    /// Starts to generate tokens.
+    ///
+    /// # Errors
+    ///
+    /// See [`EngineError`].
+    pub async fn decode(&self, body: &wire::Decode) -> Result<TokenStream, EngineError> {
+        let request = json_request("/v1/decode", body);
+        self.stream(request).await
+    }
+
+    /// Takes up a stream again from a token on.
+    ///
+    /// # Errors
+    ///
+    /// See [`EngineError`].
+    pub async fn resume(
+        &self,
+        request: id::RequestId,
+        from: u64,
+    ) -> Result<TokenStream, EngineError> {
+        let path = format!("/v1/requests/{request}/stream?from={from}");
+        self.stream(empty_request(hyper::Method::GET, &path)).await
+    }
+
+    /// Frees all that the engine holds for a request.
+    ///
+    /// # Errors
+    ///
+    /// See [`EngineError`]; only an answer confirms that nothing is held.
+    pub async fn cancel(&self, request: id::RequestId) -> Result<wire::Cancelled, EngineError> {
+        let path = format!("/v1/requests/{request}");
+        self.call(empty_request(hyper::Method::DELETE, &path), SHORT_CALL)
+            .await
+    }
+
+    /// Lists what the engine holds.
+    ///
+    /// # Errors
+    ///
+    /// See [`EngineError`].
+    pub async fn held(&self) -> Result<wire::Held, EngineError> {
+        self.call(empty_request(hyper::Method::GET, "/v1/held"), SHORT_CALL)
+            .await
+    }
+
+    /// Reads the engine's load report.
+    ///
+    /// # Errors
+    ///
+    /// See [`EngineError`].
+    pub async fn load(&self) -> Result<wire::Load, EngineError> {
+        self.call(empty_request(hyper::Method::GET, "/v1/load"), SHORT_CALL)
+            .await
+    }
+
+    /// Reads changes of the prefix cache after a number.
+    ///
+    /// # Errors
+    ///
+    /// See [`EngineError`].
+    pub async fn cache_events(&self, after: u64) -> Result<wire::CacheEvents, EngineError> {
+        let path = format!("/v1/cache-events?after={after}");
+        self.call(empty_request(hyper::Method::GET, &path), SHORT_CALL)
+            .await
+    }
+
+    async fn post<T: serde::Serialize, R: serde::de::DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &T,
+        timeout: clock::Millis,
+    ) -> Result<R, EngineError> {
+        self.call(json_request(path, body), timeout).await
+    }
+
+    async fn call<R: serde::de::DeserializeOwned>(
+        &self,
+        request: hyper::Request<client::Body>,
+        timeout: clock::Millis,
+    ) -> Result<R, EngineError> {
+        let answer = client::call(self.address, request, timeout, MAX_ANSWER_BYTES)
+            .await
+            .map_err(EngineError::Call)?;
+        check_status(answer.status, || {
+            String::from_utf8_lossy(&answer.body).into_owned()
+        })?;
+        serde_json::from_slice(&answer.body)
+            .map_err(|e| EngineError::Call(client::Failure::Malformed(e.to_string())))
+    }
+
+    async fn stream(
+        &self,
+        request: hyper::Request<client::Body>,
+    ) -> Result<TokenStream, EngineError> {
+        let streaming = client::open(self.address, request, SHORT_CALL)
+            .await
+            .map_err(EngineError::Call)?;
+        check_status(streaming.status, String::new)?;
+        Ok(TokenStream::new(streaming))
+    }
+}
+
+fn json_request<T: serde::Serialize>(path: &str, body: &T) -> hyper::Request<client::Body> {
+    let body = serde_json::to_vec(body).expect("wire types have string keys only");
+    hyper::Request::post(path)
+        .header(header::HOST, "engine")
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(client::Body::from(body))
+        .expect("the path is well-formed")
+}
+
+fn empty_request(method: hyper::Method, path: &str) -> hyper::Request<client::Body> {
+    hyper::Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, "engine")
+        .body(client::Body::default())
+        .expect("the path is well-formed")
+}
+
+fn check_status(
+    status: hyper::StatusCode,
+    body: impl FnOnce() -> String,
+) -> Result<(), EngineError> {
+    match status {
+        status if status.is_success() => Ok(()),
+        hyper::StatusCode::SERVICE_UNAVAILABLE => Err(EngineError::Full),
+        hyper::StatusCode::NOT_FOUND | hyper::StatusCode::GONE => Err(EngineError::Gone),
+        status => Err(EngineError::Refused(status.as_u16(), body())),
+    }
+}
+
+type Events = dyn futures_util::Stream<
+        Item = Result<
+            eventsource_stream::Event,
+            eventsource_stream::EventStreamError<client::Failure>,
+        >,
+    > + Send;
+
+/// A stream of tokens from an engine.
+pub struct TokenStream {
+    events: pin::Pin<Box<Events>>,
+}
+
+impl fmt::Debug for TokenStream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("TokenStream")
+    }
+}
+
+impl TokenStream {
+    fn new(streaming: client::Streaming) -> Self {
+        let bytes = stream::unfold(streaming, |mut streaming| async {
+            let next = streaming.next().await?;
+            Some((next, streaming))
+        });
+        Self {
+            events: Box::pin(bytes.eventsource()),
+        }
+    }
+
+    /// Returns the next event.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream breaks, ends before it is done, or is silent for `silence`.
+    pub async fn next(&mut self, silence: clock::Millis) -> Result<StreamEvent, client::Failure> {
+        let next = time::timeout(silence.as_duration(), self.events.next())
+            .await
+            .map_err(|_| client::Failure::Timeout)?;
+        match next {
+            Some(Ok(event)) => decode_event(&event),
+            Some(Err(e)) => Err(client::Failure::Broken(e.to_string())),
+            None => Err(client::Failure::Broken("ended before it was done".into())),
+        }
+    }
+}
+
+fn decode_event(event: &eventsource_stream::Event) -> Result<StreamEvent, client::Failure> {
+    let malformed = |e: serde_json::Error| client::Failure::Malformed(e.to_string());
+    if event.event == "done" {
+        return serde_json::from_str(&event.data)
+            .map(StreamEvent::Done)
+            .map_err(malformed);
+    }
+    serde_json::from_str(&event.data)
+        .map(StreamEvent::Token)
+        .map_err(malformed)
+}
--- a/src/controller/limiter/message.rs
+++ b/src/controller/limiter/message.rs
@@ -15,6 +15,16 @@
     }
 }
 
+impl Request {
+    /// Returns the account concerned.
+    pub const fn account(&self) -> &id::ClientAccountId {
+        match self {
+            Self::Charge(charge) => &charge.account,
+            Self::Refund(refund) => &refund.account,
+        }
+    }
+}
+
 macros::data! {
     /// Takes tokens for one request.
     pub struct Charge {
--- a/src/controller/scheduler/message.rs
+++ b/src/controller/scheduler/message.rs
@@ -41,6 +41,8 @@
     pub struct Place {
         /// The request.
         pub request: id::RequestId,
+        /// The number of the attempt, from 0; each attempt gets its own place.
+        pub attempt: u32,
         /// The account that it runs for.
         pub account: id::ClientAccountId,
         /// The priority of the account.
@@ -143,6 +145,8 @@
             /// When it may find a place.
             retry_after: clock::Millis,
         },
+        /// There is no decision yet; ask again for the same attempt.
+        Waiting,
         /// The message was taken in.
         Noted,
         /// Of the renewed reservations, these are not held here.
--- /dev/null
+++ b/src/filter/forward_plain.rs
@@ -0,0 +1,256 @@
+//! Sends calls to plain services: idempotent ones until one answers, others at most once.
+
+use bytes::Bytes;
+use hyper::header;
+use tokio::time;
+
+use crate::backend::client;
+use crate::clock;
+use crate::event;
+use crate::filter;
+use crate::filter::claim;
+use crate::filter::exchange;
+use crate::http::body;
+use crate::http::caller::answer;
+use crate::id;
+use crate::state::command;
+use crate::state::model;
+
+/// The largest answer of a plain service, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// The share of a lookup's deadline after which a second server is asked too.
+const HEDGE_SHARE: u64 = 4;
+/// The largest answer that is kept for resends, in bytes.
+const MAX_STORED_BYTES: usize = 64 << 10;
+/// When to come back when no server of a route takes work.
+const NO_SERVER_RETRY: clock::Millis = clock::Millis::new(2_000);
+/// The header that tells plain services which account calls.
+const ACCOUNT_HEADER: &str = "buckthorncleat-account";
+
+/// The headers that concern one connection only, and those that the gateway sets itself.
+const DROPPED_HEADERS: [&str; 11] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+    ACCOUNT_HEADER,
+    answer::OUTCOME_HEADER,
+];
+
+/// Sends the call and answers with what the service says.
+///
+/// # Errors
+///
+/// Refuses calls that no server took, and tells when a call may have run.
+pub async fn apply(exchange: &mut exchange::Exchange) -> Result<filter::Flow, answer::Refusal> {
+    let exchange::Target::Plain(route) = exchange.target.clone() else {
+        return Ok(filter::Flow::Next);
+    };
+    let sent = if claim::is_idempotent(&route, &exchange.head.method) {
+        lookup(exchange, &route).await
+    } else {
+        once(exchange, &route).await
+    };
+    finish(exchange, &route, sent).await
+}
+
+/// What became of a call.
+enum Sent {
+    Answered(client::Answer),
+    Refused(answer::Refusal),
+    Unknown,
+}
+
+/// Asks a server, and another one when it is slow or fails, until the deadline.
+async fn lookup(exchange: &mut exchange::Exchange, route: &model::Route) -> Sent {
+    if let Err(refusal) = exchange.check_allowed() {
+        return Sent::Refused(refusal);
+    }
+    let left = route.deadline - exchange.age();
+    let cx = std::sync::Arc::clone(&exchange.cx);
+    let work = hedged(exchange, route);
+    let key = exchange.key.clone();
+    let withdrawn = async {
+        match &key {
+            Some(key) => cx.withdrawn(key).await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        sent = work => sent,
+        () = time::sleep(left.as_duration()) => Sent::Refused(too_late(route)),
+        () = withdrawn => Sent::Refused(exchange::withdrawn()),
+    }
+}
+
+async fn hedged(exchange: &exchange::Exchange, route: &model::Route) -> Sent {
+    let pause = clock::Millis::new(route.deadline.as_u64() / HEDGE_SHARE);
+    let mut calls = futures_util::stream::FuturesUnordered::new();
+    let mut tried: Vec<id::BackendServerId> = Vec::new();
+    loop {
+        if let Some(server) = exchange.cx.services.pick(&exchange.cx, route, &tried) {
+            tried.push(server.id.clone());
+            calls.push(attempt(exchange, route, server));
+        } else if calls.is_empty() {
+            return Sent::Refused(no_server(route));
+        }
+        let next = futures_util::StreamExt::next(&mut calls);
+        // A call that fails, or is silent for a while, lets the next server be asked.
+        if let Ok(Some(Ok(answer))) = time::timeout(pause.as_duration(), next).await {
+            return Sent::Answered(answer);
+        }
+    }
+}
+
+/// Sends the call to one server; another is tried only when surely nothing was sent.
+async fn once(exchange: &exchange::Exchange, route: &model::Route) -> Sent {
+    let mut tried: Vec<id::BackendServerId> = Vec::new();
+    loop {
+        if let Err(refusal) = exchange.check_allowed() {
+            return Sent::Refused(refusal);
+        }
+        if exchange.age() >= route.deadline {
+            return Sent::Refused(no_server(route));
+        }
+        let Some(server) = exchange.cx.services.pick(&exchange.cx, route, &tried) else {
+            return Sent::Refused(no_server(route));
+        };
+        tried.push(server.id.clone());
+        match attempt(exchange, route, server).await {
+            Ok(answer) => return Sent::Answered(answer),
+            Err(client::Failure::NotSent(_)) => {}
+            Err(_) => return Sent::Unknown,
+        }
+    }
+}
+
+async fn attempt(
+    exchange: &exchange::Exchange,
+    route: &model::Route,
+    server: model::BackendServer,
+) -> Result<client::Answer, client::Failure> {
+    let cx = &exchange.cx;
+    let _running = cx.services.begin(&server.id);
+    cx.recorder
+        .record_request(event::Kind::Placed, exchange.id, server.id.as_str());
+    let left = route.deadline - exchange.age();
+    let request = forwarded(exchange);
+    client::call(server.address, request, left, MAX_ANSWER_BYTES).await
+}
+
+/// Makes the request that a service sees: without the caller's key, with its account's name.
+fn forwarded(exchange: &exchange::Exchange) -> hyper::Request<client::Body> {
+    let head = &exchange.head;
+    let mut request = hyper::Request::new(client::Body::from(exchange.body.clone()));
+    *request.method_mut() = head.method.clone();
+    *request.uri_mut() = path_only(&head.uri);
+    *request.headers_mut() = end_to_end(&head.headers);
+    let headers = request.headers_mut();
+    headers
+        .entry(header::HOST)
+        .or_insert(header::HeaderValue::from_static("buckthorncleat"));
+    if let Ok(value) = exchange.id.to_string().try_into() {
+        headers.insert(answer::REQUEST_HEADER, value);
+    }
+    if let Some(Ok(value)) = exchange.account().map(|a| a.as_str().try_into()) {
+        headers.insert(ACCOUNT_HEADER, value);
+    }
+    request
+}
+
+fn path_only(uri: &hyper::Uri) -> hyper::Uri {
+    uri.path_and_query()
+        .and_then(|path| path.as_str().parse().ok())
+        .unwrap_or_else(|| hyper::Uri::from_static("/"))
+}
+
+fn end_to_end(headers: &header::HeaderMap) -> header::HeaderMap {
+    let mut kept = headers.clone();
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in &named {
+        kept.remove(name.as_str());
+    }
+    for name in DROPPED_HEADERS {
+        kept.remove(name);
+    }
+    kept
+}
+
+async fn finish(
+    exchange: &mut exchange::Exchange,
+    route: &model::Route,
+    sent: Sent,
+) -> Result<filter::Flow, answer::Refusal> {
+    match sent {
+        Sent::Answered(answer) => {
+            exchange.used = route.cost;
+            let stored = stored(&answer);
+            exchange.caller.answer(response(exchange, answer));
+            let recorder = &exchange.cx.recorder;
+            recorder.record_request(event::Kind::Answered, exchange.id, "");
+            claim::settle(exchange, stored).await;
+            Ok(filter::Flow::Streamed)
+        }
+        Sent::Refused(refusal) => {
+            claim::settle(exchange, command::ClaimEnd::NotRun).await;
+            Err(refusal)
+        }
+        Sent::Unknown => {
+            exchange.used = route.cost;
+            exchange
+                .caller
+                .answer(claim::may_have_run().into_response(exchange.id));
+            claim::settle(exchange, command::ClaimEnd::Unknown).await;
+            Ok(filter::Flow::Streamed)
+        }
+    }
+}
+
+fn response(exchange: &exchange::Exchange, answer: client::Answer) -> answer::Response {
+    let mut builder = answer::head(answer.status.as_u16(), answer::Outcome::Ran, exchange.id);
+    if let Some(headers) = builder.headers_mut() {
+        for (name, value) in &end_to_end(&answer.headers) {
+            if !headers.contains_key(name) {
+                headers.append(name, value.clone());
+            }
+        }
+    }
+    answer::finish(builder, body::Body::from_bytes(answer.body))
+}
+
+fn stored(answer: &client::Answer) -> command::ClaimEnd {
+    if answer.body.len() > MAX_STORED_BYTES {
+        return command::ClaimEnd::Unknown;
+    }
+    let content_type = answer
+        .headers
+        .get(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("application/octet-stream");
+    command::ClaimEnd::Ran(command::StoredAnswer {
+        status: answer.status.as_u16(),
+        content_type: content_type.to_owned(),
+        body: Bytes::to_vec(&answer.body),
+    })
+}
+
+fn too_late(route: &model::Route) -> answer::Refusal {
+    let message = format!("no server of `{}` answered within {}", route.id, route.deadline);
+    answer::Refusal::unknown(504, "deadline", message).retry_after(NO_SERVER_RETRY)
+}
+
+fn no_server(route: &model::Route) -> answer::Refusal {
+    let message = format!("no server of `{}` takes work now", route.id);
+    answer::Refusal::not_run(503, "no_server", message).retry_after(NO_SERVER_RETRY)
+}
--- a/src/filter/mod.rs
+++ b/src/filter/mod.rs
@@ -1,1 +1,104 @@
 //! The chain of filters that every caller request passes.
+
+pub mod authorise;
+pub mod claim;
+pub mod exchange;
+pub mod forward_model;
+pub mod forward_plain;
+pub mod identify;
+pub mod limit;
+pub mod local;
+pub mod stage;
+
+use crate::event;
+use crate::http::caller::answer;
+
+/// One filter of the chain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Filter {
+    /// Finds out what the request asks for.
+    Identify,
+    /// Finds the account by the key.
+    Authorise,
+    /// Takes the tokens from the account's bucket.
+    Limit,
+    /// Claims a call that must not run twice.
+    Claim,
+    /// Answers what the gateway knows itself.
+    Local,
+    /// Sends the call to a plain service.
+    ForwardPlain,
+    /// Runs the request on prefill and decode servers.
+    ForwardModel,
+}
+
+/// What a filter decided.
+#[derive(Debug)]
+pub enum Flow {
+    /// The next filter goes on.
+    Next,
+    /// The request ends with this answer.
+    Answer(answer::Response),
+    /// The request ends; the answer was streamed.
+    Streamed,
+}
+
+/// The filters in their order.
+pub const CHAIN: [Filter; 7] = [
+    Filter::Identify,
+    Filter::Authorise,
+    Filter::Limit,
+    Filter::Claim,
+    Filter::Local,
+    Filter::ForwardPlain,
+    Filter::ForwardModel,
+];
+
+/// Takes a request through the chain, answers it, and gives back what it did not use.
+pub async fn run(mut exchange: exchange::Exchange) {
+    let flow = pass(&mut exchange).await;
+    match flow {
+        Ok(Flow::Answer(response)) => exchange.caller.answer(response),
+        Ok(Flow::Streamed) => exchange.caller.end(),
+        Ok(Flow::Next) => {
+            let refusal = answer::Refusal::not_run(404, "unknown_path", "no such path");
+            refuse(&mut exchange, refusal);
+        }
+        Err(refusal) => refuse(&mut exchange, refusal),
+    }
+    limit::give_back(&exchange).await;
+}
+
+async fn pass(exchange: &mut exchange::Exchange) -> Result<Flow, answer::Refusal> {
+    for filter in CHAIN {
+        match filter.apply(exchange).await? {
+            Flow::Next => {}
+            end => return Ok(end),
+        }
+    }
+    Ok(Flow::Next)
+}
+
+impl Filter {
+    async fn apply(self, exchange: &mut exchange::Exchange) -> Result<Flow, answer::Refusal> {
+        match self {
+            Self::Identify => identify::apply(exchange),
+            Self::Authorise => authorise::apply(exchange),
+            Self::Limit => limit::apply(exchange).await,
+            Self::Claim => claim::apply(exchange).await,
+            Self::Local => Ok(local::apply(exchange)),
+            Self::ForwardPlain => forward_plain::apply(exchange).await,
+            Self::ForwardModel => forward_model::apply(exchange).await,
+        }
+    }
+}
+
+fn refuse(exchange: &mut exchange::Exchange, refusal: answer::Refusal) {
+    metrics::counter!("buckthorncleat_refusals_total", "code" => refusal.code).increment(1);
+    let detail = format!("{} {}", refusal.status, refusal.code);
+    exchange
+        .cx
+        .recorder
+        .record_request(event::Kind::Refused, exchange.id, detail);
+    exchange.caller.answer(refusal.into_response(exchange.id));
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,1 +1,139 @@
 //! The gateway daemon: callers, owner roles and the link to the control group.
+
+pub mod callers;
+pub mod control;
+pub mod limits;
+pub mod owner;
+pub mod placement;
+pub mod poller;
+pub mod reservations;
+pub mod services;
+pub mod shared;
+pub mod status;
+
+use std::sync;
+
+use metrics_exporter_prometheus as prometheus;
+use tokio::sync::watch;
+use tokio::task;
+use tokio::time;
+
+use crate::clock;
+use crate::config::settings;
+use crate::controller::entries;
+use crate::error;
+use crate::event;
+use crate::peer::frame;
+use crate::peer::link;
+use crate::peer::server;
+
+/// The time that a change of the membership takes to reach every gateway, at most.
+const SPREAD: clock::Millis = clock::Millis::from_secs(3);
+
+/// Runs a gateway until `stop` turns true or an operator drains it, then shuts it down without
+/// cutting a request.
+///
+/// # Errors
+///
+/// Fails when the secret can't be read or an address can't be listened on.
+pub async fn run(
+    settings: settings::Gateway,
+    metrics: prometheus::PrometheusHandle,
+    stop: watch::Receiver<bool>,
+) -> error::Result<()> {
+    let secret = frame::Secret::from_file(&settings.secret_file)?;
+    let recorder = sync::Arc::new(event::Recorder::new(settings.instance.clone()));
+    let identity = link::Identity::new(settings.instance.clone(), secret, recorder);
+    let identity = sync::Arc::new(identity);
+    let clock = clock::Clock::start();
+    let cx = shared::Shared::new(settings, clock, sync::Arc::clone(&identity));
+    let cx = sync::Arc::new(cx);
+    cx.recorder.record(event::Kind::Started, "gateway");
+    Daemon::start(cx, identity, metrics).run(stop).await
+}
+
+struct Daemon {
+    cx: sync::Arc<shared::Shared>,
+    tasks: task::JoinSet<error::Result<()>>,
+    stop_callers: watch::Sender<bool>,
+    stop_rest: watch::Sender<bool>,
+    callers: task::JoinHandle<error::Result<()>>,
+}
+
+impl Daemon {
+    fn start(
+        cx: sync::Arc<shared::Shared>,
+        identity: sync::Arc<link::Identity>,
+        metrics: prometheus::PrometheusHandle,
+    ) -> Self {
+        let stop_callers = watch::Sender::new(false);
+        let stop_rest = watch::Sender::new(false);
+        let mut tasks = task::JoinSet::new();
+        let handler = sync::Arc::new(owner::Owner::new(sync::Arc::clone(&cx)));
+        let address = cx.settings.peer_address;
+        tasks.spawn(server::serve(address, identity, handler, stop_rest.subscribe()));
+        tasks.spawn(status::serve(sync::Arc::clone(&cx), metrics, stop_rest.subscribe()));
+        let watched = control::watch(sync::Arc::clone(&cx), stop_rest.subscribe());
+        tasks.spawn(async { Ok(watched.await) });
+        let renewed = reservations::renew(sync::Arc::clone(&cx), stop_rest.subscribe());
+        tasks.spawn(async { Ok(renewed.await) });
+        let supervised = placement::supervise(sync::Arc::clone(&cx), stop_rest.subscribe());
+        tasks.spawn(async { Ok(supervised.await) });
+        let callers = callers::serve(sync::Arc::clone(&cx), stop_callers.subscribe());
+        Self {
+            callers: tokio::spawn(callers),
+            cx,
+            tasks,
+            stop_callers,
+            stop_rest,
+        }
+    }
+
+    async fn run(mut self, mut stop: watch::Receiver<bool>) -> error::Result<()> {
+        let mut drained = self.cx.drain_signal();
+        let ended = tokio::select! {
+            () = server::stopped(&mut stop) => None,
+            () = server::stopped(&mut drained) => None,
+            Some(ended) = self.tasks.join_next() => Some(ended),
+            ended = &mut self.callers => Some(ended),
+        };
+        if let Some(ended) = ended {
+            self.stop_callers.send_replace(true);
+            self.stop_rest.send_replace(true);
+            return ended.unwrap_or_else(|e| Err(crashed(&e)));
+        }
+        self.shut_down().await;
+        Ok(())
+    }
+
+    /// Leaves the entry advice, then stops accepting, ends the requests, and hands over the roles.
+    async fn shut_down(mut self) {
+        self.cx.drain();
+        self.wait_until_unadvised().await;
+        self.stop_callers.send_replace(true);
+        let limit = self.cx.settings.timing.drain_ms;
+        if time::timeout(limit.as_duration(), &mut self.callers).await.is_err() {
+            log::error!("requests still run after {limit}; they are cut");
+            self.callers.abort();
+            let _ = self.callers.await;
+        }
+        control::leave(&self.cx).await;
+        self.stop_rest.send_replace(true);
+        while self.tasks.join_next().await.is_some() {}
+        self.cx.recorder.record(event::Kind::Stopped, "gateway");
+    }
+
+    /// Waits until no caller holds advice that names this entry, or a bound when control is away.
+    async fn wait_until_unadvised(&self) {
+        let own = self.cx.instance().clone();
+        let mut rx = self.cx.subscribe();
+        let left = rx.wait_for(|config| config.members.get(&own).is_none_or(|m| m.leaving));
+        let _ = time::timeout(SPREAD.as_duration(), left).await;
+        let pause = SPREAD + entries::MAX_AGE;
+        time::sleep(pause.as_duration()).await;
+    }
+}
+
+fn crashed(e: &task::JoinError) -> error::Error {
+    error::Error::damaged(format!("a task of the gateway: {e}"), "report this fault")
+}
--- /dev/null
+++ b/src/gateway/shared.rs
@@ -0,0 +1,174 @@
+//! What all tasks of a gateway share.
+
+use std::sync;
+
+use tokio::sync::watch;
+
+use crate::clock;
+use crate::config::settings;
+use crate::controller::freshness;
+use crate::controller::ownership;
+use crate::event;
+use crate::gateway::control;
+use crate::gateway::limits;
+use crate::gateway::placement;
+use crate::gateway::reservations;
+use crate::gateway::services;
+use crate::id;
+use crate::peer::link;
+use crate::state::change;
+use crate::state::model;
+
+/// The state that the tasks of one gateway share.
+#[derive(Debug)]
+pub struct Shared {
+    /// The settings.
+    pub settings: settings::Gateway,
+    /// The clock of the process.
+    pub clock: clock::Clock,
+    /// The links to other processes.
+    pub links: link::Links,
+    /// The events.
+    pub recorder: sync::Arc<event::Recorder>,
+    /// The control group, as this gateway reaches it.
+    pub control: control::Control,
+    /// The limiter roles, or the local limits.
+    pub limits: limits::Limits,
+    /// The plain services.
+    pub services: services::Services,
+    /// The scheduler roles.
+    pub placement: placement::Placement,
+    /// The reservations of requests that run here.
+    pub reservations: reservations::Reservations,
+    config: watch::Sender<sync::Arc<change::Config>>,
+    draining: watch::Sender<bool>,
+    lease: sync::Mutex<freshness::Lease>,
+    ownership: sync::Mutex<ownership::Ownership>,
+}
+
+impl Shared {
+    /// Makes the state of a gateway that has no configuration yet.
+    pub fn new(
+        settings: settings::Gateway,
+        clock: clock::Clock,
+        identity: sync::Arc<link::Identity>,
+    ) -> Self {
+        let lease = freshness::Lease::new(settings.timing.freshness_lease_ms);
+        let recorder = sync::Arc::clone(&identity.recorder);
+        let ownership =
+            ownership::Ownership::new(settings.instance.clone(), identity.incarnation);
+        Self {
+            control: control::Control::new(&settings),
+            limits: limits::Limits::new(&settings, clock.now()),
+            services: services::Services::default(),
+            placement: placement::Placement::default(),
+            reservations: reservations::Reservations::default(),
+            links: link::Links::new(identity),
+            config: watch::Sender::default(),
+            draining: watch::Sender::new(false),
+            lease: sync::Mutex::new(lease),
+            ownership: sync::Mutex::new(ownership),
+            settings,
+            clock,
+            recorder,
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> sync::Arc<change::Config> {
+        sync::Arc::clone(&self.config.borrow())
+    }
+
+    /// Returns a receiver that sees each new configuration.
+    pub fn subscribe(&self) -> watch::Receiver<sync::Arc<change::Config>> {
+        self.config.subscribe()
+    }
+
+    /// Puts a newer configuration in force.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the configuration is older than the one in force.
+    pub fn put_config(&self, config: change::Config) {
+        let revision = config.revision;
+        let before = self.config.send_replace(sync::Arc::new(config));
+        assert!(before.revision <= revision, "the configuration went back");
+        let detail = format!("revision {revision}");
+        self.recorder.record(event::Kind::Configured, detail);
+        metrics::gauge!("buckthorncleat_config_revision").set(revision.as_u64() as f64);
+    }
+
+    /// Tells whether the configuration in force is confirmed recently enough to serve by it.
+    pub fn is_fresh(&self) -> bool {
+        self.lease().is_fresh(self.clock.now())
+    }
+
+    /// Returns the freshness lease.
+    pub fn lease(&self) -> sync::MutexGuard<'_, freshness::Lease> {
+        self.lease
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Returns the roles that this gateway owns.
+    pub fn ownership(&self) -> sync::MutexGuard<'_, ownership::Ownership> {
+        self.ownership
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Tells whether this gateway may serve a role now.
+    pub fn serves(&self, role: &ownership::Role) -> bool {
+        self.ownership().serves(self.clock.now(), role) == ownership::Serving::Yes
+    }
+
+    /// Returns the member that owns a role by the configuration in force.
+    pub fn owner(&self, role: &ownership::Role) -> Option<model::Member> {
+        let config = self.config();
+        let owner = ownership::owner_of(role, &config.members)?;
+        config.members.get(owner).cloned()
+    }
+
+    /// Returns this gateway as it wants to be a member.
+    pub fn member(&self) -> model::Member {
+        model::Member {
+            id: self.settings.instance.clone(),
+            incarnation: self.links.identity().incarnation,
+            data_centre: self.settings.data_centre.clone(),
+            caller_address: self.settings.caller_address,
+            peer_address: self.settings.peer_address,
+            leaving: self.is_draining(),
+        }
+    }
+
+    /// Tells whether a graceful shutdown has begun.
+    pub fn is_draining(&self) -> bool {
+        *self.draining.borrow()
+    }
+
+    /// Begins a graceful shutdown.
+    pub fn drain(&self) {
+        if !self.draining.send_replace(true) {
+            self.recorder.record(event::Kind::Draining, "");
+        }
+    }
+
+    /// Returns a receiver that sees the begin of a graceful shutdown.
+    pub fn drain_signal(&self) -> watch::Receiver<bool> {
+        self.draining.subscribe()
+    }
+
+    /// Returns when the key is no longer in force.
+    pub async fn withdrawn(&self, key: &model::Key) {
+        let mut rx = self.subscribe();
+        let gone = |config: &sync::Arc<change::Config>| config.keys.get(&key.id) != Some(key);
+        if rx.wait_for(gone).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Returns the name of this instance.
+    pub fn instance(&self) -> &id::InstanceId {
+        &self.settings.instance
+    }
+}
--- /dev/null
+++ b/src/http/admin/mod.rs
@@ -0,0 +1,1 @@
+//! The admin interface of the control members.
--- /dev/null
+++ b/src/http/caller/chat.rs
@@ -0,0 +1,175 @@
+//! The usual shapes of model interfaces: chat and text completions.
+
+use bytes::Bytes;
+
+use crate::backend::prompt;
+use crate::backend::wire;
+use crate::clock;
+use crate::error;
+use crate::id;
+use crate::macros;
+use crate::unit;
+
+macros::data! {copy
+    /// Which of the two interfaces a request uses.
+    pub enum Shape {
+        /// `POST /v1/chat/completions`.
+        Chat,
+        /// `POST /v1/completions`.
+        Text,
+    }
+}
+
+/// What a caller wants of a model.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The interface used.
+    pub shape: Shape,
+    /// The model.
+    pub model: id::ModelId,
+    /// The prompt.
+    pub prompt: String,
+    /// The most tokens of the answer, if the caller says.
+    pub max_tokens: Option<unit::Tokens>,
+    /// Whether the answer is sent token by token.
+    pub stream: bool,
+}
+
+#[derive(serde::Deserialize)]
+struct Body {
+    model: id::ModelId,
+    #[serde(default)]
+    messages: Vec<prompt::Message>,
+    #[serde(default)]
+    prompt: String,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    max_completion_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+}
+
+impl Call {
+    /// Reads the body of a request; fields that are not known are passed over.
+    ///
+    /// # Errors
+    ///
+    /// Names what is missing or malformed.
+    pub fn from_json(shape: Shape, body: &[u8]) -> error::Result<Self> {
+        let body: Body = serde_json::from_slice(body)
+            .map_err(|e| error::Error::bad_value("body", e, "send a JSON object as documented"))?;
+        let max_tokens = body.max_completion_tokens.or(body.max_tokens);
+        if max_tokens == Some(0) {
+            return Err(error::Error::bad_value("max_tokens", 0, "use 1 or more"));
+        }
+        Ok(Self {
+            shape,
+            prompt: prompt_of(shape, &body)?,
+            model: body.model,
+            max_tokens: max_tokens.map(unit::Tokens::new),
+            stream: body.stream,
+        })
+    }
+
+    /// Returns the tokens of the prompt as they are charged.
+    pub fn prompt_tokens(&self) -> unit::Tokens {
+        unit::Tokens::from_text_bytes(self.prompt.len())
+    }
+
+    /// Returns the whole answer.
+    pub fn whole_answer(&self, id: id::RequestId, answer: &Answer) -> serde_json::Value {
+        let finish = answer.finish_reason;
+        let choice = match self.shape {
+            Shape::Chat => serde_json::json!({
+                "index": 0,
+                "message": {"role": "assistant", "content": answer.text},
+                "finish_reason": finish,
+            }),
+            Shape::Text => serde_json::json!({
+                "index": 0,
+                "text": answer.text,
+                "finish_reason": finish,
+            }),
+        };
+        serde_json::json!({
+            "id": id,
+            "object": self.object(false),
+            "created": clock::wall_millis() / 1000,
+            "model": self.model,
+            "choices": [choice],
+            "usage": {
+                "prompt_tokens": answer.prompt,
+                "completion_tokens": answer.tokens,
+                "total_tokens": answer.prompt + answer.tokens,
+            },
+        })
+    }
+
+    /// Returns the event of one token.
+    pub fn token_event(&self, id: id::RequestId, token: &wire::Token) -> Bytes {
+        let choice = match self.shape {
+            Shape::Chat => serde_json::json!({
+                "index": 0, "delta": {"content": token.text}, "finish_reason": null,
+            }),
+            Shape::Text => serde_json::json!({
+                "index": 0, "text": token.text, "finish_reason": null,
+            }),
+        };
+        let chunk = self.chunk(id, &choice);
+        Bytes::from(format!("id: {}\ndata: {chunk}\n\n", token.index))
+    }
+
+    /// Returns the events that end a whole stream.
+    pub fn last_events(&self, id: id::RequestId, reason: wire::FinishReason) -> Bytes {
+        let choice = match self.shape {
+            Shape::Chat => serde_json::json!({"index": 0, "delta": {}, "finish_reason": reason}),
+            Shape::Text => serde_json::json!({"index": 0, "text": "", "finish_reason": reason}),
+        };
+        let chunk = self.chunk(id, &choice);
+        Bytes::from(format!("data: {chunk}\n\ndata: [DONE]\n\n"))
+    }
+
+    fn chunk(&self, id: id::RequestId, choice: &serde_json::Value) -> serde_json::Value {
+        serde_json::json!({
+            "id": id,
+            "object": self.object(true),
+            "created": clock::wall_millis() / 1000,
+            "model": self.model,
+            "choices": [choice],
+        })
+    }
+
+    const fn object(&self, chunk: bool) -> &'static str {
+        match (self.shape, chunk) {
+            (Shape::Chat, true) => "chat.completion.chunk",
+            (Shape::Chat, false) => "chat.completion",
+            (Shape::Text, _) => "text_completion",
+        }
+    }
+}
+
+/// A whole answer of a model.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The text.
+    pub text: String,
+    /// Why it ended.
+    pub finish_reason: wire::FinishReason,
+    /// The tokens of the prompt.
+    pub prompt: unit::Tokens,
+    /// The tokens of the answer.
+    pub tokens: unit::Tokens,
+}
+
+fn prompt_of(shape: Shape, body: &Body) -> error::Result<String> {
+    let (field, prompt) = match shape {
+        Shape::Chat => ("messages", prompt::from_messages(&body.messages)),
+        Shape::Text => ("prompt", body.prompt.clone()),
+    };
+    if prompt.is_empty() {
+        let remedy = "send at least one message, or a prompt that is not empty";
+        return Err(error::Error::bad_value(field, "", remedy));
+    }
+    Ok(prompt)
+}
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -23,7 +23,7 @@
         /// A request to the limiter owner of an account.
         Limiter(Owned<limiter::Request>),
         /// A request to the scheduler owner of a model.
-        Scheduler(Owned<scheduler::Request>),
+        Scheduler(Owned<Scheduling>),
         /// A question whether the peer is alive; answered `Accepted`.
         Ping,
     }
@@ -63,6 +63,16 @@
     }
 }
 
+macros::data! {float
+    /// A request to the scheduler owner of one model.
+    pub struct Scheduling {
+        /// The model.
+        pub model: id::ModelId,
+        /// The request.
+        pub request: scheduler::Request,
+    }
+}
+
 macros::data! {
     /// A gateway's heartbeat and its wish for commits.
     pub struct Watch {
