--- a/src/controller/limiter/message.rs
+++ b/src/controller/limiter/message.rs
@@ -15,6 +15,16 @@
     }
 }
 
+impl Request {
+    /// Returns the account concerned.
+    pub fn account(&self) -> &id::ClientAccountId {
+        match self {
+            Self::Charge(charge) => &charge.account,
+            Self::Refund(refund) => &refund.account,
+        }
+    }
+}
+
 macros::data! {
     /// Takes tokens for one request.
     pub struct Charge {
@@ -49,7 +59,7 @@
             /// How long the gateway must wait before it starts the request.
             delay: clock::Millis,
         },
-        /// The account has no tokens in time.
+        /// The account has no tokens in time, or the request was refunded before.
         Refused {
             /// When enough tokens will be there, if no one else takes them.
             retry_after: clock::Millis,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -3,5 +3,8 @@
 //! Each takes the time and a message and returns what is to be done. None reads a clock, a socket
 //! or a random source, so that randomised tests run millions of steps of the same code.
 
+pub mod entries;
+pub mod freshness;
 pub mod limiter;
+pub mod ownership;
 pub mod scheduler;
