--- a/src/controller/scheduler/message.rs
+++ b/src/controller/scheduler/message.rs
@@ -39,10 +39,8 @@
 macros::data! {
     /// Asks for a place for one request.
     pub struct Place {
-        /// The request.
+        /// The request; each attempt to run it has an id of its own.
         pub request: id::RequestId,
-        /// The number of the attempt, from 0; each attempt gets its own place.
-        pub attempt: u32,
         /// The account that it runs for.
         pub account: id::ClientAccountId,
         /// The priority of the account.
@@ -145,7 +143,7 @@
             /// When it may find a place.
             retry_after: clock::Millis,
         },
-        /// There is no decision yet; ask again for the same attempt.
+        /// There is no decision yet; ask again for the same request.
         Waiting,
         /// The message was taken in.
         Noted,
--- a/src/filter/forward_model.rs
+++ b/src/filter/forward_model.rs
@@ -117,7 +117,7 @@
             () = exchange.caller.gone() => return Err(cancelled()),
         };
         exchange.check_allowed().map_err(Interruption::End)?;
-        let mut stage = stage::Stage::begin(&cx, place, placement);
+        let mut stage = stage::Stage::begin(&cx, exchange.id, place, placement);
         self.started = true;
         let result = tokio::select! {
             result = stage.run(self, &mut exchange.caller) => result,
@@ -132,8 +132,7 @@
         let resumes = !self.tokens.is_empty();
         let delivered = unit::Tokens::new(self.tokens.len() as u64);
         scheduler::Place {
-            request: exchange.id,
-            attempt: self.attempt,
+            request: exchange.id.of_attempt(self.attempt),
             account: exchange.account().cloned().expect("model calls are keyed"),
             priority: stage::priority_of(exchange),
             model: call.model.id.clone(),
--- a/src/filter/stage.rs
+++ b/src/filter/stage.rs
@@ -33,6 +33,7 @@
 #[derive(Debug)]
 pub struct Stage {
     cx: sync::Arc<shared::Shared>,
+    request: id::RequestId,
     place: scheduler::Place,
     placement: scheduler::Placement,
     prefill: Option<engine::Engine>,
@@ -45,12 +46,13 @@
     /// Begins an attempt; [`Self::end`] must follow.
     pub fn begin(
         cx: &sync::Arc<shared::Shared>,
+        request: id::RequestId,
         place: scheduler::Place,
         placement: scheduler::Placement,
     ) -> Self {
         let detail = format!("prefill {} decode {}", placement.prefill, placement.decode);
         cx.recorder
-            .record_request(event::Kind::Placed, place.request, detail);
+            .record_request(event::Kind::Placed, request, detail);
         cx.reservations.add(scheduler::Live {
             reservation: placement.reservation,
             place: place.clone(),
@@ -63,6 +65,7 @@
             prefill: engine(&placement.prefill),
             decode: engine(&placement.decode),
             cx: sync::Arc::clone(cx),
+            request,
             place,
             placement,
             held_prefill: false,
@@ -273,7 +276,7 @@
                     if run.tokens.is_empty() {
                         self.record(event::Kind::FirstToken, "");
                     }
-                    run.deliver(token, self.place.request, caller).await?;
+                    run.deliver(token, self.request, caller).await?;
                 }
                 Ok(engine::StreamEvent::Done(done)) => return Ok(self.whole(done, run)),
                 Err(_) => return Ok(None),
@@ -320,7 +323,7 @@
     fn record(&self, kind: event::Kind, detail: impl Into<String>) {
         self.cx
             .recorder
-            .record_request(kind, self.place.request, detail);
+            .record_request(kind, self.request, detail);
     }
 }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -180,13 +180,6 @@
     }
 }
 
-/// A place asked for, by request and attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct PlaceKey {
-    request: id::RequestId,
-    attempt: u32,
-}
-
 /// The state of a place asked for.
 #[derive(Debug)]
 struct Asked {
@@ -200,7 +193,7 @@
     cx: sync::Arc<shared::Shared>,
     model: id::ModelId,
     scheduler: scheduler::Scheduler,
-    asked: sorted::Map<PlaceKey, Asked>,
+    asked: sorted::Map<id::RequestId, Asked>,
     tx: mpsc::Sender<Message>,
     cancels: task::JoinSet<()>,
     revision: id::Revision,
@@ -301,10 +294,7 @@
             };
             return self.step_for(input, ask.reply);
         };
-        let key = PlaceKey {
-            request: place.request,
-            attempt: place.attempt,
-        };
+        let key = place.request;
         let now = self.cx.clock.now();
         if let Some(asked) = self.asked.get_mut(&key) {
             asked.last_asked = now;
@@ -360,12 +350,7 @@
     }
 
     fn decide(&mut self, request: id::RequestId, reply: scheduler::Reply) {
-        let undecided = self
-            .asked
-            .iter()
-            .find(|(key, asked)| key.request == request && asked.decided.is_none())
-            .map(|(key, _)| *key);
-        let Some(asked) = undecided.and_then(|key| self.asked.get_mut(&key)) else {
+        let Some(asked) = self.asked.get_mut(&request) else {
             return;
         };
         if let Some(tx) = asked.waiting.take() {
@@ -381,7 +366,7 @@
         self.asked.retain(|key, asked| {
             let keep = now - asked.last_asked < ASKED_AGE;
             if !keep && asked.decided.is_none() {
-                abandoned.push(key.request);
+                abandoned.push(*key);
             }
             keep
         });
