Record suspects of server crashes in the replicated configuration

Shared files, additive: Change::Suspect and Change::ClearSuspect, Config.suspects, model::Suspicion and model::Suspect. A second report of another loss turns into a quarantine inside Config::apply, so every member and gateway decides the same. The report carries the revision at which the request began, since several gateways may report one loss of one server, and one server may be lost twice. Suspects and quarantined requests are bounded; the oldest go first.

--- a/src/state/change.rs
+++ b/src/state/change.rs
@@ -34,8 +34,12 @@
         RemoveMember(id::InstanceId),
         /// Refuses a request that crashed backend servers, everywhere.
         Quarantine(model::Fingerprint),
-        /// Lets a quarantined request run again.
+        /// Lets a quarantined request run again, on behalf of an operator.
         Release(model::Fingerprint),
+        /// Suspects a request; the second loss of a backend server quarantines it.
+        Suspect(model::Suspicion),
+        /// Clears a suspect that ran to its end; a quarantine stays.
+        ClearSuspect(model::Fingerprint),
     }
 }
 
@@ -73,9 +77,17 @@
         pub members: sorted::Map<id::InstanceId, model::Member>,
         /// The requests that crash backend servers.
         pub quarantined: sorted::Map<model::Fingerprint, id::Revision>,
+        /// The requests that ran when a backend server was lost, and did not run to an end since.
+        pub suspects: sorted::Map<model::Fingerprint, model::Suspect>,
     }
 }
 
+/// The most suspects that are kept; the oldest are dropped first.
+pub const MAX_SUSPECTS: usize = 4_096;
+
+/// The most quarantined requests that are kept; the oldest are dropped first.
+pub const MAX_QUARANTINED: usize = 16_384;
+
 impl Config {
     /// Applies the next commit.
     ///
@@ -150,15 +162,43 @@
                 self.members.remove(id);
                 self.epoch = self.epoch.next();
             }
-            Change::Quarantine(fingerprint) => {
-                self.quarantined.insert(*fingerprint, self.revision);
-            }
+            Change::Quarantine(fingerprint) => self.quarantine(*fingerprint),
             Change::Release(fingerprint) => {
                 self.quarantined.remove(fingerprint);
+                self.suspects.remove(fingerprint);
+            }
+            Change::Suspect(report) => self.suspect(report),
+            Change::ClearSuspect(fingerprint) => {
+                self.suspects.remove(fingerprint);
             }
         }
     }
 
+    fn suspect(&mut self, report: &model::Suspicion) {
+        let fingerprint = report.fingerprint;
+        if self.quarantined.contains(&fingerprint) {
+            return;
+        }
+        match self.suspects.get(&fingerprint) {
+            Some(first) if first.is_other_loss(report) => self.quarantine(fingerprint),
+            Some(_) => {}
+            None => {
+                let suspect = model::Suspect {
+                    server: report.server.clone(),
+                    recorded: self.revision,
+                };
+                drop_oldest(&mut self.suspects, MAX_SUSPECTS, |s| s.recorded);
+                self.suspects.insert(fingerprint, suspect);
+            }
+        }
+    }
+
+    fn quarantine(&mut self, fingerprint: model::Fingerprint) {
+        self.suspects.remove(&fingerprint);
+        drop_oldest(&mut self.quarantined, MAX_QUARANTINED, |revision| *revision);
+        self.quarantined.insert(fingerprint, self.revision);
+    }
+
     fn put_key(&mut self, key: &model::Key) {
         self.remove_key(&key.id);
         self.key_hashes.insert(key.hash, key.id.clone());
@@ -179,6 +219,20 @@
     }
 }
 
+fn drop_oldest<V>(
+    map: &mut sorted::Map<model::Fingerprint, V>,
+    most: usize,
+    age: impl Fn(&V) -> id::Revision,
+) {
+    if map.len() < most {
+        return;
+    }
+    let oldest = map.iter().min_by_key(|(_, value)| age(value));
+    if let Some(key) = oldest.map(|(key, _)| *key) {
+        map.remove(&key);
+    }
+}
+
 fn prefix_matches(prefix: &str, path: &str) -> bool {
     let Some(rest) = path.strip_prefix(prefix) else {
         return false;
--- a/src/state/model.rs
+++ b/src/state/model.rs
@@ -313,3 +313,35 @@
         write!(f, "{:016x}", self.0)
     }
 }
+
+macros::data! {
+    /// The report that a backend server was lost while it ran a request.
+    pub struct Suspicion {
+        /// The request.
+        pub fingerprint: Fingerprint,
+        /// The server that was lost.
+        pub server: id::BackendServerId,
+        /// The revision that the gateway had in force when the request began there.
+        pub began: id::Revision,
+    }
+}
+
+macros::data! {
+    /// A request whose first loss of a backend server is on record.
+    pub struct Suspect {
+        /// The server that was lost.
+        pub server: id::BackendServerId,
+        /// The revision that recorded the loss.
+        pub recorded: id::Revision,
+    }
+}
+
+impl Suspect {
+    /// Tells whether a report concerns another loss than the one on record.
+    ///
+    /// Several gateways may report one loss. A report is of another loss when it names another
+    /// server, or when the request began after the first loss was known there.
+    pub fn is_other_loss(&self, report: &Suspicion) -> bool {
+        report.server != self.server || report.began >= self.recorded
+    }
+}
