--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -6,5 +6,7 @@
 pub mod entries;
 pub mod freshness;
 pub mod limiter;
+pub mod outlier;
 pub mod ownership;
+pub mod quarantine;
 pub mod scheduler;
