--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod gateway;
 pub mod http;
 pub mod id;
+pub mod logging;
 pub mod peer;
 pub mod replica;
 pub mod sorted;
--- /dev/null
+++ b/src/replica/core/election.rs
@@ -0,0 +1,143 @@
+//! Elections: pre-vote, vote and the restriction to up-to-date candidates.
+
+use crate::clock;
+use crate::id;
+use crate::replica::core;
+use crate::replica::core::message;
+
+use message::Body;
+
+impl core::Replica {
+    /// Asks whether an election could be won; the term stays, so a lone member disturbs nobody.
+    pub(super) fn start_pre_vote(&mut self, now: clock::Millis) {
+        self.delay_election(now);
+        let me = self.settings.node.clone();
+        let Some(members) = self.members().filter(|m| m.is_voter(&me)).cloned() else {
+            return;
+        };
+        self.role = core::Role::PreCandidate(vec![me]);
+        if self.is_elected(&members) {
+            self.start_election(now);
+            return;
+        }
+        let last = self.last();
+        let term = self.hard.term.next();
+        for voter in self.other_voters(&members) {
+            let mut message = self.message(&voter, Body::PreVote { last });
+            message.term = term;
+            self.outputs.push(message::Output::Send(message));
+        }
+    }
+
+    /// Answers a pre-vote; nothing changes here.
+    pub(super) fn answer_pre_vote(
+        &mut self,
+        now: clock::Millis,
+        from: &message::NodeId,
+        term: id::Term,
+        last: message::Position,
+    ) {
+        let granted = term > self.hard.term && !self.hears_leader(now) && self.is_up_to_date(last);
+        let mut message = self.message(from, Body::PreVoted { granted });
+        if granted {
+            message.term = term;
+        }
+        self.guarded.push(message);
+    }
+
+    /// Counts a granted pre-vote for the next term.
+    pub(super) fn count_pre_vote(
+        &mut self,
+        now: clock::Millis,
+        from: message::NodeId,
+        term: id::Term,
+    ) {
+        if term != self.hard.term.next() {
+            return;
+        }
+        let core::Role::PreCandidate(ballot) = &mut self.role else {
+            return;
+        };
+        ballot.push(from);
+        let members = self.members().cloned().unwrap_or_default();
+        if self.is_elected(&members) {
+            self.start_election(now);
+        }
+    }
+
+    fn start_election(&mut self, now: clock::Millis) {
+        let me = self.settings.node.clone();
+        self.enter_term(now, self.hard.term.next());
+        self.hard.vote = Some(me);
+        // The own vote is counted like any other: once it is on disk.
+        self.role = core::Role::Candidate(Vec::new());
+        let members = self.members().cloned().unwrap_or_default();
+        let last = self.last();
+        for voter in self.other_voters(&members) {
+            self.send_after_sync(&voter, Body::Vote { last });
+        }
+    }
+
+    /// Answers a vote of the present or an older term.
+    pub(super) fn answer_vote(
+        &mut self,
+        now: clock::Millis,
+        from: &message::NodeId,
+        current: bool,
+        last: message::Position,
+    ) {
+        let free = self.hard.vote.as_ref().is_none_or(|v| v == from);
+        let granted = current && free && self.is_up_to_date(last);
+        if granted && self.hard.vote.is_none() {
+            self.hard.vote = Some(from.clone());
+            self.disk.hard_changed = true;
+        }
+        if granted {
+            self.delay_election(now);
+        }
+        self.send_after_sync(from, Body::Voted { granted });
+    }
+
+    /// Counts a vote for this candidate.
+    pub(super) fn count_vote(&mut self, now: clock::Millis, from: message::NodeId, granted: bool) {
+        let core::Role::Candidate(ballot) = &mut self.role else {
+            return;
+        };
+        if !granted {
+            return;
+        }
+        ballot.push(from);
+        let members = self.members().cloned().unwrap_or_default();
+        if self.is_elected(&members) {
+            self.become_leader(now);
+        }
+    }
+
+    /// Tells whether a leader was heard within the shortest election timeout, itself included.
+    pub(super) fn hears_leader(&self, now: clock::Millis) -> bool {
+        let recent = |at: clock::Millis| now < at + self.settings.election;
+        self.is_leader() || self.heard_leader_at.is_some_and(recent)
+    }
+
+    fn is_elected(&self, members: &core::members::Membership) -> bool {
+        let (core::Role::PreCandidate(ballot) | core::Role::Candidate(ballot)) = &self.role else {
+            return false;
+        };
+        core::is_quorum(members, |voter| ballot.contains(voter))
+    }
+
+    fn is_up_to_date(&self, last: message::Position) -> bool {
+        let own = self.last();
+        (last.term, last.index) >= (own.term, own.index)
+    }
+
+    fn last(&self) -> message::Position {
+        self.log()
+            .map_or_else(Default::default, core::log::Log::last)
+    }
+
+    fn other_voters(&self, members: &core::members::Membership) -> Vec<message::NodeId> {
+        let me = &self.settings.node;
+        core::voters(members).filter(|v| v != me).collect()
+    }
+}
--- /dev/null
+++ b/src/replica/core/follower.rs
@@ -0,0 +1,215 @@
+//! The following side: entries and snapshots that a leader sends.
+
+use std::mem;
+use std::sync;
+
+use crate::clock;
+use crate::id;
+use crate::replica::core;
+use crate::replica::core::log;
+use crate::replica::core::message;
+
+use message::{Body, Outcome, Output};
+
+/// A piece of a snapshot.
+#[derive(Debug)]
+pub struct Piece {
+    /// What the snapshot covers.
+    pub head: message::SnapshotHead,
+    /// The bytes before this piece.
+    pub offset: u64,
+    /// The bytes of the whole snapshot.
+    pub total: u64,
+    /// The bytes of the piece.
+    pub data: Vec<u8>,
+}
+
+/// A snapshot of which some pieces have come.
+#[derive(Debug)]
+pub struct Incoming {
+    head: message::SnapshotHead,
+    data: Vec<u8>,
+}
+
+impl core::Replica {
+    /// Takes in that the leader of the present term is alive.
+    pub(super) fn hear_leader(&mut self, now: clock::Millis, from: &message::NodeId) {
+        assert!(!self.is_leader(), "a term has one leader");
+        self.leaders.learn(self.hard.term, from);
+        self.role = core::Role::Follower;
+        self.heard_leader_at = Some(now);
+        self.delay_election(now);
+    }
+
+    /// Tells a leader of an older term about the newer one.
+    pub(super) fn reject_old_leader(&mut self, from: &message::NodeId) {
+        let outcome = Outcome::Differs(id::LogIndex::default());
+        self.send_after_sync(from, Body::Appended { round: 0, outcome });
+    }
+
+    /// Takes entries of the leader of the present term.
+    pub(super) fn append(
+        &mut self,
+        from: &message::NodeId,
+        previous: message::Position,
+        entries: Vec<message::Entry>,
+        committed: id::LogIndex,
+        round: u64,
+    ) {
+        let Some(joined) = &self.joined else {
+            return;
+        };
+        let behind = previous.index < joined.committed;
+        let outcome = if behind || joined.log.contains(previous) {
+            let last = self.take_entries(previous, entries);
+            self.commit_known(committed.min(last));
+            Outcome::Matched(last)
+        } else {
+            let hint = joined.log.last().index.as_u64();
+            let before = previous.index.as_u64().saturating_sub(1);
+            let hint = id::LogIndex::new(hint.min(before));
+            Outcome::Differs(hint.max(joined.committed))
+        };
+        self.send_after_sync(from, Body::Appended { round, outcome });
+    }
+
+    /// Adds the entries that are new and returns the last index that equals the leader's log.
+    fn take_entries(
+        &mut self,
+        previous: message::Position,
+        entries: Vec<message::Entry>,
+    ) -> id::LogIndex {
+        let mut last = previous.index;
+        for entry in entries {
+            last = entry.at.index;
+            let Some(joined) = &mut self.joined else {
+                break;
+            };
+            if entry.at.index <= joined.committed {
+                let known = joined.log.term_at(entry.at.index);
+                let equal = known.is_none_or(|term| term == entry.at.term);
+                assert!(equal, "a committed entry never changes");
+                continue;
+            }
+            if joined.log.contains(entry.at) {
+                continue;
+            }
+            if entry.at.index <= joined.log.last().index {
+                joined.log.truncate_from(entry.at.index);
+                self.disk.forget_from(entry.at.index);
+            }
+            self.append_entry(entry);
+        }
+        last.max(self.committed_if_behind(previous.index))
+    }
+
+    /// A leader's log holds all committed entries, so a match below them reaches up to them.
+    fn committed_if_behind(&self, previous: id::LogIndex) -> id::LogIndex {
+        let committed = self.committed();
+        if previous < committed {
+            committed
+        } else {
+            previous
+        }
+    }
+
+    fn commit_known(&mut self, index: id::LogIndex) {
+        if index > self.committed() {
+            self.commit_to(index);
+        }
+    }
+
+    /// Takes a piece of a snapshot and installs the snapshot when it is whole.
+    pub(super) fn take_piece(&mut self, from: &message::NodeId, piece: Piece, round: u64) {
+        let at = piece.head.at;
+        let known = self
+            .joined
+            .as_ref()
+            .is_some_and(|j| at.index <= j.committed);
+        if known {
+            self.incoming = None;
+            let outcome = Outcome::Matched(self.committed());
+            self.send_after_sync(from, Body::Appended { round, outcome });
+            return;
+        }
+        let total = piece.total;
+        let incoming = self.collect(piece);
+        let offset = incoming.data.len() as u64;
+        if offset < total {
+            self.send_after_sync(from, Body::Received { at, offset, round });
+            return;
+        }
+        let Some(Incoming { head, data }) = self.incoming.take() else {
+            return;
+        };
+        self.install(message::Snapshot { head, data });
+        let outcome = Outcome::Matched(at.index);
+        self.send_after_sync(from, Body::Appended { round, outcome });
+    }
+
+    fn collect(&mut self, piece: Piece) -> &mut Incoming {
+        let same = |i: &Incoming| i.head == piece.head;
+        if !self.incoming.as_ref().is_some_and(same) {
+            self.incoming = None;
+        }
+        let incoming = self.incoming.get_or_insert_with(|| Incoming {
+            head: piece.head,
+            data: Vec::new(),
+        });
+        if incoming.data.len() as u64 == piece.offset {
+            incoming.data.extend_from_slice(&piece.data);
+        }
+        incoming
+    }
+
+    /// Replaces the state, and the log unless it goes on from the snapshot.
+    pub(super) fn install(&mut self, snapshot: message::Snapshot) {
+        let at = snapshot.head.at;
+        let snapshot = sync::Arc::new(snapshot);
+        let goes_on = |j: &core::Joined| j.log.contains(at);
+        if self.joined.as_ref().is_some_and(goes_on) {
+            self.keep_log_after(&snapshot);
+        } else {
+            self.start_log_after(&snapshot);
+        }
+        self.outputs.push(Output::Restore(snapshot));
+    }
+
+    fn keep_log_after(&mut self, snapshot: &sync::Arc<message::Snapshot>) {
+        let Some(joined) = self.joined.as_mut() else {
+            return;
+        };
+        let index = snapshot.head.at.index;
+        assert!(
+            index > joined.committed,
+            "a snapshot never takes the state back"
+        );
+        joined.log.compact_to(index);
+        joined.snapshot = sync::Arc::clone(snapshot);
+        joined.committed = index;
+        joined.applied = index;
+        self.disk.batch.snapshot = Some(sync::Arc::clone(snapshot));
+    }
+
+    fn start_log_after(&mut self, snapshot: &sync::Arc<message::Snapshot>) {
+        let committed = self.joined.as_ref().map(|j| j.committed);
+        let index = snapshot.head.at.index;
+        assert!(
+            committed.is_none_or(|c| index > c),
+            "a snapshot never takes the state back"
+        );
+        self.joined = Some(core::Joined {
+            group: snapshot.head.group,
+            log: log::Log::after(&snapshot.head),
+            snapshot: sync::Arc::clone(snapshot),
+            committed: index,
+            applied: index,
+        });
+        self.disk.forget_from(id::LogIndex::new(1));
+        let batch = &mut self.disk.batch;
+        batch.snapshot = Some(sync::Arc::clone(snapshot));
+        batch.reset = true;
+        mem::take(&mut batch.entries);
+        self.disk.hard_changed = true;
+    }
+}
--- /dev/null
+++ b/src/replica/core/formation.rs
@@ -0,0 +1,160 @@
+//! Members without a group: forming a new one, or being taken in.
+//!
+//! A group is formed once, by the initial member with the lowest name, and only after every other
+//! initial member has answered in its present life that it has no group either. So a member that
+//! lost its disk never forms a second group beside the one that lives on: it asks to be taken in,
+//! and the leader admits its new life as a learner.
+
+use rand::Rng as _;
+
+use crate::clock;
+use crate::id;
+use crate::replica::core;
+use crate::replica::core::follower;
+use crate::replica::core::members;
+use crate::replica::core::message;
+use crate::sorted;
+
+use message::Body;
+
+/// What a member without a group knows of the others.
+#[derive(Debug, Default)]
+pub struct Hello {
+    /// When to ask again.
+    next_at: clock::Millis,
+    /// The initial members that said they have no group.
+    unformed: sorted::Map<id::InstanceId, id::Incarnation>,
+    /// Whether any member said that a group exists.
+    formed: bool,
+}
+
+impl core::Replica {
+    /// Asks all initial members, and forms a group when all may.
+    pub(super) fn say_hello(&mut self, now: clock::Millis) {
+        if now < self.hello.next_at {
+            return;
+        }
+        self.hello.next_at = now + self.settings.heartbeat * 2;
+        if self.may_form() {
+            self.form();
+            return;
+        }
+        for peer in self.settings.initial.clone() {
+            if peer.instance != self.settings.node.instance {
+                let to = message::NodeId {
+                    instance: peer.instance,
+                    incarnation: id::Incarnation::default(),
+                };
+                self.send_now(&to, Body::Hello);
+            }
+        }
+    }
+
+    fn may_form(&self) -> bool {
+        let me = &self.settings.node.instance;
+        let initial = &self.settings.initial;
+        let lowest = initial.iter().map(|p| &p.instance).min() == Some(me);
+        let known = |p: &core::Peer| p.instance == *me || self.hello.unformed.contains(&p.instance);
+        lowest && !self.hello.formed && initial.iter().all(known)
+    }
+
+    fn form(&mut self) {
+        let me = self.settings.node.clone();
+        let seat = |peer: &core::Peer| {
+            let other = self.hello.unformed.get(&peer.instance);
+            let seat = members::Seat {
+                incarnation: *other.unwrap_or(&me.incarnation),
+                address: peer.address,
+            };
+            (peer.instance.clone(), seat)
+        };
+        let voters = self.settings.initial.iter().map(seat).collect();
+        let group = id::Incarnation::new(self.random.random::<u64>() | 1);
+        let head = message::SnapshotHead {
+            group,
+            at: message::Position::default(),
+            members: members::Membership {
+                voters,
+                learners: sorted::Map::new(),
+            },
+        };
+        self.install(message::Snapshot {
+            head,
+            data: Vec::new(),
+        });
+    }
+
+    /// Answers a member without a group.
+    pub(super) fn answer_hello(&mut self, now: clock::Millis, message: &message::Message) {
+        let from = &message.from;
+        let formed = self.joined.is_some();
+        self.send_after_sync(from, Body::Seen { formed });
+        let Some(joined) = &self.joined else {
+            return;
+        };
+        let head = &joined.snapshot.head;
+        let first = head.at == message::Position::default();
+        if first && head.members.is_voter(from) {
+            let head = head.clone();
+            self.send_after_sync(from, Body::Genesis(head));
+        }
+        self.consider_newcomer(now, from);
+    }
+
+    /// Takes a message while this member has no group.
+    pub(super) fn receive_blank(&mut self, now: clock::Millis, message: message::Message) {
+        let message::Message {
+            group,
+            from,
+            term,
+            body,
+            ..
+        } = message;
+        match body {
+            Body::Seen { formed: true } => self.hello.formed = true,
+            Body::Seen { formed: false } => {
+                self.hello.unformed.insert(from.instance, from.incarnation);
+            }
+            Body::Genesis(head) if head.members.is_voter(&self.settings.node) => {
+                self.install(message::Snapshot {
+                    head,
+                    data: Vec::new(),
+                });
+            }
+            Body::Append { round, .. } => {
+                let outcome = message::Outcome::Blank;
+                let mut answer = self.message(&from, Body::Appended { round, outcome });
+                answer.group = group;
+                answer.term = term;
+                self.guarded.push(answer);
+            }
+            Body::Piece {
+                head,
+                offset,
+                total,
+                data,
+                round,
+            } if term >= self.hard.term => {
+                if term > self.hard.term {
+                    self.enter_term(now, term);
+                }
+                let piece = follower::Piece {
+                    head,
+                    offset,
+                    total,
+                    data,
+                };
+                self.take_piece(&from, piece, round);
+                self.name_group(group);
+            }
+            _ => (),
+        }
+    }
+
+    /// Puts the group into answers that were made before this member joined it.
+    fn name_group(&mut self, group: id::Incarnation) {
+        for message in &mut self.guarded {
+            message.group = group;
+        }
+    }
+}
--- /dev/null
+++ b/src/replica/core/mod.rs
@@ -0,0 +1,649 @@
+//! One replica of the log as a deterministic state machine: Raft without I/O.
+//!
+//! [`Replica::step`] takes the time and one input and returns what is to be done. Nothing that
+//! depends on the disk leaves the replica before [`message::Input::Persisted`] confirms it: a vote
+//! or an entry counts only once it was synced. The rules are Raft's, with pre-vote, check-quorum,
+//! read-index, learners and one change of a voter at a time. A member is known by its name and
+//! the life of its data folder; after its disk was lost it is another member, which has no vote
+//! until it has caught up.
+
+mod election;
+mod follower;
+mod formation;
+mod leader;
+pub mod log;
+pub mod members;
+pub mod message;
+mod progress;
+
+use std::collections;
+use std::mem;
+use std::net;
+use std::sync;
+
+use rand::Rng as _;
+use rand::SeedableRng as _;
+
+use crate::clock;
+use crate::id;
+use crate::macros;
+use crate::sorted;
+
+use message::{Body, Input, Output};
+
+macros::data! {
+    /// One member that a new group starts with.
+    pub struct Peer {
+        /// The name of the instance.
+        pub instance: id::InstanceId,
+        /// Where it listens.
+        pub address: net::SocketAddr,
+    }
+}
+
+/// The settings of a replica.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This member in the life of its data folder.
+    pub node: message::NodeId,
+    /// The members that a new group starts with.
+    pub initial: Vec<Peer>,
+    /// The shortest time without a leader before an election; the longest is twice it.
+    pub election: clock::Millis,
+    /// The time between two heartbeats.
+    pub heartbeat: clock::Millis,
+    /// The entries kept behind a snapshot for members that lag a little.
+    pub trailing: u64,
+    /// The seed of the election timeouts and of a new group's name.
+    pub seed: u64,
+}
+
+/// What a data folder holds when a replica starts.
+#[derive(Clone, Debug, Default)]
+pub struct Stored {
+    /// The term and vote.
+    pub hard: message::HardState,
+    /// The newest snapshot; `None` for a member that has not joined a group.
+    pub snapshot: Option<message::Snapshot>,
+    /// The entries after the snapshot.
+    pub entries: Vec<message::Entry>,
+}
+
+/// One replica of the log.
+#[derive(Debug)]
+pub struct Replica {
+    settings: Settings,
+    random: rand::rngs::StdRng,
+    hard: message::HardState,
+    joined: Option<Joined>,
+    role: Role,
+    leaders: LeaderOfTerm,
+    heard_leader_at: Option<clock::Millis>,
+    election_at: clock::Millis,
+    incoming: Option<follower::Incoming>,
+    hello: formation::Hello,
+    disk: Disk,
+    outputs: Vec<Output>,
+    guarded: Vec<message::Message>,
+}
+
+/// What a member has of the group that it belongs to.
+#[derive(Debug)]
+struct Joined {
+    group: id::Incarnation,
+    log: log::Log,
+    snapshot: sync::Arc<message::Snapshot>,
+    committed: id::LogIndex,
+    applied: id::LogIndex,
+}
+
+#[derive(Debug)]
+enum Role {
+    Follower,
+    PreCandidate(Ballot),
+    Candidate(Ballot),
+    Leader(leader::Leadership),
+}
+
+/// The voters that have granted their vote.
+type Ballot = Vec<message::NodeId>;
+
+#[derive(Debug, Default)]
+struct LeaderOfTerm {
+    term: id::Term,
+    leader: Option<message::NodeId>,
+}
+
+/// What is being written to disk.
+#[derive(Debug, Default)]
+struct Disk {
+    batch: message::Batch,
+    hard_changed: bool,
+    persisted: u64,
+    /// The batch that holds the present term and vote.
+    hard_number: u64,
+    durable: id::LogIndex,
+    pending: collections::VecDeque<PendingWrite>,
+    held: collections::VecDeque<HeldMessage>,
+}
+
+#[derive(Debug)]
+struct PendingWrite {
+    number: u64,
+    last: id::LogIndex,
+}
+
+#[derive(Debug)]
+struct HeldMessage {
+    number: u64,
+    message: message::Message,
+}
+
+impl Replica {
+    /// Makes a replica from what its data folder holds.
+    ///
+    /// The state machine starts from [`Self::snapshot`]; committed entries after it are applied
+    /// again once a leader tells which are.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the entries do not follow the snapshot.
+    pub fn new(settings: Settings, stored: Stored, now: clock::Millis) -> Self {
+        let mut disk = Disk::default();
+        let mut hard = stored.hard;
+        let snapshot_term = stored.snapshot.as_ref().map(|s| s.head.at.term);
+        if let Some(term) = snapshot_term.filter(|t| *t > hard.term) {
+            // The crash came after an installed snapshot and before the term beside it.
+            hard = message::HardState { term, vote: None };
+        }
+        let joined = stored.snapshot.map(|snapshot| {
+            let joined = Joined::new(snapshot, stored.entries);
+            disk.durable = joined.log.last().index;
+            joined
+        });
+        let mut replica = Self {
+            random: rand::rngs::StdRng::seed_from_u64(settings.seed),
+            settings,
+            hard,
+            joined,
+            role: Role::Follower,
+            leaders: LeaderOfTerm::default(),
+            heard_leader_at: None,
+            election_at: now,
+            incoming: None,
+            hello: formation::Hello::default(),
+            disk,
+            outputs: Vec::new(),
+            guarded: Vec::new(),
+        };
+        replica.delay_election(now);
+        replica
+    }
+
+    /// Takes one input and returns what is to be done, in order.
+    ///
+    /// # Panics
+    ///
+    /// Panics when an invariant of the log is broken; the member must then stop.
+    pub fn step(&mut self, now: clock::Millis, input: Input) -> Vec<Output> {
+        match input {
+            Input::Tick => self.tick(now),
+            Input::Message(message) => self.receive(now, message),
+            Input::Persisted(number) => self.persisted(now, number),
+            Input::Propose { request, command } => self.propose(now, request, command),
+            Input::Read { request } => self.read(now, request),
+            Input::ChangeMembers { request, change } => self.change_members(now, request, &change),
+            Input::Compact { index, data } => self.compact(index, data),
+        }
+        self.flush_reads(now);
+        self.finish()
+    }
+
+    /// Returns this member.
+    pub fn node(&self) -> &message::NodeId {
+        &self.settings.node
+    }
+
+    /// Returns the present term.
+    pub fn term(&self) -> id::Term {
+        self.hard.term
+    }
+
+    /// Tells whether this member leads, as far as it knows.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Returns the leader of the present term, if it is known.
+    pub fn leader(&self) -> Option<&message::NodeId> {
+        let known = self.leaders.leader.as_ref();
+        let known = known.filter(|_| self.leaders.term == self.hard.term);
+        match self.role {
+            Role::Leader(_) => known,
+            Role::Follower => known.filter(|l| **l != self.settings.node),
+            Role::PreCandidate(_) | Role::Candidate(_) => None,
+        }
+    }
+
+    /// Returns the last entry known to be committed.
+    pub fn committed(&self) -> id::LogIndex {
+        self.joined
+            .as_ref()
+            .map_or_else(Default::default, |j| j.committed)
+    }
+
+    /// Returns the last entry given out to be applied.
+    pub fn applied(&self) -> id::LogIndex {
+        self.joined
+            .as_ref()
+            .map_or_else(Default::default, |j| j.applied)
+    }
+
+    /// Returns the log, unless this member has not joined a group yet.
+    pub fn log(&self) -> Option<&log::Log> {
+        self.joined.as_ref().map(|j| &j.log)
+    }
+
+    /// Returns the newest snapshot, unless this member has not joined a group yet.
+    pub fn snapshot(&self) -> Option<&message::Snapshot> {
+        self.joined.as_ref().map(|j| &*j.snapshot)
+    }
+
+    /// Returns the present members, unless this member has not joined a group yet.
+    pub fn members(&self) -> Option<&members::Membership> {
+        self.joined.as_ref().map(|j| j.log.members())
+    }
+
+    /// Returns where a member listens.
+    pub fn address_of(&self, instance: &id::InstanceId) -> Option<net::SocketAddr> {
+        let seat = self.members().and_then(|m| m.address_of(instance));
+        let initial = || {
+            self.settings
+                .initial
+                .iter()
+                .find(|p| p.instance == *instance)
+        };
+        seat.or_else(|| initial().map(|p| p.address))
+    }
+
+    fn tick(&mut self, now: clock::Millis) {
+        if self.joined.is_none() {
+            self.say_hello(now);
+            return;
+        }
+        if self.is_leader() {
+            self.lead(now);
+        } else if now >= self.election_at {
+            self.start_pre_vote(now);
+        }
+    }
+
+    fn receive(&mut self, now: clock::Millis, message: message::Message) {
+        let me = &self.settings.node;
+        if message.to.instance != me.instance || message.from == *me {
+            return;
+        }
+        if matches!(message.body, Body::Hello) {
+            self.answer_hello(now, &message);
+            return;
+        }
+        if message.to != *me {
+            return;
+        }
+        let group = self.joined.as_ref().map(|j| j.group);
+        match group {
+            None => self.receive_blank(now, message),
+            Some(group) if group == message.group => self.receive_joined(now, message),
+            Some(_) => (),
+        }
+    }
+
+    fn receive_joined(&mut self, now: clock::Millis, message: message::Message) {
+        let message::Message {
+            from, term, body, ..
+        } = message;
+        match body {
+            Body::PreVote { last } => {
+                self.answer_pre_vote(now, &from, term, last);
+                return;
+            }
+            Body::PreVoted { granted: true } => {
+                self.count_pre_vote(now, from, term);
+                return;
+            }
+            Body::Vote { .. } if term > self.hard.term && self.hears_leader(now) => return,
+            _ => (),
+        }
+        if term > self.hard.term {
+            self.enter_term(now, term);
+        }
+        let current = term == self.hard.term;
+        match body {
+            Body::Vote { last } => self.answer_vote(now, &from, current, last),
+            Body::Voted { granted } if current => self.count_vote(now, from, granted),
+            Body::Append { .. } | Body::Piece { .. } if !current => self.reject_old_leader(&from),
+            Body::Append {
+                previous,
+                entries,
+                committed,
+                round,
+            } => {
+                self.hear_leader(now, &from);
+                self.append(&from, previous, entries, committed, round);
+            }
+            Body::Piece {
+                head,
+                offset,
+                total,
+                data,
+                round,
+            } => {
+                self.hear_leader(now, &from);
+                let piece = follower::Piece {
+                    head,
+                    offset,
+                    total,
+                    data,
+                };
+                self.take_piece(&from, piece, round);
+            }
+            Body::Appended { round, outcome } if current => {
+                self.take_appended(now, &from, round, outcome);
+            }
+            Body::Received { at, offset, round } if current => {
+                self.take_received(now, &from, at, offset, round);
+            }
+            _ => (),
+        }
+    }
+
+    /// Enters a newer term as follower; the vote of the old one is void.
+    fn enter_term(&mut self, now: clock::Millis, term: id::Term) {
+        assert!(term > self.hard.term, "terms never go down");
+        self.hard = message::HardState { term, vote: None };
+        self.disk.hard_changed = true;
+        self.follow(now);
+    }
+
+    /// Becomes follower in the present term.
+    fn follow(&mut self, now: clock::Millis) {
+        let role = mem::replace(&mut self.role, Role::Follower);
+        if let Role::Leader(leadership) = role {
+            for read in leadership.reads {
+                self.refuse(read.request, message::Refusal::NotLeader);
+            }
+            self.heard_leader_at = None;
+        }
+        self.delay_election(now);
+    }
+
+    fn delay_election(&mut self, now: clock::Millis) {
+        let shortest = self.settings.election.as_u64();
+        let wait = self.random.random_range(shortest..shortest * 2);
+        self.election_at = now + clock::Millis::new(wait);
+    }
+
+    fn refuse(&mut self, request: u64, reason: message::Refusal) {
+        self.outputs.push(Output::Refused { request, reason });
+    }
+
+    /// Sends a message as soon as all that was decided so far is on disk.
+    fn send_after_sync(&mut self, to: &message::NodeId, body: Body) {
+        let message = self.message(to, body);
+        self.guarded.push(message);
+    }
+
+    /// Sends a message at once: it says nothing about this member's disk.
+    fn send_now(&mut self, to: &message::NodeId, body: Body) {
+        let message = self.message(to, body);
+        self.outputs.push(Output::Send(message));
+    }
+
+    fn message(&self, to: &message::NodeId, body: Body) -> message::Message {
+        message::Message {
+            group: self
+                .joined
+                .as_ref()
+                .map_or_else(Default::default, |j| j.group),
+            from: self.settings.node.clone(),
+            to: to.clone(),
+            term: self.hard.term,
+            body,
+        }
+    }
+
+    /// Adds an entry to the log and to the batch for the disk.
+    fn append_entry(&mut self, entry: message::Entry) {
+        let joined = self
+            .joined
+            .as_mut()
+            .expect("only a joined member has a log");
+        self.disk.batch.entries.push(entry.clone());
+        joined.log.append(entry);
+    }
+
+    /// Closes the step: hands out the batch and the messages that wait for it.
+    fn finish(&mut self) -> Vec<Output> {
+        let mut batch = mem::take(&mut self.disk.batch);
+        if mem::take(&mut self.disk.hard_changed) {
+            batch.hard = Some(self.hard.clone());
+        }
+        let dirty = batch.hard.is_some() || batch.snapshot.is_some() || !batch.entries.is_empty();
+        let number = self.disk.batch_number(dirty);
+        self.disk.batch.number = number;
+        if dirty {
+            batch.number = number;
+            if batch.hard.is_some() {
+                self.disk.hard_number = number;
+            }
+            let last = self.joined.as_ref().map(|j| j.log.last().index);
+            let last = last.unwrap_or_default();
+            self.disk.pending.push_back(PendingWrite { number, last });
+            self.outputs.push(Output::Persist(batch));
+        }
+        for message in mem::take(&mut self.guarded) {
+            self.disk.held.push_back(HeldMessage { number, message });
+        }
+        self.release();
+        self.check();
+        mem::take(&mut self.outputs)
+    }
+
+    /// Sends the messages whose batches are on disk; an older term's say nothing any more.
+    fn release(&mut self) {
+        let persisted = self.disk.persisted;
+        while self
+            .disk
+            .held
+            .front()
+            .is_some_and(|h| h.number <= persisted)
+        {
+            let Some(held) = self.disk.held.pop_front() else {
+                return;
+            };
+            let asks_ahead = matches!(
+                held.message.body,
+                Body::PreVoted { .. } | Body::PreVote { .. }
+            );
+            if held.message.term >= self.hard.term || asks_ahead {
+                self.outputs.push(Output::Send(held.message));
+            }
+        }
+    }
+
+    fn persisted(&mut self, now: clock::Millis, number: u64) {
+        assert!(
+            number <= self.disk.batch.number,
+            "only batches that were handed out are written"
+        );
+        self.disk.persisted = self.disk.persisted.max(number);
+        while self
+            .disk
+            .pending
+            .front()
+            .is_some_and(|p| p.number <= number)
+        {
+            if let Some(write) = self.disk.pending.pop_front() {
+                self.disk.durable = write.last;
+            }
+        }
+        if matches!(self.role, Role::Candidate(_)) && number >= self.disk.hard_number {
+            let me = self.settings.node.clone();
+            self.count_vote(now, me, true);
+        }
+        if self.is_leader() {
+            self.advance_commit(now);
+        }
+    }
+
+    fn compact(&mut self, index: id::LogIndex, data: Vec<u8>) {
+        let trailing = self.settings.trailing;
+        let Some(joined) = self.joined.as_mut() else {
+            return;
+        };
+        if index <= joined.snapshot.head.at.index {
+            return;
+        }
+        assert!(
+            index <= joined.applied,
+            "a snapshot covers applied entries only"
+        );
+        let term = joined.log.term_at(index);
+        let head = message::SnapshotHead {
+            group: joined.group,
+            at: message::Position {
+                index,
+                term: term.expect("an applied entry after the snapshot is in the log"),
+            },
+            members: joined.log.members_at(index).clone(),
+        };
+        joined.snapshot = sync::Arc::new(message::Snapshot { head, data });
+        let keep_from = index.as_u64().saturating_sub(trailing);
+        joined.log.compact_to(id::LogIndex::new(keep_from));
+        self.disk.batch.snapshot = Some(sync::Arc::clone(&joined.snapshot));
+    }
+
+    /// Raises the commit index and hands out what may be applied.
+    fn commit_to(&mut self, index: id::LogIndex) {
+        let Some(joined) = self.joined.as_mut() else {
+            return;
+        };
+        assert!(
+            index <= joined.log.last().index,
+            "only entries of the log are committed"
+        );
+        assert!(
+            index >= joined.committed,
+            "the commit index never goes down"
+        );
+        joined.committed = index;
+        while joined.applied < joined.committed {
+            let next = joined.applied.next();
+            let entry = joined.log.entry(next);
+            let entry = entry
+                .expect("entries are kept until they are applied")
+                .clone();
+            joined.applied = next;
+            self.outputs.push(Output::Apply(entry));
+        }
+    }
+
+    /// Asserts what must hold between any two steps.
+    fn check(&self) {
+        let Some(joined) = &self.joined else {
+            return;
+        };
+        assert!(
+            joined.applied <= joined.committed,
+            "only committed entries are applied"
+        );
+        assert!(
+            joined.committed <= joined.log.last().index,
+            "committed entries are kept"
+        );
+        assert!(
+            joined.snapshot.head.at.index <= joined.applied,
+            "a snapshot covers applied entries only"
+        );
+        assert!(
+            joined.log.last().term <= self.hard.term,
+            "no entry is of a later term"
+        );
+        if self.is_leader() {
+            assert_eq!(
+                self.leader(),
+                Some(&self.settings.node),
+                "a leader knows itself as the one of its term"
+            );
+        }
+    }
+}
+
+impl Joined {
+    fn new(snapshot: message::Snapshot, entries: Vec<message::Entry>) -> Self {
+        let mut log = log::Log::after(&snapshot.head);
+        for entry in entries {
+            log.append(entry);
+        }
+        let start = snapshot.head.at.index;
+        Self {
+            group: snapshot.head.group,
+            log,
+            snapshot: sync::Arc::new(snapshot),
+            committed: start,
+            applied: start,
+        }
+    }
+}
+
+impl Disk {
+    /// Returns the number of the newest batch, counting one that is handed out now.
+    fn batch_number(&mut self, dirty: bool) -> u64 {
+        let newest = self.pending.back().map_or(self.persisted, |p| p.number);
+        newest + u64::from(dirty)
+    }
+
+    /// Forgets the promise of entries from an index on, since others replace them.
+    fn forget_from(&mut self, index: id::LogIndex) {
+        let last = id::LogIndex::new(index.as_u64() - 1);
+        self.durable = self.durable.min(last);
+        for write in &mut self.pending {
+            write.last = write.last.min(last);
+        }
+    }
+}
+
+impl LeaderOfTerm {
+    /// Remembers the leader of a term.
+    ///
+    /// # Panics
+    ///
+    /// Panics when another leader of the same term was seen before.
+    fn learn(&mut self, term: id::Term, leader: &message::NodeId) {
+        assert!(term >= self.term, "leaders of old terms are refused");
+        let known = self.leader.as_ref().filter(|_| term == self.term);
+        assert!(known.is_none_or(|k| k == leader), "a term has one leader");
+        self.term = term;
+        self.leader = Some(leader.clone());
+    }
+}
+
+/// Returns whether more than half of the voters are counted.
+fn is_quorum(members: &members::Membership, counted: impl Fn(&message::NodeId) -> bool) -> bool {
+    let count = voters(members).filter(|v| counted(v)).count();
+    count >= members.quorum()
+}
+
+/// Iterates over the voters.
+fn voters(members: &members::Membership) -> impl Iterator<Item = message::NodeId> {
+    members
+        .voters
+        .iter()
+        .map(|(instance, seat)| message::NodeId {
+            instance: instance.clone(),
+            incarnation: seat.incarnation,
+        })
+}
+
+/// The progress of the other members, by member.
+type ProgressMap = sorted::Map<message::NodeId, progress::Progress>;
--- /dev/null
+++ b/src/replica/group/disk.rs
@@ -0,0 +1,39 @@
+//! The thread that writes batches: all that wait are written with one sync.
+
+use std::sync::mpsc as std_mpsc;
+
+use tokio::sync::mpsc;
+
+use crate::error;
+use crate::replica::core::message;
+use crate::replica::storage;
+
+/// What the thread reports.
+#[derive(Debug)]
+pub enum Written {
+    /// All batches up to this number last.
+    Up(u64),
+    /// The disk failed; the member must stop.
+    Failed(error::Error),
+}
+
+/// Writes batches until their sender is gone or the disk fails.
+pub fn run(
+    mut folder: storage::Folder,
+    batches: &std_mpsc::Receiver<message::Batch>,
+    written: &mpsc::UnboundedSender<Written>,
+) {
+    while let Ok(first) = batches.recv() {
+        let mut waiting = vec![first];
+        waiting.extend(batches.try_iter());
+        let last = waiting[waiting.len() - 1].number;
+        let report = match folder.write(&waiting) {
+            Ok(()) => Written::Up(last),
+            Err(e) => Written::Failed(e),
+        };
+        let failed = matches!(report, Written::Failed(_));
+        if written.send(report).is_err() || failed {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/replica/group/driver.rs
@@ -0,0 +1,342 @@
+//! The task that drives one replica: events in, messages, batches and answers out.
+
+use std::collections;
+use std::sync;
+use std::sync::mpsc as std_mpsc;
+
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task;
+use tokio::time;
+
+use crate::clock;
+use crate::config::settings;
+use crate::error;
+use crate::event;
+use crate::id;
+use crate::peer::server;
+use crate::replica::core;
+use crate::replica::core::message;
+use crate::replica::group::Event;
+use crate::replica::group::Outcome;
+use crate::replica::group::Shared;
+use crate::replica::group::Status;
+use crate::replica::group::disk;
+use crate::replica::group::peers;
+use crate::replica::storage;
+use crate::state::command;
+
+/// The events that are taken in between two looks at the clock.
+const EVENTS_AT_ONCE: usize = 256;
+
+/// The requests that may wait for a commit.
+const MAX_WAITING: usize = 2_048;
+
+/// The shortest time between two ticks.
+const MIN_TICK: clock::Millis = clock::Millis::new(5);
+
+/// Drives one replica.
+#[derive(Debug)]
+pub struct Driver {
+    replica: core::Replica,
+    shared: sync::Arc<Shared>,
+    peers: peers::Peers,
+    clock: clock::Clock,
+    recorder: sync::Arc<event::Recorder>,
+    requests: collections::HashMap<u64, oneshot::Sender<Outcome>>,
+    proposals: collections::BTreeMap<id::LogIndex, Proposal>,
+    next_request: u64,
+    led_term: Option<id::Term>,
+}
+
+#[derive(Debug)]
+struct Proposal {
+    term: id::Term,
+    answer: oneshot::Sender<Outcome>,
+}
+
+/// Decodes the state of a snapshot; no snapshot, or an empty one, is the state of the start.
+pub fn state_of(snapshot: Option<&message::Snapshot>) -> error::Result<command::State> {
+    match snapshot {
+        Some(snapshot) if !snapshot.data.is_empty() => command::State::from_bytes(&snapshot.data),
+        _ => Ok(command::State::default()),
+    }
+}
+
+impl Driver {
+    /// Makes the driver of a replica.
+    pub fn new(
+        replica: core::Replica,
+        shared: sync::Arc<Shared>,
+        peers: peers::Peers,
+        clock: clock::Clock,
+        recorder: sync::Arc<event::Recorder>,
+    ) -> Self {
+        Self {
+            replica,
+            shared,
+            peers,
+            clock,
+            recorder,
+            requests: collections::HashMap::new(),
+            proposals: collections::BTreeMap::new(),
+            next_request: 0,
+            led_term: None,
+        }
+    }
+
+    /// Runs the member until `stop` turns true, or until its disk fails.
+    pub async fn run(
+        mut self,
+        folder: storage::Folder,
+        timing: settings::ControlTiming,
+        mut events: mpsc::Receiver<Event>,
+        mut stop: watch::Receiver<bool>,
+    ) -> error::Result<()> {
+        let (batches, to_write) = std_mpsc::channel();
+        let (report, mut written) = mpsc::unbounded_channel();
+        let writer = task::spawn_blocking(move || disk::run(folder, &to_write, &report));
+        let period = clock::Millis::new(timing.heartbeat_ms.as_u64() / 4).max(MIN_TICK);
+        let mut ticks = time::interval(period.as_duration());
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        self.publish();
+        let mut taken = Vec::with_capacity(EVENTS_AT_ONCE);
+        let result = loop {
+            let done = tokio::select! {
+                _ = ticks.tick() => self.step(message::Input::Tick, &batches),
+                count = events.recv_many(&mut taken, EVENTS_AT_ONCE) => {
+                    let done = self.take_events(&mut taken, &batches);
+                    if count == 0 {
+                        break Ok(());
+                    }
+                    done
+                }
+                Some(report) = written.recv() => self.take_written(report, &batches),
+                () = server::stopped(&mut stop) => break Ok(()),
+            };
+            if let Err(e) = done.and_then(|()| self.compact(&timing, &batches)) {
+                break Err(e);
+            }
+            self.publish();
+        };
+        drop(batches);
+        self.shared.view.send_modify(|view| {
+            view.leads = None;
+            view.leader = None;
+        });
+        self.peers.stop().await;
+        let ended = writer.await;
+        assert!(ended.is_ok(), "the disk thread ends without a panic");
+        result
+    }
+
+    fn take_events(
+        &mut self,
+        events: &mut Vec<Event>,
+        batches: &std_mpsc::Sender<message::Batch>,
+    ) -> error::Result<()> {
+        for event in events.drain(..) {
+            let input = match event {
+                Event::Message(message) => message::Input::Message(message),
+                Event::Propose { command, answer } => {
+                    let Some(request) = self.remember(answer) else {
+                        continue;
+                    };
+                    message::Input::Propose { request, command }
+                }
+                Event::Read { answer } => {
+                    let Some(request) = self.remember(answer) else {
+                        continue;
+                    };
+                    message::Input::Read { request }
+                }
+                Event::ChangeMembers { change, answer } => {
+                    let Some(request) = self.remember(answer) else {
+                        continue;
+                    };
+                    message::Input::ChangeMembers { request, change }
+                }
+            };
+            self.step(input, batches)?;
+        }
+        Ok(())
+    }
+
+    fn take_written(
+        &mut self,
+        written: disk::Written,
+        batches: &std_mpsc::Sender<message::Batch>,
+    ) -> error::Result<()> {
+        match written {
+            disk::Written::Up(number) => self.step(message::Input::Persisted(number), batches),
+            disk::Written::Failed(e) => Err(e),
+        }
+    }
+
+    /// Keeps the answer's way back and returns the number of the request.
+    fn remember(&mut self, answer: oneshot::Sender<Outcome>) -> Option<u64> {
+        if self.requests.len() + self.proposals.len() >= MAX_WAITING {
+            self.requests.retain(|_, a| !a.is_closed());
+            self.proposals.retain(|_, p| !p.answer.is_closed());
+        }
+        if self.requests.len() + self.proposals.len() >= MAX_WAITING {
+            let _ = answer.send(Outcome::Busy);
+            return None;
+        }
+        self.next_request += 1;
+        self.requests.insert(self.next_request, answer);
+        Some(self.next_request)
+    }
+
+    fn step(
+        &mut self,
+        input: message::Input,
+        batches: &std_mpsc::Sender<message::Batch>,
+    ) -> error::Result<()> {
+        for output in self.replica.step(self.clock.now(), input) {
+            match output {
+                message::Output::Send(message) => self.send(&message)?,
+                message::Output::Persist(batch) => {
+                    // The thread ends early only after it reported an error.
+                    let _ = batches.send(batch);
+                }
+                message::Output::Apply(entry) => self.apply(&entry)?,
+                message::Output::Restore(snapshot) => {
+                    self.shared.replace_state(state_of(Some(&snapshot))?);
+                }
+                message::Output::Proposed { request, at } => self.proposed(request, at),
+                message::Output::ReadReady { request } => self.answer(request, Outcome::Done),
+                message::Output::Refused { request, reason } => self.refused(request, reason),
+            }
+        }
+        Ok(())
+    }
+
+    fn send(&mut self, message: &message::Message) -> error::Result<()> {
+        if let Some(address) = self.replica.address_of(&message.to.instance) {
+            self.peers.send(address, message.to_bytes()?);
+        }
+        Ok(())
+    }
+
+    fn proposed(&mut self, request: u64, at: message::Position) {
+        let Some(answer) = self.requests.remove(&request) else {
+            return;
+        };
+        let proposal = Proposal {
+            term: at.term,
+            answer,
+        };
+        self.proposals.insert(at.index, proposal);
+    }
+
+    fn refused(&mut self, request: u64, reason: message::Refusal) {
+        let outcome = match reason {
+            message::Refusal::NotLeader => {
+                Outcome::NotLeader(self.replica.leader().map(|l| l.instance.clone()))
+            }
+            message::Refusal::Busy => Outcome::Busy,
+            message::Refusal::Invalid => Outcome::Invalid,
+        };
+        self.answer(request, outcome);
+    }
+
+    fn answer(&mut self, request: u64, outcome: Outcome) {
+        if let Some(answer) = self.requests.remove(&request) {
+            // Who asked may have given up.
+            let _ = answer.send(outcome);
+        }
+    }
+
+    fn apply(&mut self, entry: &message::Entry) -> error::Result<()> {
+        let outcome = match &entry.payload {
+            message::Payload::Command(bytes) => Outcome::Applied(self.apply_command(bytes)?),
+            message::Payload::Empty | message::Payload::Members(_) => Outcome::Done,
+        };
+        if let Some(proposal) = self.proposals.remove(&entry.at.index) {
+            let lost = proposal.term != entry.at.term;
+            let outcome = if lost { self.not_leader() } else { outcome };
+            let _ = proposal.answer.send(outcome);
+        }
+        Ok(())
+    }
+
+    fn not_leader(&self) -> Outcome {
+        Outcome::NotLeader(self.replica.leader().map(|l| l.instance.clone()))
+    }
+
+    fn apply_command(&self, bytes: &[u8]) -> error::Result<command::Answer> {
+        let command = postcard::from_bytes(bytes).map_err(|e| {
+            let remedy = "run one version of the program on all members";
+            error::Error::damaged(format!("a command of the log: {e}"), remedy)
+        })?;
+        Ok(self.shared.apply(&command))
+    }
+
+    fn compact(
+        &mut self,
+        timing: &settings::ControlTiming,
+        batches: &std_mpsc::Sender<message::Batch>,
+    ) -> error::Result<()> {
+        let Some(snapshot) = self.replica.snapshot() else {
+            return Ok(());
+        };
+        let covered = snapshot.head.at.index.as_u64();
+        let index = self.replica.applied();
+        if index.as_u64() < covered + timing.snapshot_entries {
+            return Ok(());
+        }
+        let state = self.shared.state.read();
+        let data = state
+            .unwrap_or_else(sync::PoisonError::into_inner)
+            .to_bytes()?;
+        self.step(message::Input::Compact { index, data }, batches)
+    }
+
+    /// Shows the handles what changed.
+    fn publish(&mut self) {
+        let leader = self.replica.leader().map(|l| l.instance.clone());
+        let leads = self.replica.is_leader().then(|| self.replica.term());
+        self.record_lead(leads);
+        self.shared.view.send_if_modified(|view| {
+            let changed = view.leader != leader || view.leads != leads;
+            view.leader.clone_from(&leader);
+            view.leads = leads;
+            changed
+        });
+        let status = self.status(leader);
+        let shown = self.shared.status.write();
+        *shown.unwrap_or_else(sync::PoisonError::into_inner) = status;
+    }
+
+    fn record_lead(&mut self, leads: Option<id::Term>) {
+        if leads == self.led_term {
+            return;
+        }
+        if let Some(term) = self.led_term {
+            log::info!("lost the lead of term {term}");
+            self.recorder
+                .record(event::Kind::LeaderLost, format!("term {term}"));
+        }
+        if let Some(term) = leads {
+            log::info!("leads the control group in term {term}");
+            self.recorder
+                .record(event::Kind::LeaderElected, format!("term {term}"));
+        }
+        self.led_term = leads;
+    }
+
+    fn status(&self, leader: Option<id::InstanceId>) -> Status {
+        let members = self.replica.members();
+        Status {
+            instance: self.shared.instance.clone(),
+            leader,
+            term: self.replica.term(),
+            committed: self.replica.committed(),
+            applied: self.replica.applied(),
+            voters: members.map_or_else(Vec::new, |m| m.voters.keys().cloned().collect()),
+            learners: members.map_or_else(Vec::new, |m| m.learners.keys().cloned().collect()),
+        }
+    }
+}
--- /dev/null
+++ b/src/replica/group/mod.rs
@@ -0,0 +1,416 @@
+//! The handle to the control group's replicated state, and the tasks that run one member.
+
+mod disk;
+mod driver;
+mod peers;
+
+use std::path;
+use std::sync;
+
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task;
+use tokio::time;
+
+use crate::clock;
+use crate::config::settings;
+use crate::error;
+use crate::event;
+use crate::id;
+use crate::macros;
+use crate::peer::link;
+use crate::replica::core;
+use crate::replica::core::members;
+use crate::replica::core::message;
+use crate::replica::storage;
+use crate::state::command;
+
+/// The messages and requests that wait for the member.
+const EVENTS: usize = 4_096;
+
+/// The largest encoded command, in bytes.
+const MAX_COMMAND_BYTES: usize = 4 << 20;
+
+/// The shortest time that a proposal may take to be committed.
+const MIN_COMMIT_WAIT: clock::Millis = clock::Millis::new(400);
+
+/// When to try again after the group had no leader.
+const RETRY_AFTER: clock::Millis = clock::Millis::new(200);
+
+/// The replicated state as one member of the control group sees it.
+#[derive(Clone, Debug)]
+pub struct Group {
+    shared: sync::Arc<Shared>,
+    events: Option<mpsc::Sender<Event>>,
+    commit_wait: clock::Millis,
+}
+
+/// What the handles and the driver share.
+#[derive(Debug)]
+struct Shared {
+    instance: id::InstanceId,
+    state: sync::RwLock<command::State>,
+    status: sync::RwLock<Status>,
+    view: watch::Sender<View>,
+}
+
+/// What happens to the driver.
+#[derive(Debug)]
+enum Event {
+    Message(message::Message),
+    Propose {
+        command: Vec<u8>,
+        answer: oneshot::Sender<Outcome>,
+    },
+    Read {
+        answer: oneshot::Sender<Outcome>,
+    },
+    ChangeMembers {
+        change: members::MemberChange,
+        answer: oneshot::Sender<Outcome>,
+    },
+}
+
+macros::data! {
+    /// What a member knows of the group.
+    pub struct Status {
+        /// This member.
+        pub instance: id::InstanceId,
+        /// The leader, if one is known.
+        pub leader: Option<id::InstanceId>,
+        /// The present term.
+        pub term: id::Term,
+        /// The last log entry known to be committed.
+        pub committed: id::LogIndex,
+        /// The last log entry that was applied here.
+        pub applied: id::LogIndex,
+        /// The members that vote.
+        pub voters: Vec<id::InstanceId>,
+        /// The members that catch up before they vote.
+        pub learners: Vec<id::InstanceId>,
+    }
+}
+
+macros::data! {
+    /// What those wait for who follow the group.
+    #[derive(Default)]
+    pub struct View {
+        /// The revision that was applied here.
+        pub revision: id::Revision,
+        /// The leader, if one is known.
+        pub leader: Option<id::InstanceId>,
+        /// The term in which this member leads, if it does.
+        pub leads: Option<id::Term>,
+    }
+}
+
+macros::data! {
+    /// How a request to the group went.
+    pub enum Outcome {
+        /// It was committed; the state machine gave this answer.
+        Applied(command::Answer),
+        /// It was committed; it has no answer.
+        Done,
+        /// It was not taken in: this member does not lead, perhaps the named one does.
+        NotLeader(Option<id::InstanceId>),
+        /// It was not taken in: another one is under way; try again.
+        Busy,
+        /// It was not taken in: it would have no effect or leave no voter.
+        Invalid,
+        /// It was not committed in time; it may be committed later.
+        Uncertain,
+    }
+}
+
+/// The settings of one member.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The name of this instance.
+    pub instance: id::InstanceId,
+    /// The members that the group starts with.
+    pub members: Vec<settings::ControlPeer>,
+    /// The folder that holds the log and the snapshots.
+    pub data_folder: path::PathBuf,
+    /// Bounds and timeouts.
+    pub timing: settings::ControlTiming,
+}
+
+/// The tasks of a running member.
+#[derive(Debug)]
+pub struct Running {
+    driver: task::JoinHandle<error::Result<()>>,
+}
+
+impl Running {
+    /// Waits until the member has stopped and all its tasks have ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a disk error or a broken invariant stopped the member.
+    pub async fn join(self) -> error::Result<()> {
+        self.driver.await.unwrap_or_else(|e| {
+            let remedy = "report this fault with the log of all members";
+            Err(error::Error::damaged(
+                format!("the replicated log: {e}"),
+                remedy,
+            ))
+        })
+    }
+}
+
+impl Group {
+    /// Makes a group of one member that keeps its state in memory only.
+    pub fn in_memory(instance: id::InstanceId) -> Self {
+        let view = View {
+            revision: id::Revision::default(),
+            leader: Some(instance.clone()),
+            leads: Some(id::Term::new(1)),
+        };
+        let shared = Shared::new(instance, command::State::default());
+        shared.view.send_replace(view);
+        Self {
+            shared: sync::Arc::new(shared),
+            events: None,
+            commit_wait: MIN_COMMIT_WAIT,
+        }
+    }
+
+    /// Opens the data folder and starts the tasks of a member, which end after `stop` turns true.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the data folder is in use, damaged or another member's.
+    pub fn start(
+        settings: Settings,
+        links: sync::Arc<link::Links>,
+        clock: clock::Clock,
+        recorder: sync::Arc<event::Recorder>,
+        stop: watch::Receiver<bool>,
+    ) -> error::Result<(Self, Running)> {
+        let (folder, stored) = storage::Folder::open(&settings.data_folder, &settings.instance)?;
+        let state = driver::state_of(stored.snapshot.as_ref())?;
+        let shared = sync::Arc::new(Shared::new(settings.instance.clone(), state));
+        let replica = core::Replica::new(core_settings(&settings, &folder), stored, clock.now());
+        let (events, incoming) = mpsc::channel(EVENTS);
+        let group = Self {
+            shared: sync::Arc::clone(&shared),
+            events: Some(events),
+            commit_wait: settings.timing.election_ms.max(MIN_COMMIT_WAIT),
+        };
+        let peers = peers::Peers::new(links, settings.timing.election_ms);
+        let driver = driver::Driver::new(replica, shared, peers, clock, recorder);
+        let run = driver.run(folder, settings.timing, incoming, stop);
+        let driver = tokio::spawn(run);
+        Ok((group, Running { driver }))
+    }
+
+    /// Commits a command and returns the answer of the state machine.
+    ///
+    /// # Errors
+    ///
+    /// Fails as unavailable when this member does not lead, naming the leader if it is known, or
+    /// when the command was not committed in time; it may then be committed later.
+    pub async fn propose(&self, command: command::Command) -> error::Result<command::Answer> {
+        match self.submit(&command).await? {
+            Outcome::Applied(answer) => Ok(answer),
+            other => Err(unavailable(other)),
+        }
+    }
+
+    /// Commits a command and tells how that went.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the command can't be encoded or is too large.
+    pub async fn submit(&self, command: &command::Command) -> error::Result<Outcome> {
+        let Some(events) = &self.events else {
+            return Ok(Outcome::Applied(self.shared.apply(command)));
+        };
+        let command = encode(command)?;
+        let (answer, outcome) = oneshot::channel();
+        let event = Event::Propose { command, answer };
+        Ok(self.ask(events, event, outcome).await)
+    }
+
+    /// Returns once this member has confirmed that it led after the call began, and has applied
+    /// all that was committed before.
+    ///
+    /// # Errors
+    ///
+    /// Fails as unavailable when this member does not lead, naming the leader if it is known.
+    pub async fn confirm(&self) -> error::Result<()> {
+        let Some(events) = &self.events else {
+            return Ok(());
+        };
+        let (answer, outcome) = oneshot::channel();
+        match self.ask(events, Event::Read { answer }, outcome).await {
+            Outcome::Done => Ok(()),
+            other => Err(unavailable(other)),
+        }
+    }
+
+    /// Changes the members of the group, one at a time.
+    ///
+    /// An admitted instance first catches up and becomes a voter by itself. To replace an
+    /// instance, admit the new one, wait until [`Self::status`] shows it among the voters, and
+    /// only then dismiss the old one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when this member does not lead, when another change is under way, or when the change
+    /// would have no effect or leave no voter.
+    pub async fn change_members(&self, change: members::MemberChange) -> error::Result<()> {
+        let Some(events) = &self.events else {
+            return Err(unavailable(Outcome::Invalid));
+        };
+        let (answer, outcome) = oneshot::channel();
+        let event = Event::ChangeMembers { change, answer };
+        match self.ask(events, event, outcome).await {
+            Outcome::Done => Ok(()),
+            other => Err(unavailable(other)),
+        }
+    }
+
+    /// Takes in a message of another member, as it came in [`crate::peer::message::Request`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when the message can't be decoded or names another sender than its frame.
+    pub fn handle_message(&self, from: &id::InstanceId, bytes: &[u8]) -> error::Result<()> {
+        let message = message::Message::from_bytes(bytes)?;
+        if message.from.instance != *from {
+            let remedy = "give every process its own instance name";
+            return Err(error::Error::bad_value(
+                "from",
+                &message.from.instance,
+                remedy,
+            ));
+        }
+        if let Some(events) = &self.events {
+            // A member that can't keep up loses messages; the log is made for that.
+            let _ = events.try_send(Event::Message(message));
+        }
+        Ok(())
+    }
+
+    /// Reads the state as applied at this member; call [`Self::confirm`] before for a fresh one.
+    pub fn with_state<T>(&self, read: impl FnOnce(&command::State) -> T) -> T {
+        let state = self.shared.state.read();
+        read(&state.unwrap_or_else(sync::PoisonError::into_inner))
+    }
+
+    /// Returns what this member knows of the group.
+    pub fn status(&self) -> Status {
+        let status = self.shared.status.read();
+        status.unwrap_or_else(sync::PoisonError::into_inner).clone()
+    }
+
+    /// Follows the applied revision and the leader.
+    pub fn watch(&self) -> watch::Receiver<View> {
+        self.shared.view.subscribe()
+    }
+
+    async fn ask(
+        &self,
+        events: &mpsc::Sender<Event>,
+        event: Event,
+        outcome: oneshot::Receiver<Outcome>,
+    ) -> Outcome {
+        if events.try_send(event).is_err() {
+            return Outcome::Busy;
+        }
+        match time::timeout(self.commit_wait.as_duration(), outcome).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) | Err(_) => Outcome::Uncertain,
+        }
+    }
+}
+
+impl Shared {
+    fn new(instance: id::InstanceId, state: command::State) -> Self {
+        let status = Status {
+            instance: instance.clone(),
+            leader: Some(instance.clone()),
+            term: id::Term::new(1),
+            committed: id::LogIndex::default(),
+            applied: id::LogIndex::default(),
+            voters: vec![instance.clone()],
+            learners: Vec::new(),
+        };
+        Self {
+            instance,
+            state: sync::RwLock::new(state),
+            status: sync::RwLock::new(status),
+            view: watch::Sender::new(View::default()),
+        }
+    }
+
+    fn apply(&self, command: &command::Command) -> command::Answer {
+        let state = self.state.write();
+        let mut state = state.unwrap_or_else(sync::PoisonError::into_inner);
+        let before = state.config().revision;
+        let answer = state.apply(command);
+        let revision = state.config().revision;
+        assert!(revision >= before, "the revision never goes down");
+        drop(state);
+        self.view.send_if_modified(|view| {
+            let newer = revision != view.revision;
+            view.revision = revision;
+            newer
+        });
+        answer
+    }
+
+    fn replace_state(&self, next: command::State) {
+        let state = self.state.write();
+        let mut state = state.unwrap_or_else(sync::PoisonError::into_inner);
+        let revision = next.config().revision;
+        assert!(
+            revision >= state.config().revision,
+            "the revision never goes down"
+        );
+        *state = next;
+        drop(state);
+        self.view.send_modify(|view| view.revision = revision);
+    }
+}
+
+fn encode(command: &command::Command) -> error::Result<Vec<u8>> {
+    let bytes = postcard::to_stdvec(command)
+        .map_err(|e| error::Error::damaged(format!("command: {e}"), "report this fault"))?;
+    if bytes.len() > MAX_COMMAND_BYTES {
+        let remedy = "send it in smaller parts; a command holds up to 4 MiB";
+        return Err(error::Error::bad_value("command", bytes.len(), remedy));
+    }
+    Ok(bytes)
+}
+
+fn core_settings(settings: &Settings, folder: &storage::Folder) -> core::Settings {
+    let peer = |peer: &settings::ControlPeer| core::Peer {
+        instance: peer.instance.clone(),
+        address: peer.peer_address,
+    };
+    core::Settings {
+        node: folder.node().clone(),
+        initial: settings.members.iter().map(peer).collect(),
+        election: settings.timing.election_ms,
+        heartbeat: settings.timing.heartbeat_ms,
+        trailing: settings.timing.snapshot_entries / 2,
+        seed: rand::random(),
+    }
+}
+
+fn unavailable(outcome: Outcome) -> error::Error {
+    let reason = match outcome {
+        Outcome::NotLeader(Some(leader)) => format!("this member does not lead; ask `{leader}`"),
+        Outcome::NotLeader(None) => "no leader is known; ask another member".to_owned(),
+        Outcome::Busy => "another change or too many requests are under way".to_owned(),
+        Outcome::Invalid => {
+            "the change has no effect, names an instance twice or leaves no voter".to_owned()
+        }
+        Outcome::Uncertain => "not committed in time; it may be committed later".to_owned(),
+        Outcome::Applied(_) | Outcome::Done => "an answer of another kind".to_owned(),
+    };
+    error::Error::unavailable(reason, RETRY_AFTER)
+}
--- /dev/null
+++ b/src/replica/group/peers.rs
@@ -0,0 +1,74 @@
+//! The senders of messages to the other members, one task for each.
+
+use std::net;
+use std::sync;
+
+use tokio::sync::mpsc;
+use tokio::task;
+
+use crate::clock;
+use crate::peer::link;
+use crate::peer::message as peer_message;
+use crate::sorted;
+
+/// The messages that wait for one member; more are dropped, the log sends them again.
+const QUEUE: usize = 64;
+
+/// The senders to the other members.
+#[derive(Debug)]
+pub struct Peers {
+    links: sync::Arc<link::Links>,
+    timeout: clock::Millis,
+    queues: sorted::Map<net::SocketAddr, mpsc::Sender<Vec<u8>>>,
+    tasks: task::JoinSet<()>,
+}
+
+impl Peers {
+    /// Makes senders over the links of this process.
+    pub fn new(links: sync::Arc<link::Links>, timeout: clock::Millis) -> Self {
+        Self {
+            links,
+            timeout,
+            queues: sorted::Map::new(),
+            tasks: task::JoinSet::new(),
+        }
+    }
+
+    /// Sends a message, or drops it when the member can't keep up.
+    pub fn send(&mut self, address: net::SocketAddr, bytes: Vec<u8>) {
+        let Self {
+            links,
+            timeout,
+            tasks,
+            queues,
+        } = self;
+        let queue = queues.get_or_insert_with(address, || {
+            let (queue, waiting) = mpsc::channel(QUEUE);
+            tasks.spawn(run(sync::Arc::clone(links), address, *timeout, waiting));
+            queue
+        });
+        // A full queue is a line that is cut or slow.
+        let _ = queue.try_send(bytes);
+    }
+
+    /// Ends all senders and waits for them.
+    pub async fn stop(mut self) {
+        self.queues.clear();
+        self.tasks.shutdown().await;
+    }
+}
+
+async fn run(
+    links: sync::Arc<link::Links>,
+    address: net::SocketAddr,
+    timeout: clock::Millis,
+    mut waiting: mpsc::Receiver<Vec<u8>>,
+) {
+    while let Some(bytes) = waiting.recv().await {
+        let request = peer_message::Request::Replica(bytes);
+        if let Err(e) = links.request(address, &request, timeout).await {
+            log::debug!("message to {address} lost: {e}");
+            tokio::time::sleep(clock::Millis::new(10).as_duration()).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/replica/storage/file.rs
@@ -0,0 +1,72 @@
+//! File operations that last: each returns only once its effect survives a crash.
+
+use std::fs;
+use std::io;
+use std::io::Write as _;
+use std::path;
+
+use crate::error;
+
+/// The ending of files that are not complete yet.
+pub const TEMP_SUFFIX: &str = ".tmp";
+
+/// Replaces a file in one step: write beside it, sync, rename, sync the folder.
+///
+/// # Errors
+///
+/// Fails when the disk is full or reports an error; the old file is then still there.
+pub fn replace(folder: &path::Path, name: &str, bytes: &[u8]) -> error::Result<()> {
+    let temp = folder.join(format!("{name}{TEMP_SUFFIX}"));
+    let mut file = fs::File::create(&temp).map_err(|e| failed("creating", &temp, e))?;
+    file.write_all(bytes)
+        .map_err(|e| failed("writing", &temp, e))?;
+    file.sync_all().map_err(|e| failed("syncing", &temp, e))?;
+    let target = folder.join(name);
+    fs::rename(&temp, &target).map_err(|e| failed("renaming to", &target, e))?;
+    sync_folder(folder)
+}
+
+/// Makes created, renamed and removed names of a folder last.
+///
+/// # Errors
+///
+/// Fails when the disk reports an error.
+pub fn sync_folder(folder: &path::Path) -> error::Result<()> {
+    let opened = fs::File::open(folder);
+    opened
+        .and_then(|f| f.sync_all())
+        .map_err(|e| failed("syncing", folder, e))
+}
+
+/// Removes a file; its absence is fine.
+///
+/// # Errors
+///
+/// Fails when the disk reports an error.
+pub fn remove(path: &path::Path) -> error::Result<()> {
+    match fs::remove_file(path) {
+        Err(e) if e.kind() != io::ErrorKind::NotFound => Err(failed("removing", path, e)),
+        _ => Ok(()),
+    }
+}
+
+/// Returns the names in a folder, sorted.
+///
+/// # Errors
+///
+/// Fails when the folder can't be read.
+pub fn names(folder: &path::Path) -> error::Result<Vec<String>> {
+    let entries = fs::read_dir(folder).map_err(|e| failed("reading", folder, e))?;
+    let mut names = Vec::new();
+    for entry in entries {
+        let entry = entry.map_err(|e| failed("reading", folder, e))?;
+        names.push(entry.file_name().to_string_lossy().into_owned());
+    }
+    names.sort();
+    Ok(names)
+}
+
+/// Wraps an error of the disk.
+pub fn failed(doing: &str, path: &path::Path, source: io::Error) -> error::Error {
+    error::Error::io(format!("{doing} {}", path.display()), source)
+}
--- /dev/null
+++ b/src/replica/storage/identity.rs
@@ -0,0 +1,90 @@
+//! The identity of a data folder: whose it is, and which life of it.
+
+use std::fs;
+use std::path;
+
+use crate::error;
+use crate::id;
+use crate::macros;
+use crate::replica::core::message;
+use crate::replica::storage::file;
+
+/// The file that holds the identity.
+const NAME: &str = "member.json";
+
+/// The version of the folder's layout.
+const VERSION: u32 = 1;
+
+macros::data! {
+    #[serde(deny_unknown_fields)]
+    struct Identity {
+        version: u32,
+        instance: id::InstanceId,
+        incarnation: id::Incarnation,
+    }
+}
+
+/// Reads the identity of a folder, or draws one for a folder that is empty.
+///
+/// # Errors
+///
+/// Fails when the folder belongs to another instance or version, or holds a log without an
+/// identity.
+pub fn read_or_create(
+    folder: &path::Path,
+    instance: &id::InstanceId,
+) -> error::Result<message::NodeId> {
+    let path = folder.join(NAME);
+    let is_empty = file::names(folder)?.iter().all(|n| is_harmless(n));
+    let identity = if path.exists() {
+        read(&path)?
+    } else if is_empty {
+        create(folder, instance)?
+    } else {
+        let remedy = "it has files but no member.json; name an empty folder, or put the file back";
+        return Err(error::Error::bad_value(
+            "data_folder",
+            folder.display(),
+            remedy,
+        ));
+    };
+    if identity.version != VERSION {
+        let remedy = "run the version of the program that wrote the folder";
+        return Err(error::Error::bad_value("version", identity.version, remedy));
+    }
+    if identity.instance != *instance {
+        let remedy = format!(
+            "the data folder belongs to `{}`; name another",
+            identity.instance
+        );
+        return Err(error::Error::bad_value("instance", instance, remedy));
+    }
+    Ok(message::NodeId {
+        instance: identity.instance,
+        incarnation: identity.incarnation,
+    })
+}
+
+fn is_harmless(name: &str) -> bool {
+    name == super::LOCK_NAME || name.ends_with(file::TEMP_SUFFIX)
+}
+
+fn read(path: &path::Path) -> error::Result<Identity> {
+    let text = fs::read(path).map_err(|e| file::failed("reading", path, e))?;
+    serde_json::from_slice(&text).map_err(|e| {
+        let remedy = "while the other members are well, empty the data folder";
+        error::Error::damaged(format!("{}: {e}", path.display()), remedy)
+    })
+}
+
+fn create(folder: &path::Path, instance: &id::InstanceId) -> error::Result<Identity> {
+    let identity = Identity {
+        version: VERSION,
+        instance: instance.clone(),
+        incarnation: id::Incarnation::random(),
+    };
+    let text = serde_json::to_vec(&identity)
+        .map_err(|e| error::Error::damaged(format!("identity: {e}"), "report this fault"))?;
+    file::replace(folder, NAME, &text)?;
+    Ok(identity)
+}
--- /dev/null
+++ b/src/replica/storage/mod.rs
@@ -0,0 +1,307 @@
+//! The data folder of one member: identity, log segments and snapshots.
+//!
+//! What [`Folder::write`] has returned for lasts: log records are synced, snapshots are written
+//! beside, synced and renamed. After any error of the disk the folder takes no more writes, since
+//! what the disk holds is then not known; the member stops and reads it anew.
+
+mod file;
+mod identity;
+mod record;
+mod segment;
+mod snapshot;
+
+use std::fs;
+use std::path;
+
+use crate::error;
+use crate::id;
+use crate::replica::core;
+use crate::replica::core::message;
+
+/// The file whose lock keeps a second process out.
+const LOCK_NAME: &str = "lock";
+
+/// The bytes after which the next segment is started.
+const SEGMENT_BYTES: u64 = 8 << 20;
+
+/// The open data folder of one member.
+#[derive(Debug)]
+pub struct Folder {
+    path: path::PathBuf,
+    node: message::NodeId,
+    hard: message::HardState,
+    closed: Vec<segment::Info>,
+    current: segment::Info,
+    writer: segment::Writer,
+    failed: bool,
+    _lock: fs::File,
+}
+
+impl Folder {
+    /// Opens a data folder, or makes a new one, and reads what it holds.
+    ///
+    /// # Errors
+    ///
+    /// Fails when another process has it open, when it belongs to another instance, or when data
+    /// that had been synced is damaged; the torn tail of the last write is cut without an error.
+    pub fn open(
+        path: &path::Path,
+        instance: &id::InstanceId,
+    ) -> error::Result<(Self, core::Stored)> {
+        fs::create_dir_all(path).map_err(|e| file::failed("creating", path, e))?;
+        let lock = lock(path)?;
+        let node = identity::read_or_create(path, instance)?;
+        remove_temporary(path)?;
+        let snapshot = snapshot::read_newest(path)?;
+        let mut replay = Replay::default();
+        let numbers = segment::numbers(path)?;
+        for number in &numbers {
+            let is_last = Some(number) == numbers.last();
+            replay.take_segment(*number, segment::read(path, *number, is_last)?)?;
+        }
+        let continued = replay.entries_after(snapshot.as_ref())?;
+        let (current, writer) = match replay.segments.pop() {
+            Some(last) => (
+                last,
+                segment::Writer::open(path, last.number, replay.sound_bytes)?,
+            ),
+            None => (segment::Info::default(), segment::Writer::create(path, 0)?),
+        };
+        let mut folder = Self {
+            path: path.to_owned(),
+            node,
+            hard: replay.hard.clone(),
+            closed: replay.segments,
+            current,
+            writer,
+            failed: false,
+            _lock: lock,
+        };
+        folder.mend_start(continued.is_none(), snapshot.as_ref())?;
+        let stored = core::Stored {
+            hard: replay.hard,
+            snapshot,
+            entries: continued.unwrap_or_default(),
+        };
+        Ok((folder, stored))
+    }
+
+    /// Returns the member that the folder belongs to, in the folder's life.
+    pub fn node(&self) -> &message::NodeId {
+        &self.node
+    }
+
+    /// Writes batches in order with one sync; they last once this returns.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk is full or reports an error, and ever after.
+    pub fn write(&mut self, batches: &[message::Batch]) -> error::Result<()> {
+        if self.failed {
+            let remedy = "restart the member after the disk was mended";
+            return Err(error::Error::damaged(
+                "the data folder after a disk error",
+                remedy,
+            ));
+        }
+        let result = self.write_all(batches);
+        self.failed = result.is_err();
+        result
+    }
+
+    fn write_all(&mut self, batches: &[message::Batch]) -> error::Result<()> {
+        if self.writer.length() >= SEGMENT_BYTES {
+            self.start_segment(false)?;
+        }
+        let mut buf = Vec::new();
+        for batch in batches {
+            if let Some(snapshot) = &batch.snapshot {
+                self.commit(&mut buf)?;
+                self.write_snapshot(snapshot, batch)?;
+            }
+            if let Some(hard) = &batch.hard {
+                self.hard = hard.clone();
+                self.add(&mut buf, &record::Record::Hard(hard.clone()))?;
+            }
+            for entry in &batch.entries {
+                self.current.highest = self.current.highest.max(entry.at.index);
+                self.add(&mut buf, &record::Record::Entry(entry.clone()))?;
+            }
+        }
+        self.commit(&mut buf)
+    }
+
+    fn add(&self, buf: &mut Vec<u8>, record: &record::Record) -> error::Result<()> {
+        record.write_to(buf, self.writer.length())
+    }
+
+    fn commit(&mut self, buf: &mut Vec<u8>) -> error::Result<()> {
+        if !buf.is_empty() {
+            self.writer.commit(buf)?;
+            buf.clear();
+        }
+        Ok(())
+    }
+
+    fn write_snapshot(
+        &mut self,
+        snapshot: &message::Snapshot,
+        batch: &message::Batch,
+    ) -> error::Result<()> {
+        snapshot::write(&self.path, snapshot)?;
+        if let Some(hard) = &batch.hard {
+            self.hard = hard.clone();
+        }
+        self.start_segment(batch.reset)?;
+        let covered = snapshot.head.at.index;
+        snapshot::remove_before(&self.path, covered)?;
+        self.remove_segments(covered, batch.reset)
+    }
+
+    /// Does what a crash kept from being written at the start of a segment.
+    fn mend_start(
+        &mut self,
+        replaced: bool,
+        snapshot: Option<&message::Snapshot>,
+    ) -> error::Result<()> {
+        if replaced {
+            self.start_segment(true)?;
+            let covered = snapshot.map(|s| s.head.at.index);
+            return self.remove_segments(covered.unwrap_or_default(), true);
+        }
+        if self.writer.length() > 0 {
+            return Ok(());
+        }
+        let mut buf = Vec::new();
+        self.add(&mut buf, &record::Record::Hard(self.hard.clone()))?;
+        self.commit(&mut buf)
+    }
+
+    /// Starts the next segment; each begins with the term and vote, so that older ones may go.
+    fn start_segment(&mut self, reset: bool) -> error::Result<()> {
+        let number = self.current.number + 1;
+        self.writer = segment::Writer::create(&self.path, number)?;
+        let next = segment::Info {
+            number,
+            highest: id::LogIndex::default(),
+        };
+        self.closed.push(std::mem::replace(&mut self.current, next));
+        let mut buf = Vec::new();
+        if reset {
+            self.add(&mut buf, &record::Record::Reset)?;
+        }
+        self.add(&mut buf, &record::Record::Hard(self.hard.clone()))?;
+        self.commit(&mut buf)
+    }
+
+    /// Removes the oldest segments as far as a snapshot covers them.
+    fn remove_segments(&mut self, covered: id::LogIndex, all: bool) -> error::Result<()> {
+        while self
+            .closed
+            .first()
+            .is_some_and(|s| all || s.highest <= covered)
+        {
+            segment::remove(&self.path, self.closed[0].number)?;
+            self.closed.remove(0);
+        }
+        Ok(())
+    }
+}
+
+/// What the records of the segments add up to.
+#[derive(Debug, Default)]
+struct Replay {
+    hard: message::HardState,
+    entries: Vec<message::Entry>,
+    segments: Vec<segment::Info>,
+    sound_bytes: u64,
+}
+
+impl Replay {
+    fn take_segment(&mut self, number: u64, scan: record::Scan) -> error::Result<()> {
+        let mut info = segment::Info {
+            number,
+            highest: id::LogIndex::default(),
+        };
+        for record in scan.records {
+            match record {
+                record::Record::Hard(hard) => self.hard = hard,
+                record::Record::Reset => self.entries.clear(),
+                record::Record::Entry(entry) => {
+                    info.highest = info.highest.max(entry.at.index);
+                    self.take_entry(entry)?;
+                }
+            }
+        }
+        self.segments.push(info);
+        self.sound_bytes = scan.sound_bytes as u64;
+        Ok(())
+    }
+
+    fn take_entry(&mut self, entry: message::Entry) -> error::Result<()> {
+        let index = entry.at.index;
+        let keep = self.entries.partition_point(|e| e.at.index < index);
+        self.entries.truncate(keep);
+        let follows = self
+            .entries
+            .last()
+            .is_none_or(|last| last.at.index.next() == index);
+        if !follows {
+            return Err(gap(index));
+        }
+        self.entries.push(entry);
+        Ok(())
+    }
+
+    /// Returns the entries that go on from the snapshot, or `None` when it replaced the log.
+    fn entries_after(
+        &mut self,
+        snapshot: Option<&message::Snapshot>,
+    ) -> error::Result<Option<Vec<message::Entry>>> {
+        let at = snapshot.map(|s| s.head.at);
+        let index = at.unwrap_or_default().index;
+        let covered = self.entries.partition_point(|e| e.at.index <= index);
+        let rest = self.entries.split_off(covered);
+        if self.entries.last().is_some_and(|last| Some(last.at) != at) {
+            // The crash came after a snapshot of the leader was installed and before the log that
+            // it replaced was marked void.
+            return Ok(None);
+        }
+        match rest.first() {
+            Some(first) if at.is_none() || first.at.index != index.next() => {
+                Err(gap(first.at.index))
+            }
+            _ => Ok(Some(rest)),
+        }
+    }
+}
+
+fn gap(index: id::LogIndex) -> error::Error {
+    let remedy = "while the other members are well, empty the data folder and start the member \
+                  again: it joins as a learner";
+    error::Error::damaged(format!("the log before entry {index}"), remedy)
+}
+
+fn lock(path: &path::Path) -> error::Result<fs::File> {
+    let name = path.join(LOCK_NAME);
+    let opened = fs::File::options()
+        .create(true)
+        .truncate(false)
+        .write(true)
+        .open(&name);
+    let file = opened.map_err(|e| file::failed("opening", &name, e))?;
+    file.try_lock().map_err(|_| {
+        let remedy = "another process has it open; stop that one, or name another folder";
+        error::Error::bad_value("data_folder", path.display(), remedy)
+    })?;
+    Ok(file)
+}
+
+fn remove_temporary(path: &path::Path) -> error::Result<()> {
+    for name in file::names(path)? {
+        if name.ends_with(file::TEMP_SUFFIX) {
+            file::remove(&path.join(name))?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/replica/storage/snapshot.rs
@@ -0,0 +1,86 @@
+//! Snapshot files: a checksum, the encoded snapshot.
+
+use std::fs;
+use std::path;
+
+use crate::error;
+use crate::id;
+use crate::replica::core::message;
+use crate::replica::storage::file;
+
+const PREFIX: &str = "snapshot-";
+const SUFFIX: &str = ".snap";
+
+/// The bytes of the checksum at the start.
+const SUM_BYTES: usize = 4;
+
+/// Writes a snapshot; it lasts once this returns.
+///
+/// # Errors
+///
+/// Fails when the disk is full or reports an error.
+pub fn write(folder: &path::Path, snapshot: &message::Snapshot) -> error::Result<()> {
+    let encoded = postcard::to_stdvec(snapshot)
+        .map_err(|e| error::Error::damaged(format!("snapshot: {e}"), "report this fault"))?;
+    let mut bytes = crc32fast::hash(&encoded).to_le_bytes().to_vec();
+    bytes.extend_from_slice(&encoded);
+    file::replace(folder, &name(snapshot.head.at.index), &bytes)
+}
+
+/// Reads the newest snapshot, if there is one, and removes older ones.
+///
+/// # Errors
+///
+/// Fails when it is damaged: the entries before it are gone, so an older one is of no use.
+pub fn read_newest(folder: &path::Path) -> error::Result<Option<message::Snapshot>> {
+    let Some(newest) = indexes(folder)?.pop() else {
+        return Ok(None);
+    };
+    let path = folder.join(name(newest));
+    let bytes = fs::read(&path).map_err(|e| file::failed("reading", &path, e))?;
+    let snapshot = decode(&bytes).ok_or_else(|| {
+        let remedy = "while the other members are well, empty the data folder and start the \
+                      member again: it joins as a learner";
+        error::Error::damaged(path.display().to_string(), remedy)
+    })?;
+    remove_before(folder, newest)?;
+    Ok(Some(snapshot))
+}
+
+/// Removes the snapshots before an index.
+///
+/// # Errors
+///
+/// Fails when the disk reports an error.
+pub fn remove_before(folder: &path::Path, index: id::LogIndex) -> error::Result<()> {
+    for old in indexes(folder)? {
+        if old < index {
+            file::remove(&folder.join(name(old)))?;
+        }
+    }
+    Ok(())
+}
+
+fn decode(bytes: &[u8]) -> Option<message::Snapshot> {
+    let (sum, encoded) = bytes.split_at_checked(SUM_BYTES)?;
+    let sum = u32::from_le_bytes(sum.try_into().ok()?);
+    if crc32fast::hash(encoded) != sum {
+        return None;
+    }
+    postcard::from_bytes(encoded).ok()
+}
+
+fn indexes(folder: &path::Path) -> error::Result<Vec<id::LogIndex>> {
+    let names = file::names(folder)?;
+    let index = |name: &String| -> Option<id::LogIndex> {
+        name.strip_prefix(PREFIX)?
+            .strip_suffix(SUFFIX)?
+            .parse()
+            .ok()
+    };
+    Ok(names.iter().filter_map(index).collect())
+}
+
+fn name(index: id::LogIndex) -> String {
+    format!("{PREFIX}{:020}{SUFFIX}", index.as_u64())
+}
