--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,32 +1,42 @@
-//! Structured logs: one JSON object a line on standard error.
+//! Logs as JSON lines on the standard error output.
 
+use std::io;
 use std::io::Write as _;
 
+use env_logger::fmt;
+
 use crate::clock;
+use crate::macros;
 
-#[derive(serde::Serialize)]
-struct Line<'a> {
-    ts_ms: u64,
-    level: &'a str,
-    target: &'a str,
-    msg: String,
+macros::data! {
+    /// One line of the log.
+    pub struct Line {
+        /// Milliseconds since 1970.
+        pub ts: u64,
+        /// The level, such as `INFO`.
+        pub level: String,
+        /// The module that logs.
+        pub target: String,
+        /// The message.
+        pub msg: String,
+    }
 }
 
-/// Sends the `log` records of this process to standard error as JSON lines.
-///
-/// `RUST_LOG` chooses what is shown; the default is `info`. A second call changes nothing.
+/// Starts logging; `RUST_LOG` sets the level, `info` when it is not set.
 pub fn init() {
     let env = env_logger::Env::default().default_filter_or("info");
-    let _ = env_logger::Builder::from_env(env)
-        .format(|buf, record| {
-            let line = Line {
-                ts_ms: clock::wall_millis(),
-                level: record.level().as_str(),
-                target: record.target(),
-                msg: record.args().to_string(),
-            };
-            let text = serde_json::to_string(&line).unwrap_or_default();
-            writeln!(buf, "{text}")
-        })
-        .try_init();
+    let mut builder = env_logger::Builder::from_env(env);
+    // A second call, as in tests, keeps the first logger.
+    let _ = builder.format(write_line).try_init();
+}
+
+fn write_line(f: &mut fmt::Formatter, record: &log::Record<'_>) -> io::Result<()> {
+    let line = Line {
+        ts: clock::wall_millis(),
+        level: record.level().to_string(),
+        target: record.target().to_owned(),
+        msg: record.args().to_string(),
+    };
+    serde_json::to_writer(&mut *f, &line)?;
+    writeln!(f)
 }
