Check operators' changes inside the replicated state machine

Cause: two operators together could make a configuration that each alone would be refused, and the records of operations and claims grew without bound. Change: changes are checked on top of all earlier ones; answered operations, audit entries and claims are bounded; claims age by the leader's ticks; stored answers are capped; a conflict names what changed. Additive: new answers Refused, OperationReused, RanNotKept, ClaimsFull; Config::apply_change is visible in the crate. Conclusion: racing operators are decided in the log alone.

--- a/src/state/change.rs
+++ b/src/state/change.rs
@@ -116,7 +116,7 @@
             .max_by_key(|route| route.prefix.len())
     }
 
-    fn apply_change(&mut self, change: &Change) {
+    pub(crate) fn apply_change(&mut self, change: &Change) {
         match change {
             Change::PutAccount(account) => {
                 self.accounts.insert(account.id.clone(), account.clone());
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -4,8 +4,12 @@
 use crate::error;
 use crate::id;
 use crate::macros;
-use crate::sorted;
+use crate::state::audit;
 use crate::state::change;
+use crate::state::check;
+use crate::state::claim;
+use crate::state::operation;
+use crate::state::subject;
 
 macros::data! {
     /// One entry of the replicated log.
@@ -18,8 +22,11 @@
         Claim(Claim),
         /// Records how a claimed call ended.
         Settle(Settlement),
-        /// Removes claims that were settled or claimed more than their age ago.
+        /// Removes claims, whatever their age.
         ExpireClaims(Vec<ClaimKey>),
+        /// Moves the age of all claims on by the time since the leader's last such command; see
+        /// [`claim::MAX_ADVANCE`].
+        Advance(clock::Millis),
     }
 }
 
@@ -36,6 +43,8 @@
         pub changes: Vec<change::Change>,
         /// The digest of the request, to tell a resend from another request of the same name.
         pub digest: u64,
+        /// When the leader took the request, in milliseconds since 1970, for the audit trail.
+        pub wall: u64,
     }
 }
 
@@ -112,15 +121,26 @@
             current: id::Revision,
             /// What is wrong.
             reason: String,
+            /// What changed since the expected revision, oldest first; at most
+            /// [`operation::CONFLICT_SUBJECTS`].
+            changed: Vec<subject::Subject>,
         },
+        /// The operation id was used for another request.
+        OperationReused,
+        /// The changes are refused; nothing was changed.
+        Refused(Vec<check::Fault>),
         /// The claim is new: the call may be sent now.
         Claimed,
         /// The call is claimed by another request that still runs.
         Running,
         /// The call ran before; this was its answer.
         Ran(StoredAnswer),
+        /// The call ran before; its answer was too large to keep.
+        RanNotKept,
         /// The call may have run; it will not be sent again.
         Unknown,
+        /// Too many claims are held; the call must not be sent.
+        ClaimsFull,
         /// The idempotency key was used for another call.
         KeyReused,
     }
@@ -132,29 +152,12 @@
     pub struct State {
         config: change::Config,
         history: Vec<change::Commit>,
-        operations: sorted::Map<id::OperationId, OperationRecord>,
-        claims: sorted::Map<ClaimKey, ClaimRecord>,
+        operations: operation::Operations,
+        claims: claim::Claims,
+        audit: audit::Trail,
     }
 }
 
-macros::data! {
-    struct OperationRecord {
-        digest: u64,
-        revision: id::Revision,
-        answer: Answer,
-    }
-}
-
-macros::data! {
-    struct ClaimRecord {
-        claim: Claim,
-        end: Option<ClaimEnd>,
-    }
-}
-
-/// The time after which a claim is dropped.
-pub const CLAIM_AGE: clock::Millis = clock::Millis::from_secs(24 * 3600);
-
 /// The commits that are kept for gateways that catch up by changes.
 pub const HISTORY_COMMITS: usize = 4096;
 
@@ -164,6 +167,16 @@
         &self.config
     }
 
+    /// Returns the audit trail of the operators' changes.
+    pub fn audit(&self) -> &audit::Trail {
+        &self.audit
+    }
+
+    /// Returns the claims of non-idempotent calls.
+    pub fn claims(&self) -> &claim::Claims {
+        &self.claims
+    }
+
     /// Returns the commits after `from`, or `None` when some are no longer kept.
     pub fn commits_after(&self, from: id::Revision) -> Option<&[change::Commit]> {
         let first = self.history.partition_point(|c| c.revision <= from);
@@ -177,13 +190,23 @@
 
     /// Applies one command; the same commands in the same order give the same state.
     pub fn apply(&mut self, command: &Command) -> Answer {
-        match command {
+        let before = self.config.revision;
+        let answer = match command {
             Command::Operate(operation) => self.operate(operation),
-            Command::System(changes) => Answer::Done(self.commit(changes)),
-            Command::Claim(claim) => self.claim(claim),
+            Command::System(changes) => self.system(changes),
+            Command::Claim(claim) => self.claims.claim(claim),
             Command::Settle(settlement) => self.settle(settlement),
-            Command::ExpireClaims(keys) => self.expire(keys),
-        }
+            Command::ExpireClaims(keys) => {
+                self.claims.remove(keys);
+                Answer::Done(self.config.revision)
+            }
+            Command::Advance(time) => {
+                self.claims.advance(*time);
+                Answer::Done(self.config.revision)
+            }
+        };
+        assert!(self.config.revision >= before, "a revision went back");
+        answer
     }
 
     /// Encodes the whole state for a snapshot.
@@ -211,43 +234,78 @@
     }
 
     fn operate(&mut self, operation: &Operation) -> Answer {
-        if let Some(record) = self.operations.get(&operation.id) {
-            if record.digest == operation.digest {
-                return record.answer.clone();
-            }
-            return self.conflict("the operation id was used for another request");
+        if let Some(answer) = self.operations.answer_to(operation) {
+            return answer;
         }
-        let answer = match operation.expected {
-            Some(expected) if expected != self.config.revision => {
-                self.conflict("the configuration changed since it was read")
-            }
-            _ => Answer::Done(self.commit(&operation.changes)),
-        };
-        let record = OperationRecord {
-            digest: operation.digest,
-            revision: self.config.revision,
-            answer: answer.clone(),
-        };
-        self.operations.insert(operation.id.clone(), record);
+        let answer = self.operate_first(operation);
+        self.operations.record(operation, &answer);
         answer
     }
 
-    fn conflict(&self, reason: &str) -> Answer {
+    fn operate_first(&mut self, operation: &Operation) -> Answer {
+        let expected = operation.expected.unwrap_or(self.config.revision);
+        if expected != self.config.revision {
+            return self.conflict(expected);
+        }
+        let faults = check::check(&self.config, &operation.changes);
+        if !faults.is_empty() {
+            return Answer::Refused(faults);
+        }
+        let changes = check::effective(&self.config, &operation.changes);
+        if changes.is_empty() {
+            return Answer::Done(self.config.revision);
+        }
+        let revision = self.commit(changes);
+        self.audit.record(operation, revision);
+        Answer::Done(revision)
+    }
+
+    fn conflict(&self, expected: id::Revision) -> Answer {
+        let reason = if expected > self.config.revision {
+            "the expected revision does not exist yet"
+        } else {
+            "the configuration changed since it was read"
+        };
+        let since = self.commits_after(expected).unwrap_or_default();
+        let subjects = since.iter().flat_map(|c| &c.changes);
         Answer::Conflict {
             current: self.config.revision,
             reason: reason.to_owned(),
+            changed: subjects
+                .take(operation::CONFLICT_SUBJECTS)
+                .map(subject::Subject::from_change)
+                .collect(),
         }
     }
 
-    fn commit(&mut self, changes: &[change::Change]) -> id::Revision {
+    fn system(&mut self, changes: &[change::Change]) -> Answer {
+        for change in changes {
+            self.lose_claims(change);
+        }
         if changes.is_empty() {
-            return self.config.revision;
+            return Answer::Done(self.config.revision);
+        }
+        Answer::Done(self.commit(changes.to_vec()))
+    }
+
+    /// Marks the running claims of a gateway that died as ones of unknown end.
+    fn lose_claims(&mut self, change: &change::Change) {
+        match change {
+            change::Change::RemoveMember(id) => self.claims.lose(id, None),
+            change::Change::PutMember(member) => {
+                self.claims.lose(&member.id, Some(member.incarnation));
+            }
+            _ => {}
         }
+    }
+
+    fn commit(&mut self, changes: Vec<change::Change>) -> id::Revision {
         let commit = change::Commit {
             revision: self.config.revision.next(),
-            changes: changes.to_vec(),
+            changes,
         };
-        self.config.apply(&commit);
+        let applied = self.config.apply(&commit);
+        assert!(applied, "a commit of the next revision applies");
         self.history.push(commit);
         if self.history.len() > HISTORY_COMMITS {
             self.history.remove(0);
@@ -255,45 +313,11 @@
         self.config.revision
     }
 
-    fn claim(&mut self, claim: &Claim) -> Answer {
-        let Some(record) = self.claims.get(&claim.key) else {
-            let record = ClaimRecord {
-                claim: claim.clone(),
-                end: None,
-            };
-            self.claims.insert(claim.key.clone(), record);
-            return Answer::Claimed;
-        };
-        if record.claim.digest != claim.digest {
-            return Answer::KeyReused;
-        }
-        match &record.end {
-            Some(ClaimEnd::Ran(answer)) => Answer::Ran(answer.clone()),
-            Some(_) => Answer::Unknown,
-            None if record.claim.request == claim.request => Answer::Claimed,
-            None => Answer::Running,
-        }
-    }
-
     fn settle(&mut self, settlement: &Settlement) -> Answer {
-        let Some(record) = self.claims.get_mut(&settlement.key) else {
-            return Answer::Unknown;
-        };
-        if record.claim.request != settlement.request || record.end.is_some() {
-            return Answer::Unknown;
-        }
-        if settlement.end == ClaimEnd::NotRun {
-            self.claims.remove(&settlement.key);
+        if self.claims.settle(settlement) {
+            Answer::Done(self.config.revision)
         } else {
-            record.end = Some(settlement.end.clone());
-        }
-        Answer::Done(self.config.revision)
-    }
-
-    fn expire(&mut self, keys: &[ClaimKey]) -> Answer {
-        for key in keys {
-            self.claims.remove(key);
+            Answer::Unknown
         }
-        Answer::Done(self.config.revision)
     }
 }
