Serve operators over HTTP and check settings files

Cause: control members had no operator interface and settings no checks. Additive in shared files: Fingerprint reads from hex.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,3 +1,6 @@
 //! Settings files of the daemons and the planners' sheet.
 
+pub mod check;
+pub mod file;
+pub mod probe;
 pub mod settings;
--- /dev/null
+++ b/src/config/probe.rs
@@ -0,0 +1,119 @@
+//! Finds every fault of a JSON document against a type, where a plain decoder stops at the first.
+//!
+//! Each value of the document is put into a valid sample of the type by itself; when the sample
+//! no longer decodes, that value is at fault.
+
+use serde::de;
+use serde_json::Value;
+
+use crate::error;
+
+/// Decodes a document of the shape of `sample`, and reports all faults at once.
+///
+/// # Errors
+///
+/// Names for each unknown, missing or bad field its path, its value and the remedy.
+pub fn decode<T>(document: &Value, sample: &Value) -> error::Result<T>
+where
+    T: de::DeserializeOwned,
+{
+    let mut probe = Probe {
+        sample,
+        decodes: |value: &Value| T::deserialize(value).map(drop),
+        faults: Vec::new(),
+    };
+    probe.visit("", "", document);
+    if !probe.faults.is_empty() {
+        return Err(error::Error::several(probe.faults));
+    }
+    T::deserialize(document).map_err(|e| {
+        let remedy = "compare it with the documented example";
+        error::Error::bad_value("document", e, remedy)
+    })
+}
+
+struct Probe<'a, F> {
+    sample: &'a Value,
+    decodes: F,
+    faults: Vec<error::Error>,
+}
+
+impl<F: Fn(&Value) -> serde_json::Result<()>> Probe<'_, F> {
+    /// Visits a value at `path` of the document, which stands at `pointer` in the sample.
+    fn visit(&mut self, path: &str, pointer: &str, value: &Value) {
+        let expected = self.sample.pointer(pointer).unwrap_or(&Value::Null);
+        match (value, expected) {
+            (Value::Object(fields), Value::Object(known)) => {
+                self.visit_fields(path, pointer, fields, known);
+            }
+            (Value::Array(items), Value::Array(samples)) if starts_with_object(samples) => {
+                for (i, item) in items.iter().enumerate() {
+                    self.visit(&format!("{path}[{i}]"), &format!("{pointer}/0"), item);
+                }
+            }
+            _ => self.try_value(path, pointer, value),
+        }
+    }
+
+    fn visit_fields(
+        &mut self,
+        path: &str,
+        pointer: &str,
+        fields: &serde_json::Map<String, Value>,
+        known: &serde_json::Map<String, Value>,
+    ) {
+        for (name, value) in fields {
+            let path = join(path, name);
+            if known.contains_key(name) {
+                self.visit(&path, &format!("{pointer}/{name}"), value);
+            } else {
+                let names: Vec<_> = known.keys().map(String::as_str).collect();
+                let remedy = format!("remove this unknown field; known are {}", names.join(", "));
+                self.faults
+                    .push(error::Error::bad_value(path, value, remedy));
+            }
+        }
+        for name in known.keys().filter(|name| !fields.contains_key(*name)) {
+            self.try_without(&join(path, name), pointer, name);
+        }
+    }
+
+    fn try_value(&mut self, path: &str, pointer: &str, value: &Value) {
+        let mut whole = self.sample.clone();
+        let Some(place) = whole.pointer_mut(pointer) else {
+            return;
+        };
+        let example = std::mem::replace(place, value.clone());
+        let Err(e) = (self.decodes)(&whole) else {
+            return;
+        };
+        let remedy = format!("{e}; write it like {example}");
+        let path = if path.is_empty() { "document" } else { path };
+        self.faults
+            .push(error::Error::bad_value(path, value, remedy));
+    }
+
+    fn try_without(&mut self, path: &str, pointer: &str, name: &str) {
+        let mut whole = self.sample.clone();
+        let parent = whole.pointer_mut(pointer).and_then(Value::as_object_mut);
+        let Some(example) = parent.and_then(|parent| parent.remove(name)) else {
+            return;
+        };
+        if (self.decodes)(&whole).is_err() {
+            let remedy = format!("add this field, like {example}");
+            self.faults
+                .push(error::Error::bad_value(path, "(missing)", remedy));
+        }
+    }
+}
+
+fn starts_with_object(samples: &[Value]) -> bool {
+    samples.first().is_some_and(Value::is_object)
+}
+
+fn join(path: &str, name: &str) -> String {
+    if path.is_empty() {
+        return name.to_owned();
+    }
+    format!("{path}.{name}")
+}
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -184,3 +184,25 @@
         }
     }
 }
+
+macros::data! {
+    /// The settings of the operators' tool `buckthorncleat`.
+    #[serde(deny_unknown_fields)]
+    pub struct Operator {
+        /// The admin addresses of the control group.
+        pub admin: Vec<net::SocketAddr>,
+        /// The status addresses of the gateways.
+        #[serde(default)]
+        pub gateways: Vec<net::SocketAddr>,
+        /// The file with the operator's token.
+        pub token_file: path::PathBuf,
+        /// How long a command may try until it gives up.
+        #[serde(default = "default_timeout")]
+        pub timeout_ms: clock::Millis,
+    }
+}
+
+/// Returns how long a command of the operators' tool tries when nothing else is said.
+pub fn default_timeout() -> clock::Millis {
+    clock::Millis::new(10_000)
+}
--- /dev/null
+++ b/src/http/admin/serve.rs
@@ -0,0 +1,122 @@
+//! Listens for operators.
+
+use std::convert;
+use std::net;
+use std::path;
+use std::pin;
+use std::sync;
+
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt;
+use tokio::net as tcp;
+use tokio::sync::watch;
+use tokio::task;
+use tokio::time;
+
+use crate::clock;
+use crate::error;
+use crate::event;
+use crate::http::admin::service::Service;
+use crate::http::admin::token;
+use crate::replica;
+
+/// The longest time for a request's head to arrive, also on an idle connection.
+pub const HEAD_TIMEOUT: clock::Millis = clock::Millis::from_secs(10);
+
+/// The longest time that running requests get after a stop.
+pub const STOP_TIMEOUT: clock::Millis = clock::Millis::from_secs(15);
+
+/// The most connections at once; more wait.
+pub const MAX_CONNECTIONS: usize = 256;
+
+/// The pause after a failed accept.
+const ACCEPT_PAUSE: clock::Millis = clock::Millis::new(50);
+
+/// Serves operators until `stop` holds `true`, then lets running requests end.
+///
+/// # Errors
+///
+/// Fails when the operators file is bad or the address can't be bound.
+pub async fn serve(
+    address: net::SocketAddr,
+    group: replica::Group,
+    operators_file: &path::Path,
+    recorder: sync::Arc<event::Recorder>,
+    metrics: Option<metrics_exporter_prometheus::PrometheusHandle>,
+    stop: watch::Receiver<bool>,
+) -> error::Result<()> {
+    let operators = token::Operators::from_file(operators_file)?;
+    let listener = tcp::TcpListener::bind(address)
+        .await
+        .map_err(|e| error::Error::io(format!("listening on admin_address {address}"), e))?;
+    let service = Service::new(group, operators, recorder, metrics);
+    serve_on(listener, service, stop).await;
+    Ok(())
+}
+
+/// Serves operators on a bound socket until `stop` holds `true`, then lets running requests end.
+pub async fn serve_on(
+    listener: tcp::TcpListener,
+    service: Service,
+    mut stop: watch::Receiver<bool>,
+) {
+    let service = sync::Arc::new(service);
+    let mut connections = task::JoinSet::new();
+    loop {
+        let full = connections.len() >= MAX_CONNECTIONS;
+        tokio::select! {
+            accepted = listener.accept(), if !full => match accepted {
+                Ok((stream, _)) => {
+                    connections.spawn(connection(stream, service.clone(), stop.clone()));
+                }
+                Err(e) => {
+                    log::warn!("accepting an operator's connection: {e}");
+                    time::sleep(ACCEPT_PAUSE.as_duration()).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+            () = stopped(&mut stop) => break,
+        }
+    }
+    drop(listener);
+    let ended = async { while connections.join_next().await.is_some() {} };
+    if time::timeout(STOP_TIMEOUT.as_duration(), ended)
+        .await
+        .is_err()
+    {
+        connections.shutdown().await;
+    }
+}
+
+async fn connection(
+    stream: tcp::TcpStream,
+    admin: sync::Arc<Service>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let answer = |req| {
+        let admin = admin.clone();
+        async move { Ok::<_, convert::Infallible>(admin.answer(req).await) }
+    };
+    let running = http1::Builder::new()
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT.as_duration())
+        .serve_connection(rt::TokioIo::new(stream), service::service_fn(answer));
+    let mut running = pin::pin!(running);
+    let ended = tokio::select! {
+        ended = running.as_mut() => ended,
+        () = stopped(&mut stop) => {
+            running.as_mut().graceful_shutdown();
+            running.await
+        }
+    };
+    if let Err(e) = ended {
+        log::debug!("an operator's connection ended: {e}");
+    }
+}
+
+/// Returns once `stop` holds `true` or its sender is gone.
+async fn stopped(stop: &mut watch::Receiver<bool>) {
+    // An error means that the sender is gone, which stops as well.
+    let _ = stop.wait_for(|stop| *stop).await;
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,1 +1,3 @@
 //! The HTTP interfaces towards callers and operators.
+
+pub mod admin;
--- a/src/state/model.rs
+++ b/src/state/model.rs
@@ -313,3 +313,13 @@
         write!(f, "{:016x}", self.0)
     }
 }
+
+impl str::FromStr for Fingerprint {
+    type Err = error::Error;
+
+    fn from_str(s: &str) -> error::Result<Self> {
+        u64::from_str_radix(s, 16)
+            .map(Self)
+            .map_err(|_| error::Error::bad_value("fingerprint", s, "use up to 16 hex digits"))
+    }
+}
