--- a/src/bin/buckthorncleat.rs
+++ b/src/bin/buckthorncleat.rs
@@ -1,3 +1,11 @@
-//! The daemon or tool `buckthorncleat`.
+//! The operators' tool.
 
-fn main() {}
+use std::process;
+
+use buckthorncleat::cli;
+use clap::Parser as _;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> process::ExitCode {
+    cli::run(cli::args::Cli::parse()).await
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,55 @@
+//! The operators' tool.
+
+pub mod args;
+pub mod client;
+pub mod failure;
+pub mod local;
+pub mod output;
+pub mod resource;
+pub mod session;
+pub mod view;
+
+use std::process;
+
+/// Runs one command and prints what it returns.
+pub async fn run(cli: args::Cli) -> process::ExitCode {
+    let json = cli.json;
+    match run_command(cli).await {
+        Ok(output) => {
+            if json {
+                println!("{:#}", output.json);
+            } else if !output.text.is_empty() {
+                println!("{}", output.text);
+            }
+            process::ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            process::ExitCode::from(e.exit_code())
+        }
+    }
+}
+
+async fn run_command(cli: args::Cli) -> failure::Result<output::Output> {
+    use args::Command;
+    let connect = || session::Session::new(&cli.connection);
+    match cli.command {
+        Command::Check { files } => Ok(local::check(&files)?),
+        Command::Secret { file } => Ok(local::make_secret(&file)?),
+        Command::Token { name, file } => Ok(local::add_token(&name, &file)?),
+        Command::Account(command) => resource::account(&connect()?, command).await,
+        Command::Key(command) => resource::key(&connect()?, command).await,
+        Command::Model(command) => resource::model(&connect()?, command).await,
+        Command::Server(command) => resource::server(&connect()?, command).await,
+        Command::Route(command) => resource::route(&connect()?, command).await,
+        Command::Quarantine(command) => resource::quarantine(&connect()?, command).await,
+        Command::Sheet(_) => todo!(),
+        Command::Member(args::Member::List) => view::members(&connect()?).await,
+        Command::Status => view::status(&connect()?).await,
+        Command::Audit { since } => view::audit(&connect()?, since).await,
+        Command::Timeline { request, since } => {
+            view::timeline(&connect()?, request, since.as_deref()).await
+        }
+        Command::Drain { instance } => view::drain(&connect()?, &instance).await,
+    }
+}
--- /dev/null
+++ b/src/cli/view.rs
@@ -0,0 +1,193 @@
+//! Commands that show what runs.
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::cli::client;
+use crate::cli::failure;
+use crate::cli::output;
+use crate::cli::session;
+use crate::error;
+use crate::event;
+use crate::http::admin::target;
+use crate::http::admin::wire;
+use crate::id;
+use crate::macros;
+use crate::state::model;
+use crate::state::subject;
+
+macros::data! {
+    /// The part of a gateway's status that the tool needs.
+    pub struct GatewayName {
+        /// The name of the gateway's instance.
+        pub instance: id::InstanceId,
+    }
+}
+
+/// Shows the status of every control member and gateway.
+///
+/// # Errors
+///
+/// Fails when no control member answers.
+pub async fn status(cx: &session::Session) -> failure::Result<output::Output> {
+    let cfg = cx.client.settings();
+    let mut lines = Vec::new();
+    let mut control = Vec::new();
+    for address in &cfg.admin {
+        match cx
+            .client
+            .read_at::<wire::Status>(*address, "/v1/status")
+            .await
+        {
+            Ok(status) => {
+                lines.push(format!("control {address}: {}", status_line(&status)));
+                control.push(status);
+            }
+            Err(e) => lines.push(format!("control {address}: {e}")),
+        }
+    }
+    let mut gateways = Vec::new();
+    for address in &cfg.gateways {
+        match gateway_status(*address).await {
+            Ok(status) => {
+                lines.push(format!("gateway {address}: {status}"));
+                gateways.push(status);
+            }
+            Err(e) => lines.push(format!("gateway {address}: {e}")),
+        }
+    }
+    if control.is_empty() {
+        let after = cfg.timeout_ms;
+        return Err(error::Error::unavailable(lines.join("\n"), after).into());
+    }
+    let value = json!({ "control": control, "gateways": gateways });
+    Ok(output::Output::new(lines.join("\n"), &value)?)
+}
+
+/// Lists the entry instances that hold a session.
+///
+/// # Errors
+///
+/// Fails when no control member answers.
+pub async fn members(cx: &session::Session) -> failure::Result<output::Output> {
+    let path = target::collection_path(subject::Kind::Member);
+    let all: wire::Listing<model::Member> = cx.client.read(path).await?;
+    let mut table = output::Table::new(&["instance", "data centre", "callers", "leaving"]);
+    for m in &all.items {
+        table.push(&[&m.id, &m.data_centre, &m.caller_address, &m.leaving]);
+    }
+    Ok(output::Output::new(table.to_string(), &all)?)
+}
+
+/// Shows who changed what.
+///
+/// # Errors
+///
+/// Fails when no control member answers.
+pub async fn audit(cx: &session::Session, since: id::Revision) -> failure::Result<output::Output> {
+    let audit: wire::Audit = cx.client.read(&format!("/v1/audit?since={since}")).await?;
+    let mut table = output::Table::new(&["revision", "time", "operator", "operation", "changes"]);
+    for e in &audit.entries {
+        let subjects: Vec<_> = e.subjects.iter().map(ToString::to_string).collect();
+        let subjects = subjects.join(", ");
+        table.push(&[&e.revision, &e.wall, &e.operator, &e.operation, &subjects]);
+    }
+    Ok(output::Output::new(table.to_string(), &audit)?)
+}
+
+/// Shows the events of all processes in causal order; those that don't answer are named.
+///
+/// # Errors
+///
+/// Fails when no process answers.
+pub async fn timeline(
+    cx: &session::Session,
+    request: Option<id::RequestId>,
+    since: Option<&str>,
+) -> failure::Result<output::Output> {
+    let cfg = cx.client.settings();
+    let path = match since {
+        Some(since) => format!("/v1/events?since={since}"),
+        None => "/v1/events".to_owned(),
+    };
+    let mut events = Vec::new();
+    let mut silent = Vec::new();
+    for address in &cfg.admin {
+        match cx.client.read_at::<wire::Events>(*address, &path).await {
+            Ok(answer) => events.extend(answer.events),
+            Err(e) => silent.push(format!("# no events of control {address}: {e}")),
+        }
+    }
+    for address in &cfg.gateways {
+        let answer = client::send(hyper::Method::GET, *address, &path).await;
+        match answer.and_then(|a| client::decode::<wire::Events>(&a)) {
+            Ok(answer) => events.extend(answer.events),
+            Err(e) => silent.push(format!("# no events of gateway {address}: {e}")),
+        }
+    }
+    if silent.len() == cfg.admin.len() + cfg.gateways.len() {
+        let after = cfg.timeout_ms;
+        return Err(error::Error::unavailable(silent.join("\n"), after).into());
+    }
+    let mut events = event::merge(events);
+    events.retain(|e| request.is_none() || e.request == request);
+    let lines = silent.into_iter().chain(events.iter().map(event_line));
+    let lines: Vec<_> = lines.collect();
+    Ok(output::Output::new(lines.join("\n"), &events)?)
+}
+
+/// Tells a gateway to end its work and stop.
+///
+/// # Errors
+///
+/// Fails when no gateway of this name answers.
+pub async fn drain(
+    cx: &session::Session,
+    instance: &id::InstanceId,
+) -> failure::Result<output::Output> {
+    for address in &cx.client.settings().gateways {
+        let Ok(status) = gateway_status(*address).await else {
+            continue;
+        };
+        let name: Result<GatewayName, _> = serde_json::from_value(status);
+        if name.is_ok_and(|n| n.instance == *instance) {
+            client::send(hyper::Method::POST, *address, "/v1/drain").await?;
+            let text = format!("{instance} drains");
+            return Ok(output::Output::new(text, &json!({ "drains": instance }))?);
+        }
+    }
+    let remedy = "give the status addresses of all gateways with --gateways or --operator";
+    Err(error::Error::missing("gateway", instance, remedy).into())
+}
+
+async fn gateway_status(address: std::net::SocketAddr) -> failure::Result<Value> {
+    let answer = client::send(hyper::Method::GET, address, "/v1/status").await?;
+    client::decode(&answer)
+}
+
+fn status_line(status: &wire::Status) -> String {
+    let group = &status.group;
+    let leader = group.leader.as_ref().map_or("unknown", |id| id.as_str());
+    format!(
+        "{} term {} leader {leader} revision {} epoch {} committed {} applied {} claims {}",
+        group.instance,
+        group.term,
+        status.revision,
+        status.epoch,
+        group.committed,
+        group.applied,
+        status.claims
+    )
+}
+
+fn event_line(event: &event::Event) -> String {
+    let kind = serde_json::to_value(event.kind).unwrap_or_default();
+    let kind = kind.as_str().unwrap_or_default();
+    let request = event
+        .request
+        .map_or_else(|| "-".to_owned(), |r| r.to_string());
+    format!(
+        "{}.{} {} {kind} {request} {}",
+        event.at.wall, event.at.counter, event.instance, event.detail
+    )
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 mod macros;
 
 pub mod backend;
+pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod control;
