--- a/src/filter/authorise.rs
+++ b/src/filter/authorise.rs
@@ -57,7 +57,9 @@
     for name in KEY_HEADERS {
         if let Some(value) = headers.get(name) {
             let bytes = value.as_bytes();
-            let bearer = bytes.get(..7).filter(|b| b.eq_ignore_ascii_case(b"bearer "));
+            let bearer = bytes
+                .get(..7)
+                .filter(|b| b.eq_ignore_ascii_case(b"bearer "));
             let bytes = if bearer.is_some() { &bytes[7..] } else { bytes };
             secret.get_or_insert_with(|| bytes.trim_ascii().to_vec());
         }
--- a/src/filter/claim.rs
+++ b/src/filter/claim.rs
@@ -37,7 +37,11 @@
     let claim = claim_of(exchange, &route, key);
     exchange.claim = Some(claim.key.clone());
     let command = command::Command::Claim(claim);
-    let answer = exchange.cx.control.propose(&exchange.cx.links, command).await;
+    let answer = exchange
+        .cx
+        .control
+        .propose(&exchange.cx.links, command)
+        .await;
     let answer = answer.map_err(|_| not_committed())?;
     take_in(exchange, answer)
 }
@@ -61,7 +65,10 @@
         end,
     });
     for _ in 0..SETTLE_ATTEMPTS {
-        let settled = exchange.cx.control.propose(&exchange.cx.links, command.clone());
+        let settled = exchange
+            .cx
+            .control
+            .propose(&exchange.cx.links, command.clone());
         if settled.await.is_ok() {
             let recorder = &exchange.cx.recorder;
             recorder.record_request(event::Kind::Settled, exchange.id, "");
@@ -78,7 +85,11 @@
     let text = value.to_str().unwrap_or_default().trim();
     if text.is_empty() || text.len() > MAX_KEY_BYTES {
         let message = "idempotency-key: use 1 to 255 visible ASCII characters";
-        return Err(answer::Refusal::not_run(400, "bad_idempotency_key", message));
+        return Err(answer::Refusal::not_run(
+            400,
+            "bad_idempotency_key",
+            message,
+        ));
     }
     Ok(Some(text.to_owned()))
 }
@@ -88,14 +99,14 @@
         return Ok(filter::Flow::Next);
     }
     let message = "send an `Idempotency-Key` header, and the same one when you send this again";
-    Err(answer::Refusal::not_run(400, "missing_idempotency_key", message))
+    Err(answer::Refusal::not_run(
+        400,
+        "missing_idempotency_key",
+        message,
+    ))
 }
 
-fn claim_of(
-    exchange: &exchange::Exchange,
-    route: &model::Route,
-    key: String,
-) -> command::Claim {
+fn claim_of(exchange: &exchange::Exchange, route: &model::Route, key: String) -> command::Claim {
     let owner = match exchange.account() {
         Some(account) => format!("account:{account}"),
         None => format!("open:{}", route.id),
--- a/src/filter/forward_plain.rs
+++ b/src/filter/forward_plain.rs
@@ -1,6 +1,5 @@
 //! Sends calls to plain services: idempotent ones until one answers, others at most once.
 
-use bytes::Bytes;
 use hyper::header;
 use tokio::time;
 
@@ -241,12 +240,15 @@
     command::ClaimEnd::Ran(command::StoredAnswer {
         status: answer.status.as_u16(),
         content_type: content_type.to_owned(),
-        body: Bytes::to_vec(&answer.body),
+        body: answer.body.to_vec(),
     })
 }
 
 fn too_late(route: &model::Route) -> answer::Refusal {
-    let message = format!("no server of `{}` answered within {}", route.id, route.deadline);
+    let message = format!(
+        "no server of `{}` answered within {}",
+        route.id, route.deadline
+    );
     answer::Refusal::unknown(504, "deadline", message).retry_after(NO_SERVER_RETRY)
 }
 
--- a/src/filter/limit.rs
+++ b/src/filter/limit.rs
@@ -54,9 +54,7 @@
 fn demand(exchange: &exchange::Exchange) -> Option<limiter::Charge> {
     let account = exchange.account()?.clone();
     let (tokens, target) = match &exchange.target {
-        exchange::Target::Model(m) => {
-            (m.call.prompt_tokens() + m.output, m.model.first_token)
-        }
+        exchange::Target::Model(m) => (m.call.prompt_tokens() + m.output, m.model.first_token),
         exchange::Target::Plain(route) => (route.cost, route.deadline),
         _ => return None,
     };
--- a/src/filter/stage.rs
+++ b/src/filter/stage.rs
@@ -60,7 +60,12 @@
             transferred: false,
         });
         let config = cx.config();
-        let engine = |id| config.servers.get(id).map(|s| engine::Engine::new(s.address));
+        let engine = |id| {
+            config
+                .servers
+                .get(id)
+                .map(|s| engine::Engine::new(s.address))
+        };
         Self {
             prefill: engine(&placement.prefill),
             decode: engine(&placement.decode),
@@ -107,7 +112,8 @@
         self.record(event::Kind::Transferred, "");
         self.cx.reservations.mark_transferred(self.place.request);
         let reservation = self.placement.reservation;
-        self.tell(scheduler::Request::Transferred(reservation)).await;
+        self.tell(scheduler::Request::Transferred(reservation))
+            .await;
         Ok(())
     }
 
@@ -224,9 +230,9 @@
         };
         let mut stream = match engine.decode(&body).await {
             Ok(stream) => stream,
-            Err(engine::EngineError::Call(client::Failure::Broken(_) | client::Failure::Timeout)) => {
-                self.take_up(engine, run).await?
-            }
+            Err(engine::EngineError::Call(
+                client::Failure::Broken(_) | client::Failure::Timeout,
+            )) => self.take_up(engine, run).await?,
             Err(e) => return Err(self.failed(server, &e).await),
         };
         let mut take_ups = 0;
@@ -321,9 +327,7 @@
     }
 
     fn record(&self, kind: event::Kind, detail: impl Into<String>) {
-        self.cx
-            .recorder
-            .record_request(kind, self.request, detail);
+        self.cx.recorder.record_request(kind, self.request, detail);
     }
 }
 
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -79,9 +79,7 @@
         timeout: clock::Millis,
     ) -> error::Result<message::Reply> {
         let at = self.hint.load(atomic::Ordering::Relaxed) % self.peers.len();
-        let reply = links
-            .request(self.address(at), request, timeout)
-            .await;
+        let reply = links.request(self.address(at), request, timeout).await;
         match &reply {
             Ok(message::Reply::NotLeader(leader)) => self.follow(at, leader.as_ref()),
             Err(_) => self.follow(at, None),
@@ -127,7 +125,10 @@
 pub async fn leave(cx: &shared::Shared) {
     let request = message::Request::Leave(cx.links.identity().incarnation);
     for _ in 0..cx.control.peers.len() * 2 {
-        let reply = cx.control.ask(&cx.links, &request, cx.control.timeout).await;
+        let reply = cx
+            .control
+            .ask(&cx.links, &request, cx.control.timeout)
+            .await;
         if matches!(reply, Ok(message::Reply::Accepted)) {
             return;
         }
@@ -136,7 +137,11 @@
 
 async fn watch_once(cx: &shared::Shared) -> error::Result<()> {
     let sent = cx.clock.now();
-    let wait = if cx.is_fresh() { WATCH_WAIT } else { clock::Millis::ZERO };
+    let wait = if cx.is_fresh() {
+        WATCH_WAIT
+    } else {
+        clock::Millis::ZERO
+    };
     let request = message::Request::Watch(message::Watch {
         member: cx.member(),
         have: cx.config().revision,
@@ -194,8 +199,16 @@
 
 fn update_roles(cx: &shared::Shared, config: &change::Config, settled: id::Epoch) {
     let now = cx.clock.now();
-    let limiters = config.accounts.keys().cloned().map(ownership::Role::Limiter);
-    let schedulers = config.models.keys().cloned().map(ownership::Role::Scheduler);
+    let limiters = config
+        .accounts
+        .keys()
+        .cloned()
+        .map(ownership::Role::Limiter);
+    let schedulers = config
+        .models
+        .keys()
+        .cloned()
+        .map(ownership::Role::Scheduler);
     let roles: Vec<_> = limiters.chain(schedulers).collect();
     let until = cx.lease().until();
     let mut ownership = cx.ownership();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -71,14 +71,23 @@
         let mut tasks = task::JoinSet::new();
         let handler = sync::Arc::new(owner::Owner::new(sync::Arc::clone(&cx)));
         let address = cx.settings.peer_address;
-        tasks.spawn(server::serve(address, identity, handler, stop_rest.subscribe()));
-        tasks.spawn(status::serve(sync::Arc::clone(&cx), metrics, stop_rest.subscribe()));
+        tasks.spawn(server::serve(
+            address,
+            identity,
+            handler,
+            stop_rest.subscribe(),
+        ));
+        tasks.spawn(status::serve(
+            sync::Arc::clone(&cx),
+            metrics,
+            stop_rest.subscribe(),
+        ));
         let watched = control::watch(sync::Arc::clone(&cx), stop_rest.subscribe());
-        tasks.spawn(async { Ok(watched.await) });
+        tasks.spawn(always_ok(watched));
         let renewed = reservations::renew(sync::Arc::clone(&cx), stop_rest.subscribe());
-        tasks.spawn(async { Ok(renewed.await) });
+        tasks.spawn(always_ok(renewed));
         let supervised = placement::supervise(sync::Arc::clone(&cx), stop_rest.subscribe());
-        tasks.spawn(async { Ok(supervised.await) });
+        tasks.spawn(always_ok(supervised));
         let callers = callers::serve(sync::Arc::clone(&cx), stop_callers.subscribe());
         Self {
             callers: tokio::spawn(callers),
@@ -112,7 +121,10 @@
         self.wait_until_unadvised().await;
         self.stop_callers.send_replace(true);
         let limit = self.cx.settings.timing.drain_ms;
-        if time::timeout(limit.as_duration(), &mut self.callers).await.is_err() {
+        if time::timeout(limit.as_duration(), &mut self.callers)
+            .await
+            .is_err()
+        {
             log::error!("requests still run after {limit}; they are cut");
             self.callers.abort();
             let _ = self.callers.await;
@@ -134,6 +146,11 @@
     }
 }
 
+async fn always_ok(work: impl Future<Output = ()>) -> error::Result<()> {
+    work.await;
+    Ok(())
+}
+
 fn crashed(e: &task::JoinError) -> error::Error {
     error::Error::damaged(format!("a task of the gateway: {e}"), "report this fault")
 }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -200,11 +200,7 @@
 }
 
 impl Service {
-    fn new(
-        cx: sync::Arc<shared::Shared>,
-        model: id::ModelId,
-        tx: mpsc::Sender<Message>,
-    ) -> Self {
+    fn new(cx: sync::Arc<shared::Shared>, model: id::ModelId, tx: mpsc::Sender<Message>) -> Self {
         let settings = scheduler::Settings {
             placement: cx.settings.placement,
             objective: cx.settings.objective,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -55,8 +55,7 @@
     ) -> Self {
         let lease = freshness::Lease::new(settings.timing.freshness_lease_ms);
         let recorder = sync::Arc::clone(&identity.recorder);
-        let ownership =
-            ownership::Ownership::new(settings.instance.clone(), identity.incarnation);
+        let ownership = ownership::Ownership::new(settings.instance.clone(), identity.incarnation);
         Self {
             control: control::Control::new(&settings),
             limits: limits::Limits::new(&settings, clock.now()),
--- a/src/state/check.rs
+++ b/src/state/check.rs
@@ -117,6 +117,9 @@
         Change::RemoveMember(id) => !config.members.contains(id),
         Change::Quarantine(fingerprint) => config.quarantined.contains(fingerprint),
         Change::Release(fingerprint) => !config.quarantined.contains(fingerprint),
+        // Whether a suspicion is the first or the second is for the configuration to decide.
+        Change::Suspect(report) => config.quarantined.contains(&report.fingerprint),
+        Change::ClearSuspect(fingerprint) => !config.suspects.contains(fingerprint),
     }
 }
 
@@ -133,6 +136,11 @@
             "member",
             "leave the membership to the system; drain or stop the instance instead",
         )),
+        Change::Suspect(_) | Change::ClearSuspect(_) => faults.push(Fault::new(
+            "change",
+            "suspect",
+            "leave suspects to the system; put or release a quarantine instead",
+        )),
         Change::Quarantine(_) => {}
         Change::RemoveAccount(_)
         | Change::RemoveKey(_)
--- a/src/state/subject.rs
+++ b/src/state/subject.rs
@@ -44,7 +44,7 @@
         Route,
         /// An entry instance.
         Member,
-        /// A quarantined request.
+        /// A request that is quarantined or suspected.
         Quarantine,
     }
 }
@@ -68,6 +68,8 @@
             Change::RemoveMember(id) => Self::remove(Kind::Member, id),
             Change::Quarantine(fingerprint) => Self::put(Kind::Quarantine, fingerprint),
             Change::Release(fingerprint) => Self::remove(Kind::Quarantine, fingerprint),
+            Change::Suspect(report) => Self::put(Kind::Quarantine, &report.fingerprint),
+            Change::ClearSuspect(fingerprint) => Self::remove(Kind::Quarantine, fingerprint),
         }
     }
 
