--- /dev/null
+++ b/src/controller/scheduler/account.rs
@@ -0,0 +1,136 @@
+//! Fair shares: weighted token service of client accounts.
+
+use crate::id;
+use crate::sorted;
+use crate::state::model;
+
+/// The units of the virtual counter in one token at weight 1.
+const SCALE: u64 = 1_000;
+
+/// How much of the mean output each answer keeps, in eighths.
+const OUTPUT_KEEP: u64 = 7;
+
+/// The service that one account got.
+#[derive(Clone, Debug)]
+pub struct Account {
+    weight: u64,
+    counter: u64,
+    prepaid: u64,
+    mean_output: Option<u64>,
+    waiting: usize,
+}
+
+/// The accounts that asked for places.
+#[derive(Clone, Debug, Default)]
+pub struct Accounts {
+    accounts: sorted::Map<id::ClientAccountId, Account>,
+    floor: u64,
+}
+
+impl Accounts {
+    /// Takes over the weights of a configuration.
+    pub fn configure(&mut self, records: &sorted::Map<id::ClientAccountId, model::ClientAccount>) {
+        for (id, record) in records.iter() {
+            self.entry(id).weight = u64::from(record.weight.max(1));
+        }
+        self.accounts
+            .retain(|id, account| account.waiting > 0 || records.contains(id));
+    }
+
+    /// Notes that a request begins to wait; a late joiner is lifted to the least counter.
+    pub fn join(&mut self, id: &id::ClientAccountId) {
+        let least = self.least_counter();
+        let account = self.entry(id);
+        if account.waiting == 0 {
+            account.counter = account.counter.max(least);
+        }
+        account.waiting += 1;
+    }
+
+    /// Notes that a request waits no more.
+    pub fn leave(&mut self, id: &id::ClientAccountId) {
+        let account = self.entry(id);
+        assert!(account.waiting > 0, "a request left a queue it was not in");
+        account.waiting -= 1;
+    }
+
+    /// Charges tokens to an account; what was prepaid is taken from the charge first.
+    pub fn charge(&mut self, id: &id::ClientAccountId, tokens: u64) {
+        let account = self.entry(id);
+        let paid = account.prepaid.min(tokens);
+        account.prepaid -= paid;
+        let before = account.counter;
+        account.counter += (tokens - paid) * SCALE / account.weight;
+        assert!(account.counter >= before, "a virtual counter went back");
+        let counter = account.counter;
+        if self.accounts.values().all(|a| a.waiting == 0) {
+            self.floor = self.floor.max(counter);
+        }
+    }
+
+    /// Credits tokens that were charged but not used; the counter itself never goes back.
+    pub fn credit(&mut self, id: &id::ClientAccountId, tokens: u64) {
+        self.entry(id).prepaid += tokens;
+    }
+
+    /// Learns the length of an answer.
+    pub fn learn_output(&mut self, id: &id::ClientAccountId, tokens: u64) {
+        let account = self.entry(id);
+        let mean = account.mean_output.unwrap_or(tokens);
+        account.mean_output = Some((mean * OUTPUT_KEEP + tokens) / (OUTPUT_KEEP + 1));
+    }
+
+    /// Returns the length that an answer will likely have.
+    pub fn likely_output(&self, id: &id::ClientAccountId, most: u64) -> u64 {
+        let mean = self.accounts.get(id).and_then(|a| a.mean_output);
+        mean.unwrap_or(most / 2).min(most)
+    }
+
+    /// Returns the counter of an account.
+    pub fn counter(&self, id: &id::ClientAccountId) -> u64 {
+        self.accounts.get(id).map_or(self.floor, |a| a.counter)
+    }
+
+    /// Returns the tokens an account may still use before its counter reaches `counter`.
+    pub fn tokens_until(&self, id: &id::ClientAccountId, counter: u64) -> u64 {
+        let Some(account) = self.accounts.get(id) else {
+            return 0;
+        };
+        counter.saturating_sub(account.counter) / SCALE * account.weight
+    }
+
+    /// Returns the weight of an account.
+    pub fn weight(&self, id: &id::ClientAccountId) -> u64 {
+        self.accounts.get(id).map_or(1, |a| a.weight)
+    }
+
+    /// Returns the counter that an account has once one of its requests waits.
+    pub fn counter_on_join(&self, id: &id::ClientAccountId) -> u64 {
+        match self.accounts.get(id) {
+            Some(account) if account.waiting > 0 => account.counter,
+            Some(account) => account.counter.max(self.least_counter()),
+            None => self.least_counter(),
+        }
+    }
+
+    /// Returns by how much tokens move the counter of an account.
+    pub fn counter_step(&self, id: &id::ClientAccountId, tokens: u64) -> u64 {
+        tokens * SCALE / self.weight(id)
+    }
+
+    fn least_counter(&self) -> u64 {
+        let waiting = self.accounts.values().filter(|a| a.waiting > 0);
+        waiting.map(|a| a.counter).min().unwrap_or(self.floor)
+    }
+
+    fn entry(&mut self, id: &id::ClientAccountId) -> &mut Account {
+        let floor = self.floor;
+        self.accounts.get_or_insert_with(id.clone(), || Account {
+            weight: 1,
+            counter: floor,
+            prepaid: 0,
+            mean_output: None,
+            waiting: 0,
+        })
+    }
+}
--- /dev/null
+++ b/src/controller/scheduler/admission.rs
@@ -0,0 +1,276 @@
+//! What becomes of a request that asks for a place: it waits, or it is refused at once.
+
+use crate::clock;
+use crate::config::settings;
+use crate::controller::scheduler;
+use crate::controller::scheduler::cancel;
+use crate::controller::scheduler::message;
+use crate::controller::scheduler::outlook;
+use crate::controller::scheduler::plan;
+use crate::controller::scheduler::queue;
+use crate::id;
+use crate::state::model;
+
+/// The shortest advice when to come again.
+const LEAST_RETRY: clock::Millis = clock::Millis::new(100);
+
+/// The longest advice when to come again, given where only a change of configuration helps.
+const LONGEST_RETRY: clock::Millis = clock::Millis::new(60_000);
+
+/// Why a request is refused, and when to come again.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Refused {
+    reason: message::Refusal,
+    retry_after: clock::Millis,
+}
+
+impl Refused {
+    fn new(reason: message::Refusal, retry_after: clock::Millis) -> Self {
+        Self {
+            reason,
+            retry_after: retry_after.clamp(LEAST_RETRY, LONGEST_RETRY),
+        }
+    }
+}
+
+impl scheduler::Scheduler {
+    pub(super) fn admit(&mut self, gateway: id::InstanceId, place: Box<message::Place>) {
+        let deadline = self.now + place.first_token;
+        let mut waiting = queue::Waiting {
+            gateway,
+            arrived: self.now,
+            deadline,
+            latest_start: deadline,
+            cost: place.prompt.as_u64(),
+            service: self.service_of(&place),
+            place,
+        };
+        if let Err(refused) = self.check(&mut waiting) {
+            return self.refuse(&waiting, refused);
+        }
+        if self.queue.len() >= self.settings.max_waiting && !self.make_room(&waiting) {
+            let wait = self.expected_wait(&waiting);
+            let refused = Refused::new(message::Refusal::QueueFull, wait);
+            return self.refuse(&waiting, refused);
+        }
+        self.accounts.join(&waiting.place.account);
+        self.queue.push(waiting);
+    }
+
+    /// Refuses the waiting requests that a new configuration leaves without servers.
+    pub(super) fn refuse_unservable(&mut self) {
+        for waiting in self.queue.take(|_| true) {
+            match self.check_configuration(&waiting) {
+                Ok(()) => self.queue.push(waiting),
+                Err(refused) => {
+                    self.accounts.leave(&waiting.place.account);
+                    self.refuse(&waiting, refused);
+                }
+            }
+        }
+    }
+
+    fn check_configuration(&self, waiting: &queue::Waiting) -> Result<(), Refused> {
+        let Some(model) = &self.model else {
+            return Ok(());
+        };
+        let excluded = self.excluded(&waiting.place);
+        let needs = plan::Needs::new(&waiting.place, model, &self.prefixes, excluded);
+        check_servers(&self.view(model), &needs)
+    }
+
+    /// Answers a request that can't meet its target any more.
+    pub(super) fn refuse_too_late(&mut self, waiting: &queue::Waiting) {
+        let reason = match self.has_healthy_servers(waiting) {
+            true => message::Refusal::TooLate,
+            false => message::Refusal::NoServer,
+        };
+        let retry_after = self.retry_after(waiting);
+        self.refuse(waiting, Refused::new(reason, retry_after));
+    }
+
+    /// Returns the servers that a request must not use, as a mask of positions.
+    pub(super) fn excluded(&self, place: &message::Place) -> u64 {
+        let mut mask = 0;
+        for (slot, server) in self.fleet.iter() {
+            let target = cancel::Target {
+                slot,
+                request: place.request,
+            };
+            if place.exclude.contains(&server.record.id) || self.cancels.refuses(target) {
+                mask |= 1 << slot;
+            }
+        }
+        mask
+    }
+
+    fn check(&self, waiting: &mut queue::Waiting) -> Result<(), Refused> {
+        let Some(model) = &self.model else {
+            return Ok(());
+        };
+        let view = self.view(model);
+        let place = &waiting.place;
+        let needs = plan::Needs::new(place, model, &self.prefixes, self.excluded(place));
+        check_servers(&view, &needs)?;
+        if self.settings.placement != settings::Placement::Joint {
+            return Ok(());
+        }
+        waiting.cost = view.least_uncached(&needs);
+        let takes = view.unloaded_time(&needs).unwrap_or(0.0);
+        let percent = self.settings.target_percent as f64 / 100.0;
+        let budget = place.first_token.as_u64() as f64 * percent;
+        let slack = budget - takes;
+        let wait = self.outlook.wait(&view, &needs, self.ahead(waiting));
+        let grace = (self.started + self.settings.report_grace) - self.now;
+        let wait = wait.max(grace.as_u64() as f64);
+        if wait > slack {
+            let retry_after = clock::Millis::new((wait - slack.max(0.0)) as u64);
+            return Err(Refused::new(message::Refusal::TooLate, retry_after));
+        }
+        waiting.latest_start = self.now + clock::Millis::new(slack as u64);
+        Ok(())
+    }
+
+    /// Makes room in a full queue at the cost of the account that crowds it, if that is another.
+    fn make_room(&mut self, waiting: &queue::Waiting) -> bool {
+        let accounts = &self.accounts;
+        let Some(at) = self.queue.most_crowded(|id| accounts.weight(id)) else {
+            return false;
+        };
+        let victim = self.queue.get(at);
+        let class = queue::class_of(&victim.place);
+        let own = queue::class_of(&waiting.place);
+        if own < class || (own == class && victim.place.account == waiting.place.account) {
+            return false;
+        }
+        let victim = self.queue.remove(at);
+        self.accounts.leave(&victim.place.account);
+        let wait = self.expected_wait(&victim);
+        self.refuse(&victim, Refused::new(message::Refusal::QueueFull, wait));
+        true
+    }
+
+    fn refuse(&mut self, waiting: &queue::Waiting, refused: Refused) {
+        self.summary.refused.count(refused.reason);
+        self.out.push(scheduler::Output::Reply {
+            gateway: waiting.gateway.clone(),
+            request: waiting.place.request,
+            reply: message::Reply::Refused {
+                reason: refused.reason,
+                retry_after: refused.retry_after,
+            },
+        });
+    }
+
+    fn service_of(&self, place: &message::Place) -> u64 {
+        let most = place.output.as_u64();
+        let output = self.accounts.likely_output(&place.account, most);
+        place.prompt.as_u64() + output * self.settings.output_weight
+    }
+
+    fn has_healthy_servers(&self, waiting: &queue::Waiting) -> bool {
+        let Some(model) = &self.model else {
+            return false;
+        };
+        let view = self.view(model);
+        let excluded = self.excluded(&waiting.place);
+        let needs = plan::Needs::new(&waiting.place, model, &self.prefixes, excluded);
+        let healthy = |role| {
+            let mut servers = view.servers(role, &needs);
+            servers.any(|(_, s)| s.health.allows_from() <= self.now)
+        };
+        healthy(model::Role::Prefill) && healthy(model::Role::Decode)
+    }
+
+    /// Returns when a request that came too late may find a place.
+    fn retry_after(&self, waiting: &queue::Waiting) -> clock::Millis {
+        let wait = self.expected_wait(waiting);
+        let probes = self.fleet.iter().map(|(_, s)| s.health.allows_from());
+        match self.has_healthy_servers(waiting) {
+            true => wait,
+            false => wait.max(probes.min().unwrap_or(self.now) - self.now),
+        }
+    }
+
+    fn expected_wait(&self, waiting: &queue::Waiting) -> clock::Millis {
+        let Some(model) = &self.model else {
+            return self.settings.report_grace;
+        };
+        let view = self.view(model);
+        let excluded = self.excluded(&waiting.place);
+        let needs = plan::Needs::new(&waiting.place, model, &self.prefixes, excluded);
+        let wait = self.outlook.wait(&view, &needs, self.ahead(waiting));
+        clock::Millis::new(wait as u64)
+    }
+
+    /// Counts the waiting work that goes before a request.
+    fn ahead(&self, waiting: &queue::Waiting) -> outlook::Ahead {
+        let own = queue::class_of(&waiting.place);
+        let mut ahead = outlook::Ahead::default();
+        let mut count = |other: &queue::Waiting| {
+            ahead.requests += 1;
+            ahead.tokens += other.cost;
+        };
+        for class in own + 1..queue::CLASSES {
+            self.queue.class(class).for_each(|(_, other)| count(other));
+        }
+        match self.settings.objective {
+            settings::Objective::Goodput => {
+                let cheaper = self
+                    .queue
+                    .class(own)
+                    .filter(|(_, o)| o.cost <= waiting.cost);
+                cheaper.for_each(|(_, other)| count(other));
+            }
+            settings::Objective::WorstServedAccount => {
+                for other in self.served_before(own, waiting) {
+                    count(other);
+                }
+            }
+        }
+        ahead
+    }
+
+    /// Returns the requests of a class that least-served-first order puts before a request.
+    fn served_before(&self, class: usize, waiting: &queue::Waiting) -> Vec<&queue::Waiting> {
+        let account = &waiting.place.account;
+        let same = self
+            .queue
+            .class(class)
+            .filter(|(_, o)| o.place.account == *account);
+        let own_service = same.map(|(_, o)| o.service).sum();
+        let counter = self.accounts.counter_on_join(account);
+        let turn = counter + self.accounts.counter_step(account, own_service);
+        let mut before = Vec::new();
+        let mut lane: Option<(&id::ClientAccountId, u64)> = None;
+        for (_, other) in self.queue.class(class) {
+            let id = &other.place.account;
+            let left = match lane {
+                Some((current, left)) if current == id => left,
+                _ if id == account => u64::MAX,
+                _ => self.accounts.tokens_until(id, turn),
+            };
+            if left > 0 {
+                before.push(other);
+            }
+            lane = Some((id, left.saturating_sub(other.service)));
+        }
+        before
+    }
+}
+
+fn check_servers(view: &plan::View<'_>, needs: &plan::Needs) -> Result<(), Refused> {
+    let most = |role| {
+        let servers = view.servers(role, needs);
+        servers.map(|(_, s)| s.record.memory.as_u64()).max()
+    };
+    let prefill = most(model::Role::Prefill);
+    let decode = most(model::Role::Decode);
+    let (Some(prefill), Some(decode)) = (prefill, decode) else {
+        return Err(Refused::new(message::Refusal::NoServer, LONGEST_RETRY));
+    };
+    if needs.prefill_pieces > prefill || needs.decode_pieces > decode {
+        return Err(Refused::new(message::Refusal::TooLarge, LONGEST_RETRY));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/controller/scheduler/baseline.rs
@@ -0,0 +1,52 @@
+//! The simple policies that the joint choice is measured against.
+
+use crate::config::settings;
+use crate::controller::scheduler::fleet;
+use crate::controller::scheduler::plan;
+use crate::controller::scheduler::server;
+use crate::state::model;
+
+/// Chooses servers one role at a time, with no look at reservations.
+#[derive(Clone, Debug, Default)]
+pub struct Baseline {
+    turn: usize,
+}
+
+impl Baseline {
+    /// Chooses a place that starts at once.
+    pub fn choose(&mut self, view: &plan::View<'_>, needs: &plan::Needs) -> Option<plan::Plan> {
+        self.turn = self.turn.wrapping_add(1);
+        let prefill = self.pick(view, needs, model::Role::Prefill)?;
+        let decode = self.pick(view, needs, model::Role::Decode)?;
+        Some(plan::Plan {
+            prefill,
+            decode,
+            uncached: needs.uncached(prefill),
+            ready_at: view.now,
+        })
+    }
+
+    fn pick(
+        &self,
+        view: &plan::View<'_>,
+        needs: &plan::Needs,
+        role: model::Role,
+    ) -> Option<fleet::Slot> {
+        let all = view.servers(role, needs);
+        let mut usable: Vec<(fleet::Slot, &server::Server)> =
+            all.filter(|(_, s)| s.health.allows(view.now)).collect();
+        if usable.is_empty() {
+            return None;
+        }
+        let first = self.turn % usable.len();
+        usable.rotate_left(first);
+        let chosen = match view.settings.placement {
+            settings::Placement::LeastLoaded => {
+                let loaded = |(_, s): &&(_, &server::Server)| s.occupancy.reported_requests();
+                usable.iter().min_by_key(loaded)
+            }
+            settings::Placement::RoundRobin | settings::Placement::Joint => usable.first(),
+        };
+        chosen.map(|(slot, _)| *slot)
+    }
+}
--- /dev/null
+++ b/src/controller/scheduler/lifecycle.rs
@@ -0,0 +1,261 @@
+//! What gateways report of their placed requests.
+
+use crate::clock;
+use crate::controller::scheduler;
+use crate::controller::scheduler::cancel;
+use crate::controller::scheduler::message;
+use crate::controller::scheduler::reservation;
+use crate::controller::scheduler::server;
+use crate::id;
+use crate::unit;
+
+/// The least output tokens of an answer that shows the time between tokens.
+const LEAST_SAMPLE_OUTPUT: u64 = 8;
+
+impl scheduler::Scheduler {
+    pub(super) fn prefilled(
+        &mut self,
+        gateway: id::InstanceId,
+        prefilled: &message::Prefilled,
+    ) -> message::Reply {
+        let number = prefilled.reservation;
+        let key = reservation::Key { number, gateway };
+        let Some(reservation) = self.reservations.get_mut(&key) else {
+            return message::Reply::Unknown(vec![number]);
+        };
+        reservation.lease_end = self.now + self.settings.lease;
+        if reservation.phase != reservation::Phase::Prefilling {
+            return message::Reply::Noted;
+        }
+        reservation.phase = reservation::Phase::Transferring;
+        let (prefill, decode) = (reservation.prefill, reservation.decode);
+        let transfer = server::Transfer {
+            key: key.clone(),
+            ready_at: self.now,
+            bytes: prefilled.kv.as_u64(),
+        };
+        for part in [prefill, decode].into_iter().flatten() {
+            if let Some(s) = self.fleet.get_mut(part.slot) {
+                s.correct_transfer(transfer.clone());
+            }
+        }
+        if let Some(part) = prefill {
+            self.learn_prefill(&key, part, prefilled.cached);
+        }
+        message::Reply::Noted
+    }
+
+    fn learn_prefill(
+        &mut self,
+        key: &reservation::Key,
+        part: reservation::Part,
+        cached: unit::Tokens,
+    ) {
+        let Some(reservation) = self.reservations.get(key) else {
+            return;
+        };
+        let Some(s) = self.fleet.get_mut(part.slot) else {
+            return;
+        };
+        let prompt = reservation.place.prompt;
+        let queued = s.queue.iter().find(|q| q.key == *key);
+        let expected = queued.map_or(0, |q| prompt.as_u64().saturating_sub(q.tokens));
+        s.end_prefill(self.now, key, prompt.saturating_sub(cached));
+        s.health.succeeded();
+        if s.lost_cache(expected, cached) {
+            self.prefixes.forget(part.slot);
+        }
+        for digest in &reservation.place.prefix {
+            self.prefixes.store(part.slot, *digest);
+        }
+    }
+
+    pub(super) fn transferred(
+        &mut self,
+        gateway: id::InstanceId,
+        number: id::ReservationId,
+    ) -> message::Reply {
+        let key = reservation::Key { number, gateway };
+        let Some(reservation) = self.reservations.get_mut(&key) else {
+            return message::Reply::Unknown(vec![number]);
+        };
+        reservation.lease_end = self.now + self.settings.lease;
+        if matches!(reservation.phase, reservation::Phase::Decoding { .. }) {
+            return message::Reply::Noted;
+        }
+        let request = reservation.place.request;
+        let prefill = reservation.prefill.take();
+        let decode = reservation.decode;
+        for part in [prefill, decode].into_iter().flatten() {
+            if let Some(s) = self.fleet.get_mut(part.slot) {
+                s.end_transfer(self.now, &key);
+                s.health.succeeded();
+            }
+        }
+        if let Some(part) = prefill {
+            self.release(&key, request, part);
+        }
+        let batch = decode.map_or(1, |part| self.batch_at(part));
+        let since = self.now;
+        if let Some(reservation) = self.reservations.get_mut(&key) {
+            reservation.phase = reservation::Phase::Decoding { since, batch };
+        }
+        message::Reply::Noted
+    }
+
+    pub(super) fn renew(
+        &mut self,
+        gateway: &id::InstanceId,
+        numbers: &[id::ReservationId],
+    ) -> message::Reply {
+        let mut unknown = Vec::new();
+        for number in numbers {
+            let key = reservation::Key {
+                number: *number,
+                gateway: gateway.clone(),
+            };
+            match self.reservations.get_mut(&key) {
+                Some(reservation) => reservation.lease_end = self.now + self.settings.lease,
+                None => unknown.push(*number),
+            }
+        }
+        match unknown.is_empty() {
+            true => message::Reply::Noted,
+            false => message::Reply::Unknown(unknown),
+        }
+    }
+
+    pub(super) fn finish(
+        &mut self,
+        gateway: id::InstanceId,
+        finish: &message::Finish,
+    ) -> message::Reply {
+        let key = reservation::Key {
+            number: finish.reservation,
+            gateway,
+        };
+        let Some(reservation) = self.reservations.remove(&key) else {
+            return message::Reply::Noted;
+        };
+        self.settle(&reservation, finish.output.as_u64());
+        if finish.confirmed {
+            self.learn_decode(&reservation, finish.output.as_u64());
+        }
+        self.end(&key, &reservation, finish.confirmed);
+        message::Reply::Noted
+    }
+
+    pub(super) fn failed(&mut self, server: &id::BackendServerId) -> message::Reply {
+        let pauses = self.pauses();
+        if let Some(slot) = self.fleet.slot(server) {
+            if let Some(s) = self.fleet.get_mut(slot) {
+                s.health.failed(self.now, pauses);
+            }
+            self.prefixes.forget(slot);
+        }
+        message::Reply::Noted
+    }
+
+    /// Settles what an account was charged in advance against what its request used.
+    pub(super) fn settle(&mut self, reservation: &reservation::Reservation, output: u64) {
+        let account = &reservation.place.account;
+        let used = output * self.settings.output_weight;
+        let charged = reservation.charged_output;
+        if used > charged {
+            self.accounts.charge(account, used - charged);
+        } else {
+            self.accounts.credit(account, charged - used);
+        }
+        if output > 0 {
+            self.accounts.learn_output(account, output);
+        }
+    }
+
+    fn learn_decode(&mut self, reservation: &reservation::Reservation, output: u64) {
+        let reservation::Phase::Decoding { since, batch } = reservation.phase else {
+            return;
+        };
+        if !reservation.made_here {
+            return;
+        }
+        self.outlook.learn(self.now - reservation.placed_at);
+        let Some(part) = reservation.decode else {
+            return;
+        };
+        let whole = reservation.place.role == message::Role::Both;
+        if !whole || output < LEAST_SAMPLE_OUTPUT {
+            return;
+        }
+        let mean_batch = f64::from(batch + self.batch_at(part)) / 2.0;
+        let took: clock::Millis = self.now - since;
+        if let Some(s) = self.fleet.get_mut(part.slot) {
+            let millis = took.as_u64() as f64 / output as f64;
+            s.step_time.learn(mean_batch, millis);
+        }
+    }
+
+    /// Ends a reservation that is out of the table: frees what it held, or has it cancelled.
+    pub(super) fn end(
+        &mut self,
+        key: &reservation::Key,
+        reservation: &reservation::Reservation,
+        confirmed: bool,
+    ) {
+        let request = reservation.place.request;
+        for part in [reservation.prefill, reservation.decode] {
+            let Some(part) = part else { continue };
+            match confirmed {
+                true => self.release(key, request, part),
+                false => self.cancel(key, reservation, part),
+            }
+        }
+    }
+
+    /// Frees what a reservation held at a server where its request has ended.
+    fn release(&mut self, key: &reservation::Key, request: id::RequestId, part: reservation::Part) {
+        self.leave_server(key, part);
+        if let Some(s) = self.fleet.get_mut(part.slot) {
+            s.occupancy.release(self.now, 1, part.pieces);
+        }
+        let slot = part.slot;
+        self.cancels
+            .note_end(self.now, cancel::Target { slot, request });
+    }
+
+    /// Has a request cancelled at a server; its capacity counts as held until that is confirmed.
+    fn cancel(
+        &mut self,
+        key: &reservation::Key,
+        reservation: &reservation::Reservation,
+        part: reservation::Part,
+    ) {
+        self.leave_server(key, part);
+        let target = cancel::Target {
+            slot: part.slot,
+            request: reservation.place.request,
+        };
+        let held = cancel::Held {
+            requests: 1,
+            pieces: part.pieces,
+            suspect: reservation.place.suspect,
+        };
+        self.cancels
+            .start(self.now, target, held, self.settings.cancel_retry);
+    }
+
+    /// Takes a request out of the predictions for a server.
+    fn leave_server(&mut self, key: &reservation::Key, part: reservation::Part) {
+        let pauses = self.pauses();
+        let now = self.now;
+        if let Some(s) = self.fleet.get_mut(part.slot) {
+            s.remove_prefill(now, key);
+            s.remove_transfer(key);
+            s.health.ended(now, pauses);
+        }
+    }
+
+    fn batch_at(&self, part: reservation::Part) -> u32 {
+        let s = self.fleet.get(part.slot);
+        s.map_or(1, |s| s.batch_with_one_more(self.now) - 1)
+    }
+}
--- a/src/controller/scheduler/mod.rs
+++ b/src/controller/scheduler/mod.rs
@@ -1,5 +1,264 @@
 //! Placement of model requests on prefill and decode servers, decided by one owner for a model.
+//!
+//! [`Scheduler`] is a state machine without I/O: the owner gateway feeds it [`Input`] and the time
+//! and does what each [`Output`] says. docs/PLACEMENT.md describes the policy.
 
 pub mod message;
+pub mod settings;
+
+mod account;
+mod admission;
+mod baseline;
+mod cancel;
+mod fleet;
+mod health;
+mod lifecycle;
+mod occupancy;
+mod outlook;
+mod placing;
+mod plan;
+mod prefix;
+mod queue;
+mod rate;
+mod report;
+mod reservation;
+mod server;
+mod summary;
+mod upkeep;
 
 pub use message::{Place, Placement, Refusal, Reply, Request, Role};
+pub use settings::Settings;
+pub use summary::Summary;
+
+use crate::backend::wire;
+use crate::clock;
+use crate::id;
+use crate::sorted;
+use crate::state::model;
+
+/// The most backend servers of a shard; servers beyond, in the order of their names, get no work.
+pub const MAX_SERVERS: usize = prefix::MAX_SERVERS;
+
+/// How soon a scheduler looks again while requests wait.
+const WAITING_STEP: clock::Millis = clock::Millis::new(10);
+
+/// How often past ends are forgotten.
+const PRUNE_STEP: clock::Millis = clock::Millis::new(1_000);
+
+/// What a scheduler takes in.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// The configuration, as a full replacement.
+    Configure {
+        /// The servers of the shard.
+        servers: Vec<model::BackendServer>,
+        /// The model.
+        model: model::Model,
+        /// The client accounts.
+        accounts: sorted::Map<id::ClientAccountId, model::ClientAccount>,
+    },
+    /// A server's late report of its load.
+    Load {
+        /// The server.
+        server: id::BackendServerId,
+        /// Its report.
+        load: wire::Load,
+    },
+    /// Late changes of a server's prefix cache, with gaps.
+    Cache {
+        /// The server.
+        server: id::BackendServerId,
+        /// The changes.
+        events: Vec<wire::CacheEvent>,
+    },
+    /// A server's own listing of what it holds.
+    Held {
+        /// The server.
+        server: id::BackendServerId,
+        /// The listing.
+        held: wire::Held,
+    },
+    /// A message of a gateway.
+    Request {
+        /// The gateway.
+        gateway: id::InstanceId,
+        /// The message.
+        request: message::Request,
+    },
+    /// A gateway is gone: nobody renews or ends what it started.
+    GatewayGone(id::InstanceId),
+    /// What came of an [`Output::Cancel`].
+    Cancelled {
+        /// The server.
+        server: id::BackendServerId,
+        /// The request.
+        request: id::RequestId,
+        /// Whether the server confirmed that it holds nothing for the request.
+        confirmed: bool,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What a scheduler wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// The answer to a [`Request::Place`]; exactly one for each unless its gateway is gone.
+    Reply {
+        /// The gateway that asked.
+        gateway: id::InstanceId,
+        /// The request.
+        request: id::RequestId,
+        /// The answer.
+        reply: message::Reply,
+    },
+    /// The answer to the message that was just taken in, unless that was a [`Request::Place`].
+    Noted {
+        /// The answer.
+        reply: message::Reply,
+    },
+    /// An order to free all that a server holds for a request.
+    Cancel {
+        /// The server.
+        server: id::BackendServerId,
+        /// The request.
+        request: id::RequestId,
+    },
+}
+
+/// The owner of one model's shard.
+#[derive(Clone, Debug)]
+pub struct Scheduler {
+    now: clock::Millis,
+    started: clock::Millis,
+    model_id: id::ModelId,
+    settings: Settings,
+    model: Option<model::Model>,
+    fleet: fleet::Fleet,
+    prefixes: prefix::Map,
+    reservations: reservation::Table,
+    accounts: account::Accounts,
+    queue: queue::Queue,
+    cancels: cancel::Cancels,
+    baseline: baseline::Baseline,
+    outlook: outlook::Outlook,
+    summary: Summary,
+    placements: u64,
+    prune_at: clock::Millis,
+    out: Vec<Output>,
+}
+
+impl Scheduler {
+    /// Makes the owner of a model's shard; its reservations are numbered from `first_reservation`.
+    pub fn new(
+        now: clock::Millis,
+        model: id::ModelId,
+        settings: Settings,
+        first_reservation: u64,
+    ) -> Self {
+        Self {
+            now,
+            started: now,
+            model_id: model,
+            settings,
+            model: None,
+            fleet: fleet::Fleet::default(),
+            prefixes: prefix::Map::default(),
+            reservations: reservation::Table::new(first_reservation),
+            accounts: account::Accounts::default(),
+            queue: queue::Queue::default(),
+            cancels: cancel::Cancels::default(),
+            baseline: baseline::Baseline::default(),
+            outlook: outlook::Outlook::default(),
+            summary: Summary::default(),
+            placements: 0,
+            prune_at: now,
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes in one input and returns what is to be done. A time before an earlier one counts as
+    /// that one.
+    pub fn step(&mut self, now: clock::Millis, input: Input) -> Vec<Output> {
+        self.now = self.now.max(now);
+        match input {
+            Input::Configure {
+                servers,
+                model,
+                accounts,
+            } => self.configure(servers, model, &accounts),
+            Input::Load { server, load } => self.load(&server, &load),
+            Input::Cache { server, events } => self.cache(&server, &events),
+            Input::Held { server, held } => self.compare(&server, &held),
+            Input::Request { gateway, request } => self.request(gateway, request),
+            Input::GatewayGone(gateway) => self.gateway_gone(&gateway),
+            Input::Cancelled {
+                server,
+                request,
+                confirmed,
+            } => self.cancelled(&server, request, confirmed),
+            Input::Tick => {}
+        }
+        self.keep_up();
+        self.place_waiting();
+        std::mem::take(&mut self.out)
+    }
+
+    /// Returns when [`Input::Tick`] is needed at the latest.
+    pub fn next_wakeup(&self) -> clock::Millis {
+        let waiting = match self.queue.is_empty() {
+            true => clock::Millis::MAX,
+            false => self.now + WAITING_STEP,
+        };
+        waiting
+            .min(self.reservations.check_at())
+            .min(self.cancels.next_due())
+    }
+
+    /// Returns the counts of what the scheduler holds and has done.
+    pub fn summary(&self) -> Summary {
+        let mut summary = self.summary.clone();
+        summary.waiting = self.queue.len();
+        summary.cancelling = self.cancels.len();
+        summary.count(self.reservations.iter().map(|(_, r)| r));
+        summary
+    }
+
+    fn request(&mut self, gateway: id::InstanceId, request: message::Request) {
+        let reply = match request {
+            message::Request::Place(place) => return self.admit(gateway, place),
+            message::Request::Prefilled(prefilled) => self.prefilled(gateway, &prefilled),
+            message::Request::Transferred(number) => self.transferred(gateway, number),
+            message::Request::Renew(numbers) => self.renew(&gateway, &numbers),
+            message::Request::Finish(finish) => self.finish(gateway, &finish),
+            message::Request::Failed(server) => self.failed(&server),
+            message::Request::Report(live) => self.adopt(&gateway, live),
+        };
+        self.out.push(Output::Noted { reply });
+    }
+
+    fn configure(
+        &mut self,
+        mut servers: Vec<model::BackendServer>,
+        model: model::Model,
+        accounts: &sorted::Map<id::ClientAccountId, model::ClientAccount>,
+    ) {
+        assert!(
+            model.id == self.model_id,
+            "a configuration of another model"
+        );
+        servers.sort_by(|a, b| a.id.cmp(&b.id));
+        servers.truncate(MAX_SERVERS);
+        self.model = Some(model);
+        self.accounts.configure(accounts);
+        for slot in self.fleet.configure(servers, &self.settings) {
+            self.server_gone(slot);
+        }
+        self.refuse_unservable();
+    }
+
+    /// Tells whether requests may be placed: reports of an earlier owner's time have come in.
+    fn is_ready(&self) -> bool {
+        self.model.is_some() && self.now >= self.started + self.settings.report_grace
+    }
+}
--- /dev/null
+++ b/src/controller/scheduler/placing.rs
@@ -0,0 +1,238 @@
+//! The order in which waiting requests are placed.
+
+use crate::config::settings;
+use crate::controller::scheduler;
+use crate::controller::scheduler::message;
+use crate::controller::scheduler::plan;
+use crate::controller::scheduler::queue;
+use crate::controller::scheduler::reservation;
+use crate::controller::scheduler::server;
+use crate::state::model;
+
+/// The requests that are tried in one round before the rest waits for the next.
+const TRIES: usize = 8;
+
+/// Under goodput, one of so many placements goes to the least served account all the same.
+const FAIR_TURN: u64 = 8;
+
+impl scheduler::Scheduler {
+    pub(super) fn place_waiting(&mut self) {
+        while self.place_next() {}
+    }
+
+    pub(super) fn view<'a>(&'a self, model: &'a model::Model) -> plan::View<'a> {
+        plan::View {
+            now: self.now,
+            fleet: &self.fleet,
+            settings: &self.settings,
+            model,
+        }
+    }
+
+    /// Places the first waiting request that has a place, and tells whether there was one.
+    fn place_next(&mut self) -> bool {
+        if self.queue.is_empty() || !self.is_ready() || !self.may_have_room() {
+            return false;
+        }
+        for at in self.order() {
+            let Some(plan) = self.choose(at) else {
+                continue;
+            };
+            self.place(at, plan);
+            return true;
+        }
+        false
+    }
+
+    /// Tells cheaply whether any server of each role may take a request.
+    fn may_have_room(&self) -> bool {
+        if self.settings.placement != settings::Placement::Joint {
+            return true;
+        }
+        let ahead = self.settings.prefill_ahead.as_u64() as f64;
+        let mut prefill = false;
+        let mut decode = false;
+        for (_, s) in self.fleet.iter() {
+            if !s.has_room(self.now, 1) {
+                continue;
+            }
+            match s.record.role {
+                model::Role::Prefill => prefill |= s.prefill_backlog(self.now) <= ahead,
+                model::Role::Decode => decode = true,
+                model::Role::Plain => {}
+            }
+        }
+        prefill && decode
+    }
+
+    /// Returns the requests to try next, in order.
+    fn order(&self) -> Vec<queue::Position> {
+        let fair = self.settings.objective == settings::Objective::WorstServedAccount
+            || self.placements.is_multiple_of(FAIR_TURN);
+        let mut order = Vec::new();
+        for class in (0..queue::CLASSES).rev() {
+            let left = TRIES - order.len();
+            if left == 0 {
+                break;
+            }
+            let least = match fair {
+                true => first_by_key(self.queue.heads(class), left, |w| {
+                    (self.accounts.counter(&w.place.account), w.arrived.as_u64())
+                }),
+                false => first_by_key(self.queue.class(class), left, |w| {
+                    (w.cost, w.latest_start.as_u64())
+                }),
+            };
+            order.extend(least);
+        }
+        order
+    }
+
+    fn choose(&mut self, at: queue::Position) -> Option<plan::Plan> {
+        let model = self.model.as_ref()?;
+        let waiting = self.queue.get(at);
+        if waiting.place.suspect && self.suspect_runs() {
+            return None;
+        }
+        let excluded = self.excluded(&waiting.place);
+        let needs = plan::Needs::new(&waiting.place, model, &self.prefixes, excluded);
+        let view = plan::View {
+            now: self.now,
+            fleet: &self.fleet,
+            settings: &self.settings,
+            model,
+        };
+        match self.settings.placement {
+            settings::Placement::Joint => view.joint(&needs, waiting.deadline),
+            settings::Placement::LeastLoaded | settings::Placement::RoundRobin => {
+                self.baseline.choose(&view, &needs)
+            }
+        }
+    }
+
+    fn suspect_runs(&self) -> bool {
+        let mut live = self.reservations.iter();
+        live.any(|(_, r)| r.place.suspect) || self.cancels.has_suspect()
+    }
+
+    fn place(&mut self, at: queue::Position, plan: plan::Plan) {
+        let waiting = self.queue.remove(at);
+        let account = waiting.place.account.clone();
+        self.accounts.leave(&account);
+        self.accounts.charge(&account, waiting.service);
+        let key = self.reservations.next_key(&waiting.gateway);
+        let placement = self.reserve(&key, &waiting, plan);
+        self.placements += 1;
+        self.summary.placed += 1;
+        self.out.push(scheduler::Output::Reply {
+            gateway: waiting.gateway,
+            request: waiting.place.request,
+            reply: message::Reply::Placed(placement),
+        });
+    }
+
+    fn reserve(
+        &mut self,
+        key: &reservation::Key,
+        waiting: &queue::Waiting,
+        plan: plan::Plan,
+    ) -> message::Placement {
+        let place = &*waiting.place;
+        let prefill = reservation::Part {
+            slot: plan.prefill,
+            pieces: place.prompt.to_pieces().as_u64(),
+        };
+        let decode = reservation::Part {
+            slot: plan.decode,
+            pieces: (place.prompt + place.output).to_pieces().as_u64(),
+        };
+        self.hold(prefill);
+        self.hold(decode);
+        self.start(key, waiting, plan);
+        let output = waiting.service.saturating_sub(place.prompt.as_u64());
+        let lease = self.settings.lease;
+        self.reservations.insert(
+            key.clone(),
+            reservation::Reservation {
+                place: place.clone(),
+                prefill: Some(prefill),
+                decode: Some(decode),
+                phase: reservation::Phase::Prefilling,
+                placed_at: self.now,
+                lease_end: self.now + lease,
+                made_here: true,
+                charged_output: output,
+            },
+        );
+        let name = |slot| self.fleet.name(slot).expect("a plan names servers");
+        message::Placement {
+            reservation: key.number,
+            prefill: name(plan.prefill),
+            decode: name(plan.decode),
+            lease,
+        }
+    }
+
+    /// Holds a slot and memory of a server that takes new work.
+    fn hold(&mut self, part: reservation::Part) {
+        let now = self.now;
+        let joint = self.settings.placement == settings::Placement::Joint;
+        let s = self.fleet.get_mut(part.slot).expect("a plan names servers");
+        assert!(
+            s.record.state == model::ServerState::InService,
+            "a placement on a server that takes no new work"
+        );
+        s.occupancy.hold(now, 1, part.pieces);
+        s.health.placed();
+        let own = s.occupancy.own();
+        assert!(
+            !joint || own.requests <= s.record.slots && own.pieces <= s.record.memory.as_u64(),
+            "more reserved than a server has"
+        );
+    }
+
+    /// Enters the prefill and the transfer where later predictions see them.
+    fn start(&mut self, key: &reservation::Key, waiting: &queue::Waiting, plan: plan::Plan) {
+        let kv = self.model.as_ref().map(|m| m.kv_bytes_per_token.as_u64());
+        let transfer = server::Transfer {
+            key: key.clone(),
+            ready_at: plan.ready_at,
+            bytes: waiting
+                .place
+                .prompt
+                .as_u64()
+                .saturating_mul(kv.unwrap_or(0)),
+        };
+        let now = self.now;
+        if let Some(s) = self.fleet.get_mut(plan.prefill) {
+            s.add_transfer(transfer.clone());
+            let queued = server::Queued {
+                key: key.clone(),
+                tokens: plan.uncached,
+                placed_at: now,
+            };
+            s.start_prefill(now, queued);
+        }
+        if let Some(s) = self.fleet.get_mut(plan.decode) {
+            s.add_transfer(transfer);
+        }
+        for digest in &waiting.place.prefix {
+            self.prefixes.store(plan.prefill, *digest);
+        }
+    }
+}
+
+/// Returns the positions with the least keys, in order.
+fn first_by_key<'a, K: Ord>(
+    requests: impl Iterator<Item = (queue::Position, &'a queue::Waiting)>,
+    most: usize,
+    key: impl Fn(&queue::Waiting) -> K,
+) -> Vec<queue::Position> {
+    let mut keyed: Vec<(K, queue::Position)> = requests.map(|(at, w)| (key(w), at)).collect();
+    if keyed.len() > most {
+        keyed.select_nth_unstable_by(most, |a, b| a.0.cmp(&b.0));
+        keyed.truncate(most);
+    }
+    keyed.sort_by(|a, b| a.0.cmp(&b.0));
+    keyed.into_iter().map(|(_, at)| at).collect()
+}
--- /dev/null
+++ b/src/controller/scheduler/plan.rs
@@ -0,0 +1,269 @@
+//! The choice of a prefill server, a decode server and the link between them.
+
+use crate::clock;
+use crate::controller::scheduler::fleet;
+use crate::controller::scheduler::message;
+use crate::controller::scheduler::prefix;
+use crate::controller::scheduler::server;
+use crate::controller::scheduler::settings;
+use crate::state::model;
+use crate::unit;
+
+/// The best servers of each role that are tried with each other.
+const SHORTLIST: usize = 6;
+
+/// What a decision reads.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// The time.
+    pub now: clock::Millis,
+    /// The servers.
+    pub fleet: &'a fleet::Fleet,
+    /// The settings.
+    pub settings: &'a settings::Settings,
+    /// The model.
+    pub model: &'a model::Model,
+}
+
+/// What a request needs of its servers.
+#[derive(Clone, Debug)]
+pub struct Needs {
+    /// The servers it must not use, as a mask of positions.
+    pub excluded: u64,
+    /// The servers that have the leading pieces of its prompt.
+    pub masks: Vec<u64>,
+    /// The tokens of its prompt.
+    pub prompt: unit::Tokens,
+    /// The memory that its prompt takes.
+    pub prefill_pieces: u64,
+    /// The memory that prompt and answer take.
+    pub decode_pieces: u64,
+    /// The size of its KV cache.
+    pub kv_bytes: u64,
+    /// Whether it may crash its servers.
+    pub suspect: bool,
+}
+
+impl Needs {
+    /// Works out what a request needs.
+    pub fn new(
+        place: &message::Place,
+        model: &model::Model,
+        prefixes: &prefix::Map,
+        excluded: u64,
+    ) -> Self {
+        let per_token = model.kv_bytes_per_token.as_u64();
+        Self {
+            excluded,
+            masks: prefixes.lookup(&place.prefix),
+            prompt: place.prompt,
+            prefill_pieces: place.prompt.to_pieces().as_u64(),
+            decode_pieces: (place.prompt + place.output).to_pieces().as_u64(),
+            kv_bytes: place.prompt.as_u64().saturating_mul(per_token),
+            suspect: place.suspect,
+        }
+    }
+
+    /// Returns the prompt tokens that a server likely has to compute.
+    pub fn uncached(&self, slot: fleet::Slot) -> u64 {
+        let cached = prefix::cached_pieces(&self.masks, slot) as u64 * unit::PIECE_TOKENS;
+        self.prompt.as_u64().saturating_sub(cached)
+    }
+
+    /// Tells whether a server may be used.
+    pub fn allows(&self, slot: fleet::Slot) -> bool {
+        self.excluded & (1 << slot) == 0
+    }
+}
+
+/// A chosen place.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// The prefill server.
+    pub prefill: fleet::Slot,
+    /// The decode server.
+    pub decode: fleet::Slot,
+    /// The prompt tokens that will likely be computed.
+    pub uncached: u64,
+    /// When the prefill likely ends.
+    pub ready_at: clock::Millis,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PrefillOption {
+    slot: fleet::Slot,
+    uncached: u64,
+    ready: f64,
+    busy: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct DecodeOption {
+    slot: fleet::Slot,
+    step: f64,
+    score: f64,
+    busy: u32,
+}
+
+impl View<'_> {
+    /// Iterates over the servers of a role that are in service and allowed, failed ones included.
+    pub fn servers<'s>(
+        &'s self,
+        role: model::Role,
+        needs: &'s Needs,
+    ) -> impl Iterator<Item = (fleet::Slot, &'s server::Server)> {
+        let id = &self.model.id;
+        let in_service = move |s: &server::Server| s.in_service(role, id);
+        self.fleet
+            .iter()
+            .filter(move |(slot, s)| needs.allows(*slot) && in_service(s))
+    }
+
+    /// Chooses the place with the best predicted times that meets the target.
+    pub fn joint(&self, needs: &Needs, deadline: clock::Millis) -> Option<Plan> {
+        let prefills = self.prefill_options(needs);
+        if prefills.is_empty() {
+            return None;
+        }
+        let decodes = self.decode_options(needs);
+        let mut best: Option<(f64, Plan)> = None;
+        for prefill in &prefills {
+            for decode in &decodes {
+                let Some(score) = self.score(needs, prefill, decode, deadline) else {
+                    continue;
+                };
+                if best.as_ref().is_none_or(|(least, _)| score < *least) {
+                    best = Some((score, plan(prefill, decode)));
+                }
+            }
+        }
+        best.map(|(_, plan)| plan)
+    }
+
+    /// Returns the shortest time to the first token, with no other request about, in milliseconds.
+    pub fn unloaded_time(&self, needs: &Needs) -> Option<f64> {
+        let prefills = self.servers(model::Role::Prefill, needs);
+        let prefill_time = |(slot, s): (fleet::Slot, &server::Server)| {
+            needs.uncached(slot) as f64 / s.prefill_rate.per_milli(self.now)
+                + s.transfer_time(self.now, needs.kv_bytes)
+        };
+        let prefill = prefills.map(prefill_time).reduce(f64::min)?;
+        let decodes = self.servers(model::Role::Decode, needs);
+        let decode = decodes
+            .map(|(_, s)| s.step_time.line().at(1))
+            .reduce(f64::min)?;
+        Some(self.settings.overhead.as_u64() as f64 + prefill + decode)
+    }
+
+    /// Returns the fewest prompt tokens that any server has to compute.
+    pub fn least_uncached(&self, needs: &Needs) -> u64 {
+        let prefills = self.servers(model::Role::Prefill, needs);
+        let least = prefills.map(|(slot, _)| needs.uncached(slot)).min();
+        least.unwrap_or(needs.prompt.as_u64())
+    }
+
+    fn prefill_options(&self, needs: &Needs) -> Vec<PrefillOption> {
+        let now = self.now.as_u64() as f64;
+        let overhead = self.settings.overhead.as_u64() as f64;
+        let ahead = self.settings.prefill_ahead.as_u64() as f64;
+        let mut options = Vec::new();
+        for (slot, s) in self.servers(model::Role::Prefill, needs) {
+            if !s.health.allows(self.now) || !s.has_room(self.now, needs.prefill_pieces) {
+                continue;
+            }
+            let backlog = s.prefill_backlog(self.now);
+            if backlog > ahead {
+                continue;
+            }
+            let uncached = needs.uncached(slot);
+            let takes = uncached as f64 / s.current_rate(self.now);
+            options.push(PrefillOption {
+                slot,
+                uncached,
+                ready: now + overhead + backlog + takes,
+                busy: s.occupancy.own().requests,
+            });
+        }
+        shorten(&mut options, |o| match needs.suspect {
+            true => f64::from(o.busy),
+            false => o.ready,
+        });
+        options
+    }
+
+    fn decode_options(&self, needs: &Needs) -> Vec<DecodeOption> {
+        let target = self.model.between_tokens.as_u64() as f64;
+        let ready = self.now.as_u64() as f64;
+        let mut options = Vec::new();
+        for (slot, s) in self.servers(model::Role::Decode, needs) {
+            if !s.health.allows(self.now) || !s.has_room(self.now, needs.decode_pieces) {
+                continue;
+            }
+            let batch = s.batch_with_one_more(self.now);
+            let step = s.step_time.line().at(batch);
+            if step > target && batch > 1 {
+                continue;
+            }
+            let link = s.transfer_end(self.now, ready, needs.kv_bytes as f64) - ready;
+            options.push(DecodeOption {
+                slot,
+                step,
+                score: step / target + link / self.model.first_token.as_u64().max(1) as f64,
+                busy: batch,
+            });
+        }
+        shorten(&mut options, |o| match needs.suspect {
+            true => f64::from(o.busy),
+            false => o.score,
+        });
+        options
+    }
+
+    /// Scores a pair by the parts of both targets that it uses up, or says that it misses one.
+    fn score(
+        &self,
+        needs: &Needs,
+        prefill: &PrefillOption,
+        decode: &DecodeOption,
+        deadline: clock::Millis,
+    ) -> Option<f64> {
+        let bytes = needs.kv_bytes as f64;
+        let end_at = |slot| {
+            let s = self.fleet.get(slot);
+            s.map(|s| s.transfer_end(self.now, prefill.ready, bytes))
+        };
+        let transferred = end_at(prefill.slot)?.max(end_at(decode.slot)?);
+        let life = self.settings.export_life.as_u64() as f64;
+        let percent = self.settings.target_percent as f64 / 100.0;
+        if transferred - prefill.ready > life * percent {
+            return None;
+        }
+        let now = self.now.as_u64() as f64;
+        let takes = transferred + decode.step - now;
+        let left = (deadline - self.now).as_u64() as f64;
+        if takes > left * percent {
+            return None;
+        }
+        if needs.suspect {
+            return Some(f64::from(prefill.busy) + f64::from(decode.busy));
+        }
+        let first_token = self.model.first_token.as_u64().max(1) as f64;
+        let between = self.model.between_tokens.as_u64().max(1) as f64;
+        Some(takes / first_token + decode.step / between)
+    }
+}
+
+fn plan(prefill: &PrefillOption, decode: &DecodeOption) -> Plan {
+    Plan {
+        prefill: prefill.slot,
+        decode: decode.slot,
+        uncached: prefill.uncached,
+        ready_at: clock::Millis::new(prefill.ready as u64),
+    }
+}
+
+/// Keeps the options with the least scores, best first.
+fn shorten<T>(options: &mut Vec<T>, score: impl Fn(&T) -> f64) {
+    options.sort_by(|a, b| score(a).total_cmp(&score(b)));
+    options.truncate(SHORTLIST);
+}
--- /dev/null
+++ b/src/controller/scheduler/prefix.rs
@@ -0,0 +1,124 @@
+//! Which prefill servers likely have which pieces of prompts in their prefix cache.
+
+/// The buckets of the map, by the low bits of the digest.
+const BUCKETS: usize = 256;
+
+/// The most entries of a bucket; the least recently touched half goes when it is full.
+const BUCKET_ENTRIES: usize = 512;
+
+/// The servers that a mask can name.
+pub const MAX_SERVERS: usize = 64;
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    digest: u64,
+    servers: u64,
+    touched: u64,
+}
+
+/// A map from digests of prompt pieces to the servers that likely cache them.
+#[derive(Clone, Debug)]
+pub struct Map {
+    buckets: Vec<Vec<Entry>>,
+    touches: u64,
+}
+
+impl Default for Map {
+    fn default() -> Self {
+        Self {
+            buckets: vec![Vec::new(); BUCKETS],
+            touches: 0,
+        }
+    }
+}
+
+impl Map {
+    /// Notes that a server stores a piece.
+    pub fn store(&mut self, server: usize, digest: u64) {
+        let Some(bit) = bit_of(server) else { return };
+        self.touches += 1;
+        let touched = self.touches;
+        let bucket = &mut self.buckets[bucket_of(digest)];
+        match bucket.binary_search_by_key(&digest, |e| e.digest) {
+            Ok(at) => {
+                bucket[at].servers |= bit;
+                bucket[at].touched = touched;
+            }
+            Err(at) => {
+                let entry = Entry {
+                    digest,
+                    servers: bit,
+                    touched,
+                };
+                bucket.insert(at, entry);
+            }
+        }
+        if bucket.len() > BUCKET_ENTRIES {
+            drop_older_half(bucket);
+        }
+    }
+
+    /// Notes that a server dropped a piece.
+    pub fn drop_piece(&mut self, server: usize, digest: u64) {
+        let Some(bit) = bit_of(server) else { return };
+        let bucket = &mut self.buckets[bucket_of(digest)];
+        let Ok(at) = bucket.binary_search_by_key(&digest, |e| e.digest) else {
+            return;
+        };
+        bucket[at].servers &= !bit;
+        if bucket[at].servers == 0 {
+            bucket.remove(at);
+        }
+    }
+
+    /// Forgets a server.
+    pub fn forget(&mut self, server: usize) {
+        let Some(bit) = bit_of(server) else { return };
+        for bucket in &mut self.buckets {
+            bucket.iter_mut().for_each(|e| e.servers &= !bit);
+            bucket.retain(|e| e.servers != 0);
+        }
+    }
+
+    /// Returns for each leading piece of a prompt the servers that have it and all before it.
+    pub fn lookup(&self, prefix: &[u64]) -> Vec<u64> {
+        let mut mask = u64::MAX;
+        let mut masks = Vec::with_capacity(prefix.len());
+        for digest in prefix {
+            mask &= self.servers_of(*digest);
+            if mask == 0 {
+                break;
+            }
+            masks.push(mask);
+        }
+        masks
+    }
+
+    fn servers_of(&self, digest: u64) -> u64 {
+        let bucket = &self.buckets[bucket_of(digest)];
+        bucket
+            .binary_search_by_key(&digest, |e| e.digest)
+            .map_or(0, |at| bucket[at].servers)
+    }
+}
+
+/// Returns how many leading pieces a server has, by what [`Map::lookup`] returned.
+pub fn cached_pieces(masks: &[u64], server: usize) -> usize {
+    let Some(bit) = bit_of(server) else { return 0 };
+    masks.iter().take_while(|mask| *mask & bit != 0).count()
+}
+
+fn bit_of(server: usize) -> Option<u64> {
+    (server < MAX_SERVERS).then(|| 1 << server)
+}
+
+fn bucket_of(digest: u64) -> usize {
+    digest as usize % BUCKETS
+}
+
+fn drop_older_half(bucket: &mut Vec<Entry>) {
+    let mut touches: Vec<u64> = bucket.iter().map(|e| e.touched).collect();
+    touches.sort_unstable();
+    let median = touches[touches.len() / 2];
+    bucket.retain(|e| e.touched >= median);
+}
--- /dev/null
+++ b/src/controller/scheduler/rate.rs
@@ -0,0 +1,236 @@
+//! What servers show of their speed.
+
+use crate::clock;
+use crate::unit;
+
+/// How much of the earlier evidence each new sample keeps.
+const KEEP: f64 = 0.9;
+
+/// The prompt tokens that the prior counts for against samples.
+const PRIOR_TOKENS: f64 = 4_096.0;
+
+/// The least prompt tokens of a sample; shorter ones show mostly the network.
+const LEAST_SAMPLE_TOKENS: u64 = 128;
+
+/// The batch size at the far end of the prior.
+const PRIOR_FULL_BATCH: f64 = 20.0;
+
+/// The weight of the prior against decayed samples.
+const PRIOR_WEIGHT: f64 = 0.5;
+
+/// How long a server goes unused before its bad showing begins to be forgotten; then the rate that
+/// is reckoned with doubles in each such time, so that the server is tried again.
+const FORGET: clock::Millis = clock::Millis::new(10_000);
+
+/// How much a transfer that was slower than expected lowers the rate of the links at both ends.
+const LINK_STEP: f64 = 0.3;
+
+/// The least part of its configured rate that a link is reckoned with.
+const LEAST_LINK_PART: f64 = 0.01;
+
+/// The shortest transfer that shows the rate of a link.
+const LEAST_TRANSFER: clock::Millis = clock::Millis::new(5);
+
+/// The prefill rate of one server: decayed tokens over decayed time.
+#[derive(Clone, Debug)]
+pub struct PrefillRate {
+    tokens: f64,
+    millis: f64,
+    prior: f64,
+    learned_at: clock::Millis,
+}
+
+impl PrefillRate {
+    /// Starts from a prior.
+    pub fn new(prior: unit::TokensPerSecond) -> Self {
+        let rate = prior.as_u64().max(1) as f64;
+        Self {
+            tokens: PRIOR_TOKENS,
+            millis: PRIOR_TOKENS * 1000.0 / rate,
+            prior: rate / 1000.0,
+            learned_at: clock::Millis::ZERO,
+        }
+    }
+
+    /// Takes in that computing `tokens` took `time` and ended now.
+    pub fn learn(&mut self, now: clock::Millis, tokens: unit::Tokens, time: clock::Millis) {
+        self.learned_at = now;
+        if tokens.as_u64() < LEAST_SAMPLE_TOKENS || time == clock::Millis::ZERO {
+            return;
+        }
+        self.tokens = self.tokens * KEEP + tokens.as_u64() as f64;
+        self.millis = self.millis * KEEP + time.as_u64() as f64;
+    }
+
+    /// Returns the tokens computed in a millisecond.
+    pub fn per_milli(&self, now: clock::Millis) -> f64 {
+        let learned = (self.tokens / self.millis).max(0.001);
+        if learned >= self.prior {
+            return learned;
+        }
+        (learned * forgetting(now, self.learned_at)).min(self.prior)
+    }
+}
+
+/// The rate of a server's link, as a part of the configured rate.
+#[derive(Clone, Debug)]
+pub struct LinkRate {
+    part: f64,
+    learned_at: clock::Millis,
+    last_end: clock::Millis,
+}
+
+impl Default for LinkRate {
+    fn default() -> Self {
+        Self {
+            part: 1.0,
+            learned_at: clock::Millis::ZERO,
+            last_end: clock::Millis::ZERO,
+        }
+    }
+}
+
+impl LinkRate {
+    /// Takes in a transfer that took from `began` to now, on a link of a configured rate.
+    ///
+    /// A fast transfer shows at least its own rate. A slow one may be the other end's fault, so it
+    /// lowers the rate by a step only.
+    pub fn learn(
+        &mut self,
+        now: clock::Millis,
+        began: clock::Millis,
+        size: unit::Bytes,
+        configured: unit::BytesPerSecond,
+    ) {
+        let alone = now - began.max(self.last_end);
+        self.last_end = now;
+        if configured.time_for(size) < LEAST_TRANSFER {
+            return;
+        }
+        let part_in = |time: clock::Millis| {
+            let millis = time.as_u64().max(1) as f64;
+            size.as_u64() as f64 * 1000.0 / millis / configured.as_u64().max(1) as f64
+        };
+        let known = self.part(now);
+        let at_most = part_in(alone).min(1.0);
+        self.part = if at_most < known {
+            known + (at_most - known) * LINK_STEP
+        } else {
+            known.max(part_in(now - began)).min(1.0)
+        };
+        self.part = self.part.max(LEAST_LINK_PART);
+        self.learned_at = now;
+    }
+
+    /// Returns the part of the configured rate that the link has.
+    pub fn part(&self, now: clock::Millis) -> f64 {
+        (self.part * forgetting(now, self.learned_at)).min(1.0)
+    }
+}
+
+/// Returns the factor by which an unused server's rate has recovered.
+fn forgetting(now: clock::Millis, learned_at: clock::Millis) -> f64 {
+    let times = (now - learned_at).as_u64() / FORGET.as_u64();
+    2_f64.powi(times.min(20) as i32)
+}
+
+/// The time between tokens of one decode server: a line over the batch size.
+#[derive(Clone, Debug)]
+pub struct StepTime {
+    prior: Sums,
+    seen: Sums,
+}
+
+impl StepTime {
+    /// Starts from the times with one request and with a full batch.
+    pub fn new(base: clock::Millis, full: clock::Millis) -> Self {
+        let mut prior = Sums::default();
+        prior.add(1.0, base.as_u64() as f64, PRIOR_WEIGHT);
+        prior.add(PRIOR_FULL_BATCH, full.as_u64() as f64, PRIOR_WEIGHT);
+        Self {
+            prior,
+            seen: Sums::default(),
+        }
+    }
+
+    /// Takes in a mean time between tokens in milliseconds at a mean batch size.
+    pub fn learn(&mut self, batch: f64, millis: f64) {
+        self.seen.decay();
+        self.seen.add(batch, millis, 1.0);
+    }
+
+    /// Returns the line through all evidence.
+    pub fn line(&self) -> Line {
+        self.prior.plus(&self.seen).line()
+    }
+}
+
+/// A line over the batch size, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Line {
+    base: f64,
+    slope: f64,
+}
+
+impl Line {
+    /// Returns the time between tokens with `batch` requests, in milliseconds.
+    pub fn at(self, batch: u32) -> f64 {
+        (self.base + self.slope * f64::from(batch)).max(0.1)
+    }
+}
+
+/// The sums of a weighted least-squares fit.
+#[derive(Clone, Debug, Default)]
+struct Sums {
+    weight: f64,
+    x: f64,
+    y: f64,
+    xx: f64,
+    xy: f64,
+}
+
+impl Sums {
+    fn add(&mut self, x: f64, y: f64, weight: f64) {
+        self.weight += weight;
+        self.x += weight * x;
+        self.y += weight * y;
+        self.xx += weight * x * x;
+        self.xy += weight * x * y;
+    }
+
+    fn decay(&mut self) {
+        for sum in [
+            &mut self.weight,
+            &mut self.x,
+            &mut self.y,
+            &mut self.xx,
+            &mut self.xy,
+        ] {
+            *sum *= KEEP;
+        }
+    }
+
+    fn plus(&self, other: &Self) -> Self {
+        Self {
+            weight: self.weight + other.weight,
+            x: self.x + other.x,
+            y: self.y + other.y,
+            xx: self.xx + other.xx,
+            xy: self.xy + other.xy,
+        }
+    }
+
+    fn line(&self) -> Line {
+        let spread = self.weight * self.xx - self.x * self.x;
+        let slope = if spread > f64::EPSILON {
+            (self.weight * self.xy - self.x * self.y) / spread
+        } else {
+            0.0
+        };
+        let slope = slope.max(0.0);
+        Line {
+            base: (self.y - slope * self.x) / self.weight,
+            slope,
+        }
+    }
+}
--- /dev/null
+++ b/src/controller/scheduler/report.rs
@@ -0,0 +1,167 @@
+//! What servers report of themselves, and what gateways report to a new owner.
+
+use crate::backend::wire;
+use crate::clock;
+use crate::controller::scheduler;
+use crate::controller::scheduler::cancel;
+use crate::controller::scheduler::fleet;
+use crate::controller::scheduler::message;
+use crate::controller::scheduler::reservation;
+use crate::controller::scheduler::server;
+use crate::id;
+
+impl scheduler::Scheduler {
+    pub(super) fn load(&mut self, server: &id::BackendServerId, load: &wire::Load) {
+        let now = self.now;
+        let slot = self.fleet.slot(server);
+        if let Some(s) = slot.and_then(|slot| self.fleet.get_mut(slot)) {
+            s.occupancy.report(now, load);
+        }
+    }
+
+    pub(super) fn cache(&mut self, server: &id::BackendServerId, events: &[wire::CacheEvent]) {
+        let Some(slot) = self.fleet.slot(server) else {
+            return;
+        };
+        for event in events {
+            match event.stored {
+                true => self.prefixes.store(slot, event.prefix),
+                false => self.prefixes.drop_piece(slot, event.prefix),
+            }
+        }
+    }
+
+    /// Compares a server's own listing with the reservations, and cancels what none explains.
+    pub(super) fn compare(&mut self, server: &id::BackendServerId, held: &wire::Held) {
+        let Some(slot) = self.fleet.slot(server) else {
+            return;
+        };
+        if self.now < self.judges_from() {
+            return;
+        }
+        let explained = self.explained(slot);
+        for holding in &held.requests {
+            let request = holding.request;
+            let target = cancel::Target { slot, request };
+            let known = explained.binary_search(&request).is_ok();
+            let young = holding.age_ms <= self.settings.orphan_age;
+            if known || young || self.cancels.is_pending(target) {
+                continue;
+            }
+            self.summary.orphans += 1;
+            let held = cancel::Held::default();
+            self.cancels
+                .start(self.now, target, held, self.settings.cancel_retry);
+        }
+    }
+
+    /// Takes over the live reservations of a gateway from an earlier owner.
+    pub(super) fn adopt(
+        &mut self,
+        gateway: &id::InstanceId,
+        live: Vec<message::Live>,
+    ) -> message::Reply {
+        let mut unknown = Vec::new();
+        for one in live {
+            let number = one.reservation;
+            let key = reservation::Key {
+                number,
+                gateway: gateway.clone(),
+            };
+            if let Some(known) = self.reservations.get_mut(&key) {
+                known.lease_end = self.now + self.settings.lease;
+            } else if !self.adopt_one(key, one) {
+                unknown.push(number);
+            }
+        }
+        match unknown.is_empty() {
+            true => message::Reply::Noted,
+            false => message::Reply::Unknown(unknown),
+        }
+    }
+
+    /// Takes over one reservation, unless it is being cancelled here.
+    fn adopt_one(&mut self, key: reservation::Key, live: message::Live) -> bool {
+        let request = live.place.request;
+        let prefill = match live.transferred {
+            true => None,
+            false => self.fleet.slot(&live.placement.prefill),
+        };
+        let decode = self.fleet.slot(&live.placement.decode);
+        let targets = [prefill, decode].into_iter().flatten();
+        let mut pending = targets.map(|slot| cancel::Target { slot, request });
+        if pending.any(|target| self.cancels.is_pending(target)) {
+            return false;
+        }
+        let place = &live.place;
+        let prefill_pieces = place.prompt.to_pieces().as_u64();
+        let decode_pieces = (place.prompt + place.output).to_pieces().as_u64();
+        let prefill = prefill.map(|slot| self.hold_adopted(slot, prefill_pieces));
+        let decode = decode.map(|slot| self.hold_adopted(slot, decode_pieces));
+        let phase = match live.transferred {
+            true => reservation::Phase::Decoding {
+                since: self.now,
+                batch: 1,
+            },
+            false => reservation::Phase::Prefilling,
+        };
+        if let Some(part) = prefill {
+            self.queue_adopted(&key, part, place.prompt.as_u64());
+        }
+        self.summary.adopted += 1;
+        let adopted = reservation::Reservation {
+            place: live.place,
+            prefill,
+            decode,
+            phase,
+            placed_at: self.now,
+            lease_end: self.now + self.settings.lease,
+            made_here: false,
+            charged_output: 0,
+        };
+        self.reservations.insert(key, adopted);
+        true
+    }
+
+    fn hold_adopted(&mut self, slot: fleet::Slot, pieces: u64) -> reservation::Part {
+        let now = self.now;
+        if let Some(s) = self.fleet.get_mut(slot) {
+            s.occupancy.hold(now, 1, pieces);
+        }
+        reservation::Part { slot, pieces }
+    }
+
+    fn queue_adopted(&mut self, key: &reservation::Key, part: reservation::Part, tokens: u64) {
+        let now = self.now;
+        if let Some(s) = self.fleet.get_mut(part.slot) {
+            let queued = server::Queued {
+                key: key.clone(),
+                tokens,
+                placed_at: now,
+            };
+            s.start_prefill(now, queued);
+        }
+    }
+
+    /// Returns from when on work without a reservation may be judged: before that, gateways may
+    /// still have to report to this owner.
+    fn judges_from(&self) -> clock::Millis {
+        self.started + self.settings.report_grace + self.settings.lease
+    }
+
+    /// Returns the requests that a server may hold: reserved there, or ended a moment ago.
+    fn explained(&self, slot: fleet::Slot) -> Vec<id::RequestId> {
+        let since = self.now - self.settings.orphan_age;
+        let mut explained = self.cancels.ended_since(slot, since);
+        for (_, reservation) in self.reservations.iter() {
+            let mut parts = [reservation.prefill, reservation.decode]
+                .into_iter()
+                .flatten();
+            if parts.any(|part| part.slot == slot) {
+                explained.push(reservation.place.request);
+            }
+        }
+        explained.sort_unstable();
+        explained
+    }
+}
--- /dev/null
+++ b/src/controller/scheduler/server.rs
@@ -0,0 +1,242 @@
+//! One backend server as the scheduler sees it.
+
+use crate::clock;
+use crate::controller::scheduler::health;
+use crate::controller::scheduler::occupancy;
+use crate::controller::scheduler::rate;
+use crate::controller::scheduler::reservation;
+use crate::controller::scheduler::settings;
+use crate::state::model;
+use crate::unit;
+
+/// The shortest link rate that is reckoned with, in bytes a millisecond.
+const LEAST_LINK: f64 = 1.0;
+
+/// The misses in a row after which a prefix cache counts as lost.
+const LOST_CACHE_MISSES: u32 = 3;
+
+/// A prefill that was placed and has not ended.
+#[derive(Clone, Debug)]
+pub struct Queued {
+    /// Its reservation.
+    pub key: reservation::Key,
+    /// The prompt tokens it likely computes.
+    pub tokens: u64,
+    /// When it was placed.
+    pub placed_at: clock::Millis,
+}
+
+/// A transfer of KV cache that is under way or will be.
+#[derive(Clone, Debug)]
+pub struct Transfer {
+    /// Its reservation.
+    pub key: reservation::Key,
+    /// When the prefill ended or likely ends.
+    pub ready_at: clock::Millis,
+    /// Its size.
+    pub bytes: u64,
+}
+
+/// One backend server.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Its record in the configuration.
+    pub record: model::BackendServer,
+    /// What it holds.
+    pub occupancy: occupancy::Occupancy,
+    /// Whether it may be tried.
+    pub health: health::Health,
+    /// How fast it prefills.
+    pub prefill_rate: rate::PrefillRate,
+    /// How fast it decodes.
+    pub step_time: rate::StepTime,
+    /// How fast its link is.
+    pub link_rate: rate::LinkRate,
+    /// The prefills that it was given, oldest first.
+    pub queue: Vec<Queued>,
+    /// The transfers over its link, by the time they are ready.
+    pub transfers: Vec<Transfer>,
+    last_prefilled: clock::Millis,
+    misses: u32,
+}
+
+impl Server {
+    /// Makes a server that has shown nothing yet.
+    pub fn new(record: model::BackendServer, settings: &settings::Settings) -> Self {
+        Self {
+            record,
+            occupancy: occupancy::Occupancy::default(),
+            health: health::Health::default(),
+            prefill_rate: rate::PrefillRate::new(settings.prefill_rate),
+            step_time: rate::StepTime::new(settings.step_base, settings.step_full),
+            link_rate: rate::LinkRate::default(),
+            queue: Vec::new(),
+            transfers: Vec::new(),
+            last_prefilled: clock::Millis::ZERO,
+            misses: 0,
+        }
+    }
+
+    /// Tells whether the server does this work and takes new requests.
+    pub fn in_service(&self, role: model::Role, model: &crate::id::ModelId) -> bool {
+        self.record.role == role
+            && self.record.state == model::ServerState::InService
+            && self.record.models.contains(model)
+    }
+
+    /// Tells whether a slot and this much memory are free.
+    pub fn has_room(&self, now: clock::Millis, pieces: u64) -> bool {
+        let own = self.occupancy.own();
+        let foreign = self.occupancy.foreign(now);
+        own.requests + foreign.requests < self.record.slots
+            && own.pieces + foreign.pieces + pieces <= self.record.memory.as_u64()
+    }
+
+    /// Returns the requests that run here with one more, foreign ones included.
+    pub fn batch_with_one_more(&self, now: clock::Millis) -> u32 {
+        self.occupancy.own().requests + self.occupancy.foreign(now).requests + 1
+    }
+
+    /// Returns how long the prefills that were given to the server likely still take.
+    ///
+    /// A prefill that is overdue lowers the rate that is reckoned with.
+    pub fn prefill_backlog(&self, now: clock::Millis) -> f64 {
+        let foreign = self.occupancy.foreign(now).tokens as f64 / self.prefill_rate.per_milli(now);
+        let Some(head) = self.queue.first() else {
+            return foreign;
+        };
+        let rate = self.current_rate(now);
+        let elapsed = self.elapsed(head, now);
+        let head_left = (head.tokens as f64 / rate - elapsed).max(1.0);
+        let rest: u64 = self.queue[1..].iter().map(|q| q.tokens).sum();
+        foreign + head_left + rest as f64 / rate
+    }
+
+    /// Returns the prefill rate in tokens a millisecond, lowered while a prefill is overdue.
+    pub fn current_rate(&self, now: clock::Millis) -> f64 {
+        let rate = self.prefill_rate.per_milli(now);
+        let Some(head) = self.queue.first() else {
+            return rate;
+        };
+        let elapsed = self.elapsed(head, now);
+        let expected = head.tokens as f64 / rate;
+        if elapsed > 2.0 * expected + 20.0 {
+            return rate.min((head.tokens.max(1)) as f64 / elapsed);
+        }
+        rate
+    }
+
+    /// Adds a prefill and its transfer.
+    pub fn start_prefill(&mut self, now: clock::Millis, queued: Queued) {
+        self.queue.push(queued);
+        self.count_tokens(now);
+    }
+
+    /// Takes a prefill out of the queue.
+    pub fn remove_prefill(&mut self, now: clock::Millis, key: &reservation::Key) {
+        self.queue.retain(|q| q.key != *key);
+        self.count_tokens(now);
+    }
+
+    /// Learns from a prefill that ended now and computed `computed` tokens.
+    pub fn end_prefill(
+        &mut self,
+        now: clock::Millis,
+        key: &reservation::Key,
+        computed: unit::Tokens,
+    ) {
+        if let Some(at) = self.queue.iter().position(|q| q.key == *key) {
+            let began = self.queue[at].placed_at.max(self.last_prefilled);
+            self.prefill_rate.learn(now, computed, now - began);
+        }
+        self.last_prefilled = now;
+        self.remove_prefill(now, key);
+    }
+
+    /// Compares the cached tokens of a prefill with those expected, and tells whether the prefix
+    /// cache was likely lost: several prompts in a row that should have had a part in it had none.
+    pub fn lost_cache(&mut self, expected: u64, found: unit::Tokens) -> bool {
+        if expected == 0 {
+            return false;
+        }
+        self.misses = match found.as_u64() {
+            0 => self.misses + 1,
+            _ => 0,
+        };
+        self.misses >= LOST_CACHE_MISSES
+    }
+
+    /// Adds a transfer to the link.
+    pub fn add_transfer(&mut self, transfer: Transfer) {
+        let at = self
+            .transfers
+            .partition_point(|t| t.ready_at <= transfer.ready_at);
+        self.transfers.insert(at, transfer);
+    }
+
+    /// Learns from a transfer that ended now, and takes it off the link.
+    pub fn end_transfer(&mut self, now: clock::Millis, key: &reservation::Key) {
+        if let Some(at) = self.transfers.iter().position(|t| t.key == *key) {
+            let transfer = &self.transfers[at];
+            let size = unit::Bytes::new(transfer.bytes);
+            self.link_rate
+                .learn(now, transfer.ready_at, size, self.record.link);
+        }
+        self.remove_transfer(key);
+    }
+
+    /// Corrects when a transfer is ready, and its size.
+    pub fn correct_transfer(&mut self, transfer: Transfer) {
+        self.remove_transfer(&transfer.key);
+        self.add_transfer(transfer);
+    }
+
+    /// Takes a transfer off the link.
+    pub fn remove_transfer(&mut self, key: &reservation::Key) {
+        self.transfers.retain(|t| t.key != *key);
+    }
+
+    /// Returns the time that a transfer takes with the link to itself, in milliseconds.
+    pub fn transfer_time(&self, now: clock::Millis, bytes: u64) -> f64 {
+        bytes as f64 / self.link_rate_at(now)
+    }
+
+    /// Returns the most requests that run here within a time between tokens, at least one.
+    pub fn most_batch(&self, between_tokens: clock::Millis) -> u32 {
+        let line = self.step_time.line();
+        let target = between_tokens.as_u64() as f64;
+        let within = (1..=self.record.slots).take_while(|batch| line.at(*batch) <= target);
+        (within.count() as u32).max(1).min(self.record.slots)
+    }
+
+    /// Returns when a transfer that is ready at `ready` likely ends, by this end of the link.
+    pub fn transfer_end(&self, now: clock::Millis, ready: f64, bytes: f64) -> f64 {
+        let rate = self.link_rate_at(now);
+        let mut free_at = now.as_u64() as f64;
+        let mut after = 0.0;
+        for transfer in &self.transfers {
+            let starts = transfer.ready_at.as_u64() as f64;
+            let takes = transfer.bytes as f64 / rate;
+            if starts <= ready {
+                free_at = free_at.max(starts) + takes;
+            } else if starts < ready + bytes / rate {
+                after += takes;
+            }
+        }
+        free_at.max(ready) + bytes / rate + after
+    }
+
+    fn link_rate_at(&self, now: clock::Millis) -> f64 {
+        let configured = self.record.link.as_u64() as f64 / 1000.0;
+        (configured * self.link_rate.part(now)).max(LEAST_LINK)
+    }
+
+    fn elapsed(&self, head: &Queued, now: clock::Millis) -> f64 {
+        (now - head.placed_at.max(self.last_prefilled)).as_u64() as f64
+    }
+
+    fn count_tokens(&mut self, now: clock::Millis) {
+        let tokens = self.queue.iter().map(|q| q.tokens).sum();
+        self.occupancy.set_tokens(now, tokens);
+    }
+}
--- /dev/null
+++ b/src/controller/scheduler/upkeep.rs
@@ -0,0 +1,134 @@
+//! Leases, cancellations, and what is gone.
+
+use crate::controller::scheduler;
+use crate::controller::scheduler::cancel;
+use crate::controller::scheduler::fleet;
+use crate::controller::scheduler::health;
+use crate::id;
+
+impl scheduler::Scheduler {
+    /// Does all that is due at this time.
+    pub(super) fn keep_up(&mut self) {
+        self.end_lapsed();
+        self.refuse_hopeless();
+        self.send_cancels();
+        if self.prune_at <= self.now {
+            self.prune_at = self.now + scheduler::PRUNE_STEP;
+            self.cancels.prune(self.now, self.settings.cancel_memory);
+            self.check_books();
+        }
+    }
+
+    pub(super) fn gateway_gone(&mut self, gateway: &id::InstanceId) {
+        for waiting in self.queue.take(|w| w.gateway == *gateway) {
+            self.accounts.leave(&waiting.place.account);
+        }
+        let all = self.reservations.iter();
+        let its: Vec<_> = all.filter(|(key, _)| key.gateway == *gateway).collect();
+        let keys: Vec<_> = its.into_iter().map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.abandon(&key);
+        }
+    }
+
+    pub(super) fn server_gone(&mut self, slot: fleet::Slot) {
+        self.cancels.forget(slot);
+        self.prefixes.forget(slot);
+        for reservation in self.reservations.values_mut() {
+            for part in [&mut reservation.prefill, &mut reservation.decode] {
+                if part.is_some_and(|p| p.slot == slot) {
+                    *part = None;
+                }
+            }
+        }
+    }
+
+    pub(super) fn cancelled(
+        &mut self,
+        server: &id::BackendServerId,
+        request: id::RequestId,
+        confirmed: bool,
+    ) {
+        let Some(slot) = self.fleet.slot(server) else {
+            return;
+        };
+        if !confirmed {
+            return;
+        }
+        let target = cancel::Target { slot, request };
+        let Some(held) = self.cancels.confirm(self.now, target) else {
+            return;
+        };
+        if let Some(s) = self.fleet.get_mut(slot) {
+            s.occupancy.release(self.now, held.requests, held.pieces);
+        }
+    }
+
+    pub(super) fn pauses(&self) -> health::Pauses {
+        health::Pauses {
+            first: self.settings.first_probe,
+            longest: self.settings.longest_probe,
+        }
+    }
+
+    fn end_lapsed(&mut self) {
+        for key in self.reservations.lapsed(self.now) {
+            self.summary.lapsed += 1;
+            self.abandon(&key);
+        }
+    }
+
+    /// Ends a reservation whose gateway says no more.
+    fn abandon(&mut self, key: &scheduler::reservation::Key) {
+        let Some(reservation) = self.reservations.remove(key) else {
+            return;
+        };
+        self.settle(&reservation, 0);
+        self.end(key, &reservation, false);
+    }
+
+    fn refuse_hopeless(&mut self) {
+        for waiting in self.queue.expire(self.now) {
+            self.accounts.leave(&waiting.place.account);
+            self.refuse_too_late(&waiting);
+        }
+    }
+
+    fn send_cancels(&mut self) {
+        for target in self.cancels.due(self.now, self.settings.cancel_retry) {
+            let Some(server) = self.fleet.name(target.slot) else {
+                continue;
+            };
+            let request = target.request;
+            self.out.push(scheduler::Output::Cancel { server, request });
+        }
+        assert!(
+            self.cancels.next_due() > self.now,
+            "a cancellation was due and not sent"
+        );
+    }
+
+    /// Asserts that what servers are said to hold is what reservations and cancellations hold.
+    fn check_books(&self) {
+        let mut held = vec![(0, 0); scheduler::MAX_SERVERS];
+        for (_, reservation) in self.reservations.iter() {
+            for part in [reservation.prefill, reservation.decode]
+                .into_iter()
+                .flatten()
+            {
+                held[part.slot].0 += 1;
+                held[part.slot].1 += part.pieces;
+            }
+        }
+        for (slot, server) in self.fleet.iter() {
+            let cancelling = self.cancels.held_at(slot);
+            let own = server.occupancy.own();
+            let (requests, pieces) = held[slot];
+            assert!(
+                own.requests == requests + cancelling.requests
+                    && own.pieces == pieces + cancelling.pieces,
+                "the books of a server don't add up"
+            );
+        }
+    }
+}
