Add the stand-ins for model engines and plain services

The whole path, thin, needs something to route to before real engines are at hand. buckthorncleat-stand-in has two commands so far, engine and plain; the decisions of an engine are a state machine without I/O (engine::machine, prefill, decode), the HTTP side is thin. stand_in::process starts and stops child processes for tests. docs/ENGINES.md states costs, marks and fault switches.

One contract test first failed for a real fault: a body above the limit was answered without being read, so the caller saw a broken connection and no 413; the rest is now read off up to 32 MiB.

--- /dev/null
+++ b/stand-in/src/bin/stand_in.rs
@@ -0,0 +1,57 @@
+//! The program `buckthorncleat-stand-in`: small fakes for tests and the demo.
+
+use std::net;
+use std::process;
+
+use clap::Parser as _;
+use stand_in::engine;
+use stand_in::plain;
+use stand_in::shutdown;
+
+/// Small fakes of what stands around buckthorncleat; for tests and the demo only.
+#[derive(Debug, clap::Parser)]
+#[command(version)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, clap::Subcommand)]
+enum Command {
+    /// A model engine; docs/ENGINES.md describes its interface and costs.
+    Engine {
+        /// Address to listen on, as `IP:port`.
+        #[arg(long)]
+        listen: net::SocketAddr,
+        #[command(flatten)]
+        settings: engine::settings::Settings,
+    },
+    /// A plain service that counts how often each order ran.
+    Plain {
+        /// Address to listen on, as `IP:port`.
+        #[arg(long)]
+        listen: net::SocketAddr,
+        #[command(flatten)]
+        settings: plain::Settings,
+    },
+}
+
+#[tokio::main]
+async fn main() -> process::ExitCode {
+    env_logger::init();
+    let args = Args::parse();
+    let (stop, signals) = shutdown::on_signal();
+    let result = match args.command {
+        Command::Engine { listen, settings } => engine::server::run(listen, settings, stop).await,
+        Command::Plain { listen, settings } => plain::run(listen, settings, stop).await,
+    };
+    signals.abort();
+    let _ = signals.await;
+    match result {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/stand-in/src/connection.rs
@@ -0,0 +1,171 @@
+//! A TCP connection that keeps what it received and can be made silent.
+
+use std::collections;
+use std::io;
+use std::pin;
+use std::sync;
+use std::sync::atomic;
+use std::task;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::net;
+
+/// The newest bytes kept of each connection.
+pub const KEPT_BYTES: usize = 64 << 10;
+
+/// The newest connections whose bytes are kept.
+pub const KEPT_CONNECTIONS: usize = 256;
+
+/// What one connection received, for tests on raw bytes.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct Received {
+    /// The number of the connection, from 1.
+    pub connection: u64,
+    /// Earlier bytes that were not kept.
+    pub dropped_bytes: u64,
+    /// The bytes as text; bytes that are not UTF-8 are replaced.
+    pub text: String,
+}
+
+#[derive(Debug, Default)]
+struct Kept {
+    dropped_bytes: u64,
+    bytes: collections::VecDeque<u8>,
+}
+
+impl Kept {
+    fn push(&mut self, bytes: &[u8]) {
+        self.bytes.extend(bytes);
+        let excess = self.bytes.len().saturating_sub(KEPT_BYTES);
+        self.bytes.drain(..excess);
+        self.dropped_bytes += excess as u64;
+    }
+}
+
+/// One accepted connection as the registry sees it.
+#[derive(Debug, Default)]
+pub struct Entry {
+    number: u64,
+    silent: atomic::AtomicBool,
+    kept: sync::Mutex<Kept>,
+}
+
+impl Entry {
+    /// Returns the number of the connection, from 1.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    fn is_silent(&self) -> bool {
+        self.silent.load(atomic::Ordering::Relaxed)
+    }
+}
+
+/// The connections of one server, the newest last.
+#[derive(Debug, Default)]
+pub struct Registry {
+    entries: sync::Mutex<collections::VecDeque<sync::Arc<Entry>>>,
+    accepted: atomic::AtomicU64,
+}
+
+impl Registry {
+    /// Takes a new connection in.
+    pub fn accept(&self, stream: net::TcpStream) -> Connection {
+        let number = self.accepted.fetch_add(1, atomic::Ordering::Relaxed) + 1;
+        let entry = sync::Arc::new(Entry {
+            number,
+            ..Entry::default()
+        });
+        let mut entries = self.entries.lock().expect("registry lock");
+        entries.push_back(sync::Arc::clone(&entry));
+        while entries.len() > KEPT_CONNECTIONS {
+            entries.pop_front();
+        }
+        Connection { stream, entry }
+    }
+
+    /// Makes all connections silent for good, but for one and those still to come.
+    pub fn silence_all_but(&self, number: u64) {
+        for entry in self.entries.lock().expect("registry lock").iter() {
+            let silent = entry.number != number;
+            entry.silent.fetch_or(silent, atomic::Ordering::Relaxed);
+        }
+    }
+
+    /// Returns what each connection received.
+    pub fn received(&self) -> Vec<Received> {
+        let entries = self.entries.lock().expect("registry lock");
+        entries.iter().map(|entry| received(entry)).collect()
+    }
+}
+
+fn received(entry: &Entry) -> Received {
+    let mut kept = entry.kept.lock().expect("bytes lock");
+    Received {
+        connection: entry.number,
+        dropped_bytes: kept.dropped_bytes,
+        text: String::from_utf8_lossy(kept.bytes.make_contiguous()).into_owned(),
+    }
+}
+
+/// A TCP connection; once silent it reads nothing and swallows what is written.
+#[derive(Debug)]
+pub struct Connection {
+    stream: net::TcpStream,
+    entry: sync::Arc<Entry>,
+}
+
+impl Connection {
+    /// Returns the connection as the registry sees it.
+    pub fn entry(&self) -> &sync::Arc<Entry> {
+        &self.entry
+    }
+}
+
+impl AsyncRead for Connection {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &mut tokio::io::ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        if self.entry.is_silent() {
+            return task::Poll::Pending;
+        }
+        let before = buf.filled().len();
+        let poll = pin::Pin::new(&mut self.stream).poll_read(cx, buf);
+        let new = &buf.filled()[before..];
+        self.entry.kept.lock().expect("bytes lock").push(new);
+        poll
+    }
+}
+
+impl AsyncWrite for Connection {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        if self.entry.is_silent() {
+            return task::Poll::Ready(Ok(buf.len()));
+        }
+        pin::Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        if self.entry.is_silent() {
+            return task::Poll::Pending;
+        }
+        pin::Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/stand-in/src/engine/decode.rs
@@ -0,0 +1,219 @@
+//! The decode side of an engine: its imports, its batch and its streams.
+
+use buckthorncleat::backend::wire;
+use buckthorncleat::id;
+use buckthorncleat::state::model;
+use buckthorncleat::unit;
+
+use crate::engine::export;
+use crate::engine::machine;
+use crate::engine::refusal;
+use crate::engine::request;
+use crate::engine::settings;
+use crate::engine::text;
+
+/// How far a stream is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct View {
+    /// The answer.
+    pub answer: text::Answer,
+    /// The tokens generated.
+    pub produced: u64,
+    /// Whether they are all.
+    pub complete: bool,
+}
+
+impl machine::Engine {
+    /// Takes a slot for a request whose KV cache is about to be fetched.
+    ///
+    /// # Errors
+    ///
+    /// Refuses another role, an unknown model, a cancelled or held request, and when full.
+    pub fn begin_import(&mut self, call: &wire::Import) -> machine::Result<()> {
+        self.check_new(call.request, model::Role::Decode)?;
+        self.check_model(&call.model)?;
+        if self.failing_imports > 0 {
+            self.failing_imports -= 1;
+            return Err(refusal::Refusal::ToldToFail);
+        }
+        let state = request::State::Importing(unit::Pieces::new(0));
+        self.hold(call.request, state);
+        Ok(())
+    }
+
+    /// Takes the memory for KV cache whose head came.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a cancelled request, and when the memory is full; then the slot is free again.
+    pub fn reserve_import(&mut self, head: &export::Head) -> machine::Result<()> {
+        self.check_importing(head.request)?;
+        let pieces = request::decode_pieces(head.tokens);
+        if self.used() + pieces.as_u64() > self.settings.memory_pieces {
+            self.requests.remove(&head.request);
+            return Err(self.full());
+        }
+        self.set_state(head.request, request::State::Importing(pieces));
+        Ok(())
+    }
+
+    /// Tells whether a request is still importing.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a cancelled request.
+    pub fn check_importing(&self, request: id::RequestId) -> machine::Result<()> {
+        self.check_not_cancelled(request)?;
+        match self.requests.get(&request).map(|r| &r.state) {
+            Some(request::State::Importing(_)) => Ok(()),
+            _ => Err(refusal::Refusal::UnknownRequest),
+        }
+    }
+
+    /// Ends a transfer: the KV cache is here, or the slot is free again.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request that was cancelled meanwhile.
+    pub fn end_import(
+        &mut self,
+        request: id::RequestId,
+        head: Option<export::Head>,
+    ) -> machine::Result<()> {
+        self.check_importing(request)?;
+        match head {
+            Some(head) => self.set_state(request, request::State::Imported(head)),
+            None => drop(self.requests.remove(&request)),
+        }
+        Ok(())
+    }
+
+    /// Begins an answer, and its first stream.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a cancelled request, one that decodes already, and one that is not imported.
+    pub fn decode(&mut self, call: &wire::Decode) -> machine::Result<u64> {
+        self.check_not_cancelled(call.request)?;
+        let head = match self.requests.get(&call.request).map(|r| &r.state) {
+            Some(request::State::Imported(head)) => head.clone(),
+            Some(request::State::Decoding(_)) => return Err(refusal::Refusal::AlreadyHeld),
+            _ => return Err(refusal::Refusal::UnknownRequest),
+        };
+        let decoding = request::Decoding {
+            pieces: request::decode_pieces(head.tokens),
+            answer: text::Answer::from_prompt(&head.model, &head.prompt),
+            max_tokens: call.max_tokens.as_u64().min(unit::PIECE_TOKENS),
+            produced: head.delivered,
+            computed: head.computed,
+            crashes: head.prompt.contains(settings::CRASH_DECODE_MARK),
+            readers: 1,
+            left_at: None,
+        };
+        let state = match decoding.is_complete() {
+            true => request::State::Ended(decoding),
+            false => request::State::Decoding(decoding),
+        };
+        self.set_state(call.request, state);
+        self.start_step();
+        Ok(head.delivered)
+    }
+
+    /// Takes up a stream again.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a cancelled request, and one that has no stream.
+    pub fn attach(&mut self, request: id::RequestId) -> machine::Result<()> {
+        self.check_not_cancelled(request)?;
+        let decoding = self.decoding(request)?;
+        decoding.readers += 1;
+        decoding.left_at = None;
+        Ok(())
+    }
+
+    /// Leaves a stream.
+    pub fn detach(&mut self, request: id::RequestId) {
+        let now = self.now;
+        if let Ok(decoding) = self.decoding(request) {
+            decoding.readers -= 1;
+            decoding.left_at = (decoding.readers == 0).then_some(now);
+        }
+    }
+
+    /// Tells how far a stream is.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a cancelled request, and one that has no stream.
+    pub fn view(&mut self, request: id::RequestId) -> machine::Result<View> {
+        self.check_not_cancelled(request)?;
+        let decoding = self.decoding(request)?;
+        Ok(View {
+            answer: decoding.answer,
+            produced: decoding.produced,
+            complete: decoding.is_complete(),
+        })
+    }
+
+    /// Returns the last event of a stream.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request that has no stream.
+    pub fn done(&mut self, request: id::RequestId) -> machine::Result<wire::Done> {
+        Ok(self.decoding(request)?.done())
+    }
+
+    fn decoding(&mut self, id: id::RequestId) -> machine::Result<&mut request::Decoding> {
+        match self.requests.get_mut(&id).map(|r| &mut r.state) {
+            Some(request::State::Decoding(d) | request::State::Ended(d)) => Ok(d),
+            _ => Err(refusal::Refusal::UnknownRequest),
+        }
+    }
+
+    pub(super) fn run_steps(&mut self, mut budget_us: u64) {
+        while let Some(left) = self.step_left_us {
+            if left > budget_us {
+                self.step_left_us = Some(left - budget_us);
+                return;
+            }
+            budget_us -= left;
+            self.step_left_us = None;
+            self.finish_step();
+            self.start_step();
+        }
+        self.start_step();
+    }
+
+    pub(super) fn start_step(&mut self) {
+        if self.step_left_us.is_some() {
+            return;
+        }
+        let decoding = |r: &&request::Request| matches!(r.state, request::State::Decoding(_));
+        let batch = self.requests.values().filter(decoding).count();
+        if batch > 0 {
+            self.step_left_us = Some(self.settings.step_us(batch));
+        }
+    }
+
+    fn finish_step(&mut self) {
+        for held in self.requests.values_mut() {
+            let request::State::Decoding(decoding) = &mut held.state else {
+                continue;
+            };
+            if decoding.computed > unit::Tokens::new(0) {
+                let computed = std::mem::take(&mut decoding.computed);
+                self.totals.decoded_from_tokens = self.totals.decoded_from_tokens + computed;
+            }
+            decoding.produced += 1;
+            self.crashed |= decoding.crashes;
+            self.totals.generated_tokens = self.totals.generated_tokens.next();
+            if decoding.is_complete() {
+                decoding.left_at = (decoding.readers == 0).then_some(self.now);
+                self.totals.answers += 1;
+                held.state = request::State::Ended(decoding.clone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/stand-in/src/engine/load.rs
@@ -0,0 +1,40 @@
+//! Load reports that tell how it was some time ago.
+
+use std::collections;
+
+use buckthorncleat::backend::wire;
+use buckthorncleat::clock;
+
+/// The shortest time between two kept reports.
+const SPACING: clock::Millis = clock::Millis::new(10);
+
+/// The reports of the last moments.
+#[derive(Debug, Default)]
+pub struct History {
+    reports: collections::VecDeque<(clock::Millis, wire::Load)>,
+}
+
+impl History {
+    /// Keeps a report, unless the last one is fresh, and forgets those older than the lag.
+    pub fn record(&mut self, now: clock::Millis, lag: clock::Millis, load: wire::Load) {
+        let last = self.reports.back().map(|(at, _)| *at);
+        if last.is_some_and(|at| now < at + SPACING) {
+            return;
+        }
+        self.reports.push_back((now, load));
+        while self.reports.len() > 1 && self.reports[1].0 + lag <= now {
+            self.reports.pop_front();
+        }
+    }
+
+    /// Returns the newest report that is old enough, or the oldest if none is.
+    pub fn read(&self, now: clock::Millis, lag: clock::Millis) -> Option<wire::Load> {
+        let due = self.reports.iter().rev().find(|(at, _)| *at + lag <= now);
+        let (at, load) = due.or(self.reports.front())?;
+        let age_ms = now - *at;
+        Some(wire::Load {
+            age_ms,
+            ..load.clone()
+        })
+    }
+}
--- /dev/null
+++ b/stand-in/src/engine/machine.rs
@@ -0,0 +1,303 @@
+//! The decisions of an engine, without clock, socket or task.
+
+use buckthorncleat::backend::wire;
+use buckthorncleat::clock;
+use buckthorncleat::id;
+use buckthorncleat::sorted;
+use buckthorncleat::state::model;
+use buckthorncleat::unit;
+
+use crate::engine::cache;
+use crate::engine::load;
+use crate::engine::refusal;
+use crate::engine::request;
+use crate::engine::settings;
+use crate::engine::totals;
+
+/// How long an answer is kept when nobody reads its stream.
+pub const LINGER: clock::Millis = clock::Millis::from_secs(2);
+
+/// How long calls for a cancelled request are refused.
+pub const CANCELLED_FOR: clock::Millis = clock::Millis::from_secs(10);
+
+/// The longest time between two calls of [`Engine::advance`].
+pub const LONGEST_PAUSE: clock::Millis = clock::Millis::new(20);
+
+/// A result of an engine.
+pub type Result<T> = std::result::Result<T, refusal::Refusal>;
+
+/// An engine.
+#[derive(Debug)]
+pub struct Engine {
+    pub(super) settings: settings::Settings,
+    pub(super) role: model::Role,
+    pub(super) models: Vec<id::ModelId>,
+    pub(super) now: clock::Millis,
+    pub(super) stalled: bool,
+    pub(super) slow_factor: u32,
+    pub(super) failing_imports: u32,
+    pub(super) crashed: bool,
+    pub(super) requests: sorted::Map<id::RequestId, request::Request>,
+    pub(super) cancelled_until: sorted::Map<id::RequestId, clock::Millis>,
+    pub(super) sequence: u64,
+    pub(super) prefill_left_us: Option<u64>,
+    pub(super) step_left_us: Option<u64>,
+    pub(super) cache: cache::PrefixCache,
+    pub(super) loads: load::History,
+    pub(super) fencing: id::FencingNumber,
+    pub(super) totals: totals::Totals,
+}
+
+impl Engine {
+    /// Starts an idle engine.
+    pub fn new(settings: settings::Settings) -> Self {
+        Self {
+            role: settings.role,
+            models: settings.models.clone(),
+            settings,
+            now: clock::Millis::ZERO,
+            stalled: false,
+            slow_factor: 1,
+            failing_imports: 0,
+            crashed: false,
+            requests: sorted::Map::new(),
+            cancelled_until: sorted::Map::new(),
+            sequence: 0,
+            prefill_left_us: None,
+            step_left_us: None,
+            cache: cache::PrefixCache::default(),
+            loads: load::History::default(),
+            fencing: id::FencingNumber::default(),
+            totals: totals::Totals::default(),
+        }
+    }
+
+    /// Does the work of the time since the last call.
+    pub fn advance(&mut self, now: clock::Millis) {
+        assert!(now >= self.now, "time goes forward");
+        let passed = (now - self.now).as_u64() * 1000 / u64::from(self.slow_factor.max(1));
+        self.now = now;
+        if !self.stalled {
+            self.run_prefills(passed);
+            self.run_steps(passed);
+        }
+        self.expire();
+        self.record_load();
+        assert!(
+            self.used() <= self.settings.memory_pieces,
+            "memory is not oversold"
+        );
+    }
+
+    /// Returns when [`advance`](Self::advance) is next due.
+    pub fn due(&self) -> clock::Millis {
+        let left = [self.prefill_left_us, self.step_left_us];
+        let soonest = left.into_iter().flatten().min();
+        let pause = match soonest {
+            Some(us) if !self.stalled => clock::Millis::new(
+                (us * u64::from(self.slow_factor.max(1)))
+                    .div_ceil(1000)
+                    .max(1),
+            ),
+            _ => LONGEST_PAUSE,
+        };
+        self.now + pause.min(LONGEST_PAUSE)
+    }
+
+    /// Tells whether a request crashed the engine.
+    pub fn has_crashed(&self) -> bool {
+        self.crashed
+    }
+
+    /// Stops or resumes all progress.
+    pub fn set_stalled(&mut self, stalled: bool) {
+        self.stalled = stalled;
+    }
+
+    /// Makes work take so many times as long.
+    pub fn set_slow_factor(&mut self, factor: u32) {
+        self.slow_factor = factor;
+    }
+
+    /// Refuses so many of the next imports.
+    pub fn set_failing_imports(&mut self, count: u32) {
+        self.failing_imports = count;
+    }
+
+    /// Frees all that is held for a request, and refuses it for a while.
+    pub fn cancel(&mut self, request: id::RequestId) -> wire::Cancelled {
+        let was = self.requests.remove(&request);
+        if let Some(held) = was.as_ref().filter(|r| r.is_held()) {
+            self.totals.cancelled += 1;
+            if let request::State::Prefilling(prompt) = &held.state {
+                self.count_broken_prefill(prompt.clone());
+            }
+        }
+        self.cancelled_until
+            .insert(request, self.now + CANCELLED_FOR);
+        self.start_prefill();
+        wire::Cancelled {
+            was: was.map_or(wire::Phase::Unknown, |r| r.phase()),
+        }
+    }
+
+    /// Lists all that is held.
+    pub fn held(&self) -> wire::Held {
+        let held = self.requests.iter().filter(|(_, r)| r.is_held());
+        let requests = held.map(|(id, r)| wire::Holding {
+            request: *id,
+            phase: r.phase(),
+            pieces: r.pieces(),
+            age_ms: self.now - r.since,
+        });
+        wire::Held {
+            requests: requests.collect(),
+        }
+    }
+
+    /// Reports the load as it was some time ago.
+    pub fn load(&self) -> wire::Load {
+        let late = self.loads.read(self.now, self.settings.load_lag_ms);
+        late.unwrap_or_else(|| self.load_now())
+    }
+
+    /// Returns the published changes of the prefix cache above a number.
+    pub fn cache_events(&self, after: u64) -> wire::CacheEvents {
+        if self.now < self.settings.event_lag_ms {
+            return wire::CacheEvents { events: Vec::new() };
+        }
+        let published = self.now - self.settings.event_lag_ms;
+        self.cache
+            .events(after, published, self.settings.event_gap_percent)
+    }
+
+    /// Checks the fencing number of an order, and obeys a change of role at once.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an old number, unless the engine ignores them.
+    pub fn order(&mut self, number: id::FencingNumber, order: &wire::Order) -> Result<()> {
+        if number < self.fencing && !self.settings.ignore_fencing {
+            let seen = self.fencing;
+            return Err(refusal::Refusal::OldFencing { seen });
+        }
+        self.fencing = self.fencing.max(number);
+        match order {
+            wire::Order::LoadModel { .. } | wire::Order::LoadAdapter { .. } => {}
+            wire::Order::UnloadModel { model } => self.models.retain(|m| m != model),
+            wire::Order::ChangeRole { role } => self.role = *role,
+        }
+        Ok(())
+    }
+
+    /// Ends the loading that an order began.
+    pub fn finish_order(&mut self, order: &wire::Order) {
+        if let wire::Order::LoadModel { model, .. } = order
+            && !self.models.contains(model)
+        {
+            self.models.push(model.clone());
+        }
+    }
+
+    /// Returns what the engine did since its start.
+    pub fn totals(&self) -> &totals::Totals {
+        &self.totals
+    }
+
+    pub(super) fn check_new(&mut self, request: id::RequestId, role: model::Role) -> Result<()> {
+        self.check_not_cancelled(request)?;
+        if self.role != role {
+            return Err(refusal::Refusal::OtherRole);
+        }
+        if self.requests.get(&request).is_some_and(|r| r.is_held()) {
+            return Err(refusal::Refusal::AlreadyHeld);
+        }
+        let held = self.requests.values().filter(|r| r.is_held()).count();
+        if held >= self.settings.slots as usize {
+            return Err(self.full());
+        }
+        Ok(())
+    }
+
+    pub(super) fn check_model(&self, model: &id::ModelId) -> Result<()> {
+        match self.models.contains(model) {
+            true => Ok(()),
+            false => Err(refusal::Refusal::UnknownModel),
+        }
+    }
+
+    pub(super) fn check_not_cancelled(&self, request: id::RequestId) -> Result<()> {
+        match self.cancelled_until.contains(&request) {
+            true => Err(refusal::Refusal::Cancelled),
+            false => Ok(()),
+        }
+    }
+
+    pub(super) fn full(&mut self) -> refusal::Refusal {
+        self.totals.refused_full += 1;
+        refusal::Refusal::Full
+    }
+
+    pub(super) fn hold(&mut self, id: id::RequestId, state: request::State) {
+        self.sequence += 1;
+        let request = request::Request {
+            since: self.now,
+            sequence: self.sequence,
+            state,
+        };
+        self.requests.insert(id, request);
+    }
+
+    pub(super) fn set_state(&mut self, id: id::RequestId, state: request::State) {
+        let request = self.requests.get_mut(&id);
+        request.expect("the request was looked up before").state = state;
+    }
+
+    pub(super) fn used(&self) -> u64 {
+        self.requests.values().map(|r| r.pieces().as_u64()).sum()
+    }
+
+    fn expire(&mut self) {
+        let now = self.now;
+        let mut expired = 0;
+        self.requests.retain(|_, r| match &r.state {
+            request::State::Exported(export) => {
+                let keep = export.fetches > 0 || now < export.expires;
+                expired += u64::from(!keep);
+                keep
+            }
+            request::State::Decoding(d) | request::State::Ended(d) => {
+                d.left_at.is_none_or(|at| now < at + LINGER)
+            }
+            _ => true,
+        });
+        self.totals.expired_exports += expired;
+        self.cancelled_until.retain(|_, until| now < *until);
+    }
+
+    fn record_load(&mut self) {
+        let load = self.load_now();
+        self.loads.record(self.now, self.settings.load_lag_ms, load);
+    }
+
+    fn load_now(&self) -> wire::Load {
+        let queue = self.requests.values().filter_map(|r| match &r.state {
+            request::State::Queued(prompt) => Some(prompt),
+            _ => None,
+        });
+        let waiting: Vec<_> = queue.collect();
+        let held = self.requests.values().filter(|r| r.is_held()).count();
+        let uncached =
+            |p: &request::Prompt| p.tokens.saturating_sub(self.cache.cached(&p.prefixes));
+        wire::Load {
+            role: self.role,
+            models: self.models.clone(),
+            running: (held - waiting.len()) as u32,
+            waiting: waiting.len() as u32,
+            waiting_tokens: waiting.into_iter().map(uncached).sum(),
+            used: unit::Pieces::new(self.used()),
+            memory: unit::Pieces::new(self.settings.memory_pieces),
+            age_ms: clock::Millis::ZERO,
+        }
+    }
+}
--- /dev/null
+++ b/stand-in/src/engine/stream.rs
@@ -0,0 +1,112 @@
+//! The streams of answers as server-sent events.
+
+use std::fmt::Write as _;
+use std::io;
+use std::sync;
+
+use buckthorncleat::backend::wire;
+use buckthorncleat::id;
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::BodyExt as _;
+use hyper::body;
+use tokio::sync::watch;
+
+use crate::engine::decode;
+use crate::engine::server;
+use crate::server as http;
+
+/// Counts as a reader of an answer as long as it lives.
+#[derive(Debug)]
+struct Reader {
+    shared: sync::Arc<server::Shared>,
+    request: id::RequestId,
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        let request = self.request;
+        self.shared.change(|engine| engine.detach(request));
+    }
+}
+
+struct State {
+    reader: Reader,
+    next: u64,
+    changes: watch::Receiver<u64>,
+    cuts: u64,
+    ended: bool,
+}
+
+/// Answers with the stream of a request that counts this reader already.
+pub fn answer(
+    shared: sync::Arc<server::Shared>,
+    request: id::RequestId,
+    from: u64,
+) -> http::Response {
+    let state = State {
+        next: from,
+        changes: shared.changes(),
+        cuts: shared.cuts(),
+        ended: false,
+        reader: Reader { shared, request },
+    };
+    let frames = stream::unfold(state, next_frame);
+    hyper::Response::builder()
+        .header(hyper::header::CONTENT_TYPE, "text/event-stream")
+        .header(hyper::header::CACHE_CONTROL, "no-store")
+        .body(http_body_util::StreamBody::new(frames).boxed_unsync())
+        .expect("fixed headers are valid")
+}
+
+async fn next_frame(mut state: State) -> Option<(io::Result<body::Frame<Bytes>>, State)> {
+    if state.ended {
+        return None;
+    }
+    loop {
+        state.changes.mark_unchanged();
+        match state.read() {
+            Ok(text) if text.is_empty() => {}
+            Ok(text) => return Some((Ok(body::Frame::data(text.into())), state)),
+            Err(e) => {
+                state.ended = true;
+                return Some((Err(e), state));
+            }
+        }
+        state.changes.changed().await.ok()?;
+    }
+}
+
+impl State {
+    fn read(&mut self) -> io::Result<String> {
+        let shared = &self.reader.shared;
+        if shared.cuts() != self.cuts {
+            return Err(io::Error::other("the stream was cut"));
+        }
+        let request = self.reader.request;
+        let (view, done) = shared
+            .read(|engine| Ok((engine.view(request)?, engine.done(request)?)))
+            .map_err(|e: crate::engine::refusal::Refusal| io::Error::other(e))?;
+        let mut text = tokens(&view, self.next);
+        self.next = self.next.max(view.produced);
+        if view.complete {
+            self.ended = true;
+            let done = serde_json::to_string(&done).expect("plain data");
+            write!(text, "event: done\ndata: {done}\n\n").expect("a string takes all");
+        }
+        Ok(text)
+    }
+}
+
+fn tokens(view: &decode::View, from: u64) -> String {
+    let mut text = String::new();
+    for index in from..view.produced {
+        let token = wire::Token {
+            index,
+            text: view.answer.token(index),
+        };
+        let json = serde_json::to_string(&token).expect("plain data");
+        write!(text, "data: {json}\n\n").expect("a string takes all");
+    }
+    text
+}
--- /dev/null
+++ b/stand-in/src/engine/transfer.rs
@@ -0,0 +1,185 @@
+//! KV cache on its way from a prefill engine to a decode engine.
+
+use std::io;
+use std::sync;
+
+use buckthorncleat::backend::wire;
+use buckthorncleat::id;
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::BodyExt as _;
+use hyper::body;
+use tokio::sync::watch;
+
+use crate::client;
+use crate::engine::export;
+use crate::engine::machine;
+use crate::engine::refusal;
+use crate::engine::server;
+use crate::server as http;
+
+/// The real bytes of KV cache sent at once.
+const CHUNK_BYTES: u64 = 16 << 10;
+
+struct Sending {
+    shared: sync::Arc<server::Shared>,
+    name: String,
+    head: Option<export::Head>,
+    left: u64,
+    ended: bool,
+}
+
+impl Drop for Sending {
+    fn drop(&mut self) {
+        let whole = self.left == 0;
+        self.shared.change(|e| e.end_fetch(&self.name, whole));
+    }
+}
+
+/// Answers with exported KV cache, at the rate of the link.
+///
+/// # Errors
+///
+/// Refuses an export that is not there.
+pub fn send(shared: &sync::Arc<server::Shared>, name: &str) -> machine::Result<http::Response> {
+    let head = shared.change(|e| e.begin_fetch(name))?;
+    let sending = Sending {
+        shared: sync::Arc::clone(shared),
+        name: name.to_owned(),
+        left: head.real_bytes(),
+        head: Some(head),
+        ended: false,
+    };
+    let frames = stream::unfold(sending, next_frame);
+    let body = http_body_util::StreamBody::new(frames).boxed_unsync();
+    Ok(hyper::Response::new(body))
+}
+
+async fn next_frame(mut sending: Sending) -> Option<(io::Result<body::Frame<Bytes>>, Sending)> {
+    if let Some(head) = sending.head.take() {
+        let mut line = serde_json::to_vec(&head).expect("plain data");
+        line.push(b'\n');
+        return Some((Ok(body::Frame::data(line.into())), sending));
+    }
+    if sending.left == 0 || sending.ended {
+        return None;
+    }
+    let size = sending.left.min(CHUNK_BYTES);
+    sending.shared.link().carry(size).await;
+    if !sending.shared.read(|e| e.holds_export(&sending.name)) {
+        sending.ended = true;
+        return Some((Err(io::Error::other("the export is gone")), sending));
+    }
+    sending.left -= size;
+    let chunk = Bytes::from(vec![0; size as usize]);
+    Some((Ok(body::Frame::data(chunk)), sending))
+}
+
+/// Frees the slot of an import that is given up.
+struct Importing<'a> {
+    shared: &'a server::Shared,
+    request: id::RequestId,
+    ended: bool,
+}
+
+impl Importing<'_> {
+    fn finish(mut self, head: export::Head) -> machine::Result<()> {
+        self.ended = true;
+        self.shared
+            .change(|e| e.end_import(self.request, Some(head)))
+    }
+}
+
+impl Drop for Importing<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            let freed = self.shared.change(|e| e.end_import(self.request, None));
+            log::debug!("import of {} given up: {freed:?}", self.request);
+        }
+    }
+}
+
+/// Fetches KV cache from a prefill engine.
+///
+/// # Errors
+///
+/// Refuses as [`machine::Engine::begin_import`], and when the export is gone, the transfer breaks
+/// or the request is cancelled meanwhile; nothing is held then.
+pub async fn fetch(shared: &server::Shared, call: &wire::Import) -> machine::Result<()> {
+    shared.change(|e| e.begin_import(call))?;
+    let importing = Importing {
+        shared,
+        request: call.request,
+        ended: false,
+    };
+    let changes = shared.changes();
+    let head = tokio::select! {
+        head = receive(shared, call) => head?,
+        refusal = cancelled(shared, call.request, changes) => return Err(refusal),
+    };
+    importing.finish(head)
+}
+
+async fn cancelled(
+    shared: &server::Shared,
+    request: id::RequestId,
+    mut changes: watch::Receiver<u64>,
+) -> refusal::Refusal {
+    loop {
+        changes.mark_unchanged();
+        if let Err(refusal @ refusal::Refusal::Cancelled) =
+            shared.read(|e| e.check_importing(request))
+        {
+            return refusal;
+        }
+        let _ = changes.changed().await;
+    }
+}
+
+async fn receive(shared: &server::Shared, call: &wire::Import) -> machine::Result<export::Head> {
+    let broke = |e: buckthorncleat::Error| {
+        log::info!("import of {}: {e}", call.request);
+        refusal::Refusal::TransferBroke
+    };
+    let mut connection = client::Connection::open(call.from).await.map_err(broke)?;
+    let path = format!("/v1/exports/{}", call.export);
+    let req = client::request(hyper::Method::GET, &path);
+    let answer = connection.send(req).await.map_err(broke)?;
+    if answer.status() != hyper::StatusCode::OK {
+        return Err(refusal::Refusal::UnknownExport);
+    }
+    let head = receive_body(shared, answer.into_body()).await;
+    connection.close().await;
+    head
+}
+
+async fn receive_body(
+    shared: &server::Shared,
+    mut body: body::Incoming,
+) -> machine::Result<export::Head> {
+    let mut line = Vec::new();
+    let mut head: Option<export::Head> = None;
+    let mut received = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| refusal::Refusal::TransferBroke)?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        if head.is_some() {
+            received += data.len() as u64;
+            shared.link().carry(data.len() as u64).await;
+            continue;
+        }
+        line.extend_from_slice(data);
+        let Some(end) = line.iter().position(|b| *b == b'\n') else {
+            continue;
+        };
+        received = (line.len() - end - 1) as u64;
+        let parsed: export::Head =
+            serde_json::from_slice(&line[..end]).map_err(|_| refusal::Refusal::TransferBroke)?;
+        shared.change(|e| e.reserve_import(&parsed))?;
+        head = Some(parsed);
+    }
+    head.filter(|head| head.real_bytes() == received)
+        .ok_or(refusal::Refusal::TransferBroke)
+}
--- /dev/null
+++ b/stand-in/src/server.rs
@@ -0,0 +1,180 @@
+//! A small HTTP/1.1 server for the stand-ins.
+
+use std::convert;
+use std::future;
+use std::io;
+use std::net;
+use std::sync;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::body;
+use hyper::service;
+use tokio::sync::watch;
+
+use crate::connection;
+use crate::shutdown;
+
+/// The largest body that a stand-in reads, in bytes.
+pub const MAX_BODY_BYTES: usize = 8 << 20;
+
+/// How much of a body above [`MAX_BODY_BYTES`] is read off, so that the caller sees the answer.
+const DRAINED_BYTES: usize = 4 * MAX_BODY_BYTES;
+
+/// The body of an answer.
+pub type Body = http_body_util::combinators::UnsyncBoxBody<Bytes, io::Error>;
+
+/// An answer.
+pub type Response = hyper::Response<Body>;
+
+/// A request whose body is not read yet.
+pub type Request = hyper::Request<body::Incoming>;
+
+/// What answers the requests of one server.
+pub trait App: Send + Sync + 'static {
+    /// Answers one request that came over the connection with a number.
+    fn call(&self, connection: u64, req: Request) -> impl future::Future<Output = Response> + Send;
+}
+
+/// Binds the address and prints the line `listening ADDR`.
+///
+/// # Errors
+///
+/// Says which address can't be bound.
+pub async fn listen(address: net::SocketAddr) -> buckthorncleat::Result<tokio::net::TcpListener> {
+    let listener = tokio::net::TcpListener::bind(address)
+        .await
+        .map_err(|e| buckthorncleat::Error::io(format!("listen on {address}"), e))?;
+    let bound = listener
+        .local_addr()
+        .map_err(|e| buckthorncleat::Error::io(format!("listen on {address}"), e))?;
+    println!("listening {bound}");
+    Ok(listener)
+}
+
+/// Answers requests until the flag is true, then drops all connections.
+pub async fn serve<A: App>(
+    listener: tokio::net::TcpListener,
+    registry: sync::Arc<connection::Registry>,
+    app: sync::Arc<A>,
+    stop: watch::Receiver<bool>,
+) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                let _ = stream.set_nodelay(true);
+                let connection = registry.accept(stream);
+                connections.spawn(serve_connection(connection, sync::Arc::clone(&app)));
+            }
+            Some(_) = connections.join_next() => {}
+            () = shutdown::requested(stop.clone()) => break,
+        }
+    }
+    connections.shutdown().await;
+}
+
+async fn serve_connection<A: App>(connection: connection::Connection, app: sync::Arc<A>) {
+    let number = connection.entry().number();
+    let service = service::service_fn(move |req| {
+        let app = sync::Arc::clone(&app);
+        async move { Ok::<_, convert::Infallible>(app.call(number, req).await) }
+    });
+    let result = hyper::server::conn::http1::Builder::new()
+        .serve_connection(hyper_util::rt::TokioIo::new(connection), service)
+        .await;
+    if let Err(e) = result {
+        log::debug!("connection {number}: {e}");
+    }
+}
+
+/// Makes an answer of plain bytes.
+pub fn bytes(status: hyper::StatusCode, kind: &'static str, bytes: impl Into<Bytes>) -> Response {
+    let body = http_body_util::Full::new(bytes.into()).map_err(|never| match never {});
+    hyper::Response::builder()
+        .status(status)
+        .header(hyper::header::CONTENT_TYPE, kind)
+        .body(body.boxed_unsync())
+        .expect("a fixed header is valid")
+}
+
+/// Makes an answer of JSON.
+pub fn json<T: serde::Serialize>(status: hyper::StatusCode, value: &T) -> Response {
+    let text = serde_json::to_vec(value).expect("answers are plain data");
+    bytes(status, "application/json", text)
+}
+
+/// A request that is not answered as asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Failure {
+    status: hyper::StatusCode,
+    message: String,
+}
+
+impl Failure {
+    /// Says what went wrong.
+    pub fn new(status: hyper::StatusCode, message: impl ToString) -> Self {
+        let message = message.to_string();
+        Self { status, message }
+    }
+
+    /// Makes the answer that says so.
+    pub fn to_response(&self) -> Response {
+        let problem = Problem {
+            error: &self.message,
+        };
+        json(self.status, &problem)
+    }
+}
+
+#[derive(serde::Serialize)]
+struct Problem<'a> {
+    error: &'a str,
+}
+
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// Fails with 413 above [`MAX_BODY_BYTES`], 400 when the body breaks off.
+pub async fn read_body(mut body: body::Incoming) -> Result<Bytes, Failure> {
+    let mut kept = Vec::new();
+    let mut size = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| Failure::new(hyper::StatusCode::BAD_REQUEST, e))?;
+        let data = frame.into_data().unwrap_or_default();
+        size += data.len();
+        if size <= MAX_BODY_BYTES {
+            kept.extend_from_slice(&data);
+        }
+        if size > DRAINED_BYTES {
+            break;
+        }
+    }
+    if size > MAX_BODY_BYTES {
+        let message = format!("the body is above {MAX_BODY_BYTES} bytes");
+        return Err(Failure::new(hyper::StatusCode::PAYLOAD_TOO_LARGE, message));
+    }
+    Ok(kept.into())
+}
+
+/// Reads a body of JSON.
+///
+/// # Errors
+///
+/// Fails as [`read_body`], and with 400 when the body does not fit the type.
+pub async fn read_json<T: serde::de::DeserializeOwned>(body: body::Incoming) -> Result<T, Failure> {
+    let bytes = read_body(body).await?;
+    serde_json::from_slice(&bytes)
+        .map_err(|e| Failure::new(hyper::StatusCode::BAD_REQUEST, format!("bad body: {e}")))
+}
+
+/// Returns the value of one parameter of the query.
+pub fn query<'a>(req: &'a Request, name: &str) -> Option<&'a str> {
+    let pairs = req.uri().query()?.split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
+}
