Let the scheduler forget requests that no gateway asks for

Cause: a gateway whose caller left while its request waited has no reservation to finish. Change: Input::Abandoned takes the request out of the queue.

--- a/src/controller/scheduler/mod.rs
+++ b/src/controller/scheduler/mod.rs
@@ -26,7 +26,7 @@
 mod summary;
 mod upkeep;
 
-pub use message::{Place, Placement, Refusal, Reply, Request, Role};
+pub use message::{Finish, Live, Place, Placement, Prefilled, Refusal, Reply, Request, Role};
 pub use settings::Settings;
 pub use summary::Summary;
 
@@ -85,6 +85,8 @@
         /// The message.
         request: message::Request,
     },
+    /// No gateway asks for the place of this request any more.
+    Abandoned(id::RequestId),
     /// A gateway is gone: nobody renews or ends what it started.
     GatewayGone(id::InstanceId),
     /// What came of an [`Output::Cancel`].
@@ -191,6 +193,7 @@
             Input::Cache { server, events } => self.cache(&server, &events),
             Input::Held { server, held } => self.compare(&server, &held),
             Input::Request { gateway, request } => self.request(gateway, request),
+            Input::Abandoned(request) => self.abandoned(request),
             Input::GatewayGone(gateway) => self.gateway_gone(&gateway),
             Input::Cancelled {
                 server,
--- a/src/controller/scheduler/upkeep.rs
+++ b/src/controller/scheduler/upkeep.rs
@@ -31,6 +31,12 @@
         }
     }
 
+    pub(super) fn abandoned(&mut self, request: id::RequestId) {
+        for waiting in self.queue.take(|w| w.place.request == request) {
+            self.accounts.leave(&waiting.place.account);
+        }
+    }
+
     pub(super) fn server_gone(&mut self, slot: fleet::Slot) {
         self.cancels.forget(slot);
         self.prefixes.forget(slot);
