Add the operators' tool and the planners' sheet

Cause: operators had no way to drive the control group. Change: buckthorncleat puts, lists and removes accounts, keys, models, servers and routes, checks, compares and applies sheets, and shows status, audit trail and time line; it tries each admin address and sends a change again under the same name. Conclusion: the whole path can be driven from the command line.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -8,6 +8,8 @@
 use clap::Subcommand;
 
 use crate::clock;
+use crate::event;
+use crate::http::admin::read;
 use crate::id;
 use crate::state::model;
 use crate::unit;
@@ -114,8 +116,8 @@
         #[arg(long)]
         request: Option<id::RequestId>,
         /// Only events after this time, `WALL` or `WALL.COUNTER` in milliseconds since 1970.
-        #[arg(long)]
-        since: Option<String>,
+        #[arg(long, value_parser = read::parse_stamp)]
+        since: Option<event::Stamp>,
     },
     /// Let a gateway end its work and stop.
     Drain {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,6 +7,7 @@
 pub mod output;
 pub mod resource;
 pub mod session;
+pub mod sheet;
 pub mod view;
 
 use std::process;
@@ -43,12 +44,14 @@
         Command::Server(command) => resource::server(&connect()?, command).await,
         Command::Route(command) => resource::route(&connect()?, command).await,
         Command::Quarantine(command) => resource::quarantine(&connect()?, command).await,
-        Command::Sheet(_) => todo!(),
+        Command::Sheet(args::Sheet::Check(file)) => Ok(sheet::check(&file)?),
+        Command::Sheet(args::Sheet::Diff(file)) => sheet::diff(&connect()?, &file).await,
+        Command::Sheet(args::Sheet::Apply(file)) => sheet::apply(&connect()?, &file).await,
         Command::Member(args::Member::List) => view::members(&connect()?).await,
         Command::Status => view::status(&connect()?).await,
         Command::Audit { since } => view::audit(&connect()?, since).await,
         Command::Timeline { request, since } => {
-            view::timeline(&connect()?, request, since.as_deref()).await
+            view::timeline(&connect()?, request, since.unwrap_or_default()).await
         }
         Command::Drain { instance } => view::drain(&connect()?, &instance).await,
     }
--- /dev/null
+++ b/src/cli/sheet.rs
@@ -0,0 +1,104 @@
+//! Commands on the planners' sheet.
+
+use serde_json::json;
+
+use crate::cli::args;
+use crate::cli::failure;
+use crate::cli::output;
+use crate::cli::resource;
+use crate::cli::session;
+use crate::config::sheet;
+use crate::error;
+use crate::http::admin::wire;
+use crate::id;
+
+/// Checks a sheet by itself.
+///
+/// # Errors
+///
+/// Names line, column, value and remedy of every fault.
+pub fn check(file: &args::SheetFile) -> error::Result<output::Output> {
+    let sheet = read(file)?;
+    let rows = sheet.rows_at(time_of(file)?).len();
+    let times: Vec<_> = sheet.times().iter().map(ToString::to_string).collect();
+    let text = match times.len() {
+        0 => format!("ok: {rows} rows in effect"),
+        _ => format!("ok: {rows} rows in effect; more at {}", times.join(" ")),
+    };
+    output::Output::new(text, &json!({ "ok": true, "rows": rows, "times": times }))
+}
+
+/// Shows what a sheet would change.
+///
+/// # Errors
+///
+/// Fails when the sheet is bad or no control member answers.
+pub async fn diff(
+    cx: &session::Session,
+    file: &args::SheetFile,
+) -> failure::Result<output::Output> {
+    let plan = plan(cx, file, &read(file)?).await?;
+    Ok(output::Output::new(plan.to_string(), &plan)?)
+}
+
+/// Makes the changes of a sheet, together or not at all.
+///
+/// # Errors
+///
+/// Fails when the sheet is bad, a change came between, it is refused, or not answered.
+pub async fn apply(
+    cx: &session::Session,
+    file: &args::SheetFile,
+) -> failure::Result<output::Output> {
+    let sheet = read(file)?;
+    let plan = plan(cx, file, &sheet).await?;
+    if plan.steps.is_empty() {
+        return unchanged(plan.revision);
+    }
+    let expected = cx.expected().unwrap_or(plan.revision);
+    let changes = plan.changes();
+    let body = session::to_body(&wire::Changes { changes })?;
+    let path = "/v1/changes".to_owned();
+    let mut write = cx.change(hyper::Method::POST, path, body, Some(expected));
+    write.operation = operation_of(&sheet, &write.body, expected)?;
+    resource::written(cx.client.write(&write).await?)
+}
+
+fn unchanged(revision: id::Revision) -> failure::Result<output::Output> {
+    let text = format!("nothing to change; revision {revision}");
+    Ok(output::Output::new(text, &wire::Written { revision })?)
+}
+
+/// Names the request after the sheet, its changes and the revision, so that the same sheet applied
+/// on the same revision is one request, whoever sends it again.
+fn operation_of(
+    sheet: &sheet::Sheet,
+    body: &[u8],
+    expected: id::Revision,
+) -> error::Result<id::OperationId> {
+    let sheet = sheet.digest();
+    let body = xxhash_rust::xxh3::xxh3_64(body);
+    let prefix = sheet::plan::OPERATION_PREFIX;
+    format!("{prefix}{sheet:016x}-{body:016x}-{expected}").parse()
+}
+
+async fn plan(
+    cx: &session::Session,
+    file: &args::SheetFile,
+    sheet: &sheet::Sheet,
+) -> failure::Result<sheet::plan::Plan> {
+    let at = time_of(file)?;
+    let config: wire::Config = cx.client.read("/v1/config").await?;
+    let audit: wire::Audit = cx.client.read("/v1/audit").await?;
+    let config = config.to_config();
+    let plan = sheet::plan::Plan::new(sheet, at, file.prune, &config, &audit.entries);
+    Ok(plan)
+}
+
+fn read(file: &args::SheetFile) -> error::Result<sheet::Sheet> {
+    sheet::Sheet::from_file(&file.file)
+}
+
+fn time_of(file: &args::SheetFile) -> error::Result<Option<sheet::time::TimeOfDay>> {
+    file.at.as_deref().map(str::parse).transpose()
+}
--- a/src/cli/view.rs
+++ b/src/cli/view.rs
@@ -103,13 +103,10 @@
 pub async fn timeline(
     cx: &session::Session,
     request: Option<id::RequestId>,
-    since: Option<&str>,
+    since: event::Stamp,
 ) -> failure::Result<output::Output> {
     let cfg = cx.client.settings();
-    let path = match since {
-        Some(since) => format!("/v1/events?since={since}"),
-        None => "/v1/events".to_owned(),
-    };
+    let path = format!("/v1/events?since={}.{}", since.wall, since.counter);
     let mut events = Vec::new();
     let mut silent = Vec::new();
     for address in &cfg.admin {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -4,3 +4,4 @@
 pub mod file;
 pub mod probe;
 pub mod settings;
+pub mod sheet;
--- /dev/null
+++ b/src/config/sheet/row.rs
@@ -0,0 +1,218 @@
+//! The rows of a sheet.
+
+use std::net;
+use std::str;
+
+use crate::config::sheet;
+use crate::config::sheet::cells;
+use crate::config::sheet::time;
+use crate::error;
+use crate::state::change;
+use crate::state::model;
+use crate::state::subject;
+
+/// One row: a thing to put, and from when.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// The line in the file.
+    pub line: u64,
+    /// From when the row counts; `None` for at once.
+    pub from: Option<time::TimeOfDay>,
+    /// What it puts.
+    pub put: change::Change,
+    /// Whether a server keeps the state that it has, as its cell is empty.
+    pub keeps_state: bool,
+}
+
+struct Address(net::SocketAddr);
+
+struct Access(model::Access);
+
+struct Text(String);
+
+impl Row {
+    /// Reads a row; faults are reported and give `None`.
+    pub fn from_cells(cells: cells::Cells<'_>, faults: &mut sheet::Faults) -> Option<Self> {
+        let from = cells.optional("from", faults);
+        let put = match cells.text("kind") {
+            "account" => account(cells, faults).map(change::Change::PutAccount),
+            "model" => model(cells, faults).map(change::Change::PutModel),
+            "server" => server(cells, faults).map(change::Change::PutServer),
+            "route" => route(cells, faults).map(change::Change::PutRoute),
+            kind => {
+                let remedy = "use `account`, `model`, `server` or `route`";
+                faults.push(cells.line, "kind", kind, remedy);
+                None
+            }
+        };
+        Some(Self {
+            line: cells.line,
+            from: from?,
+            put: put?,
+            keeps_state: cells.text("state").is_empty(),
+        })
+    }
+
+    /// Names what the row puts.
+    pub fn subject(&self) -> subject::Subject {
+        subject::Subject::from_change(&self.put)
+    }
+
+    /// Returns kind and name, such as `account chefs`.
+    pub fn title(&self) -> String {
+        let subject = self.subject();
+        format!("{} {}", subject.kind, subject.name)
+    }
+}
+
+fn account(cells: cells::Cells<'_>, faults: &mut sheet::Faults) -> Option<model::ClientAccount> {
+    cells.only(&["rate", "burst", "priority", "weight"], faults);
+    let id = cells.required("name", faults);
+    let rate = cells.required("rate", faults);
+    let burst = cells.required("burst", faults);
+    let priority = cells.optional("priority", faults);
+    let weight: Option<Option<Whole>> = cells.optional("weight", faults);
+    Some(model::ClientAccount {
+        id: id?,
+        rate: rate?,
+        burst: burst?,
+        priority: priority?.unwrap_or_default(),
+        weight: weight?.map_or(1, |w| w.0),
+    })
+}
+
+fn model(cells: cells::Cells<'_>, faults: &mut sheet::Faults) -> Option<model::Model> {
+    let columns = [
+        "first_token_ms",
+        "between_tokens_ms",
+        "max_output",
+        "kv_bytes_per_token",
+    ];
+    cells.only(&columns, faults);
+    let id = cells.required("name", faults);
+    let first_token = cells.required("first_token_ms", faults);
+    let between_tokens = cells.required("between_tokens_ms", faults);
+    let max_output = cells.required("max_output", faults);
+    let kv_bytes_per_token = cells.required("kv_bytes_per_token", faults);
+    Some(model::Model {
+        id: id?,
+        first_token: first_token?,
+        between_tokens: between_tokens?,
+        max_output: max_output?,
+        kv_bytes_per_token: kv_bytes_per_token?,
+    })
+}
+
+fn server(cells: cells::Cells<'_>, faults: &mut sheet::Faults) -> Option<model::BackendServer> {
+    let columns = [
+        "address",
+        "data_centre",
+        "role",
+        "models",
+        "routes",
+        "state",
+        "slots",
+        "memory",
+        "link",
+        "checks_fencing",
+    ];
+    cells.only(&columns, faults);
+    let id = cells.required("name", faults);
+    let address: Option<Address> = cells.required("address", faults);
+    let data_centre = cells.required("data_centre", faults);
+    let role = cells.required("role", faults);
+    let models = cells.list("models", faults);
+    let routes = cells.list("routes", faults);
+    let state = cells.optional("state", faults);
+    let slots: Option<Whole> = cells.required("slots", faults);
+    let memory = cells.optional("memory", faults);
+    let link = cells.optional("link", faults);
+    let checks_fencing = cells.yes_or_no("checks_fencing", faults);
+    Some(model::BackendServer {
+        id: id?,
+        address: address?.0,
+        data_centre: data_centre?,
+        role: role?,
+        models: models?,
+        routes: routes?,
+        state: state?.unwrap_or(model::ServerState::InService),
+        slots: slots?.0,
+        memory: memory?.unwrap_or_default(),
+        link: link?.unwrap_or_default(),
+        checks_fencing: checks_fencing?,
+    })
+}
+
+fn route(cells: cells::Cells<'_>, faults: &mut sheet::Faults) -> Option<model::Route> {
+    let columns = [
+        "prefix",
+        "access",
+        "idempotent_methods",
+        "require_idempotency_key",
+        "deadline_ms",
+        "cost",
+    ];
+    cells.only(&columns, faults);
+    let id = cells.required("name", faults);
+    let prefix: Option<Text> = cells.required("prefix", faults);
+    let access: Option<Access> = cells.required("access", faults);
+    let methods: Option<Vec<Text>> = cells.list("idempotent_methods", faults);
+    let require_idempotency_key = cells.yes_or_no("require_idempotency_key", faults);
+    let deadline = cells.required("deadline_ms", faults);
+    let cost = cells.optional("cost", faults);
+    Some(model::Route {
+        id: id?,
+        prefix: prefix?.0,
+        access: access?.0,
+        idempotent_methods: methods?.into_iter().map(|m| m.0).collect(),
+        require_idempotency_key: require_idempotency_key?,
+        deadline: deadline?,
+        cost: cost?.unwrap_or_default(),
+    })
+}
+
+struct Whole(u32);
+
+impl str::FromStr for Whole {
+    type Err = error::Error;
+
+    fn from_str(s: &str) -> error::Result<Self> {
+        s.parse()
+            .map(Self)
+            .map_err(|_| error::Error::bad_value("number", s, "use a whole number"))
+    }
+}
+
+impl str::FromStr for Address {
+    type Err = error::Error;
+
+    fn from_str(s: &str) -> error::Result<Self> {
+        s.parse()
+            .map(Self)
+            .map_err(|_| error::Error::bad_value("address", s, "use IP:PORT"))
+    }
+}
+
+impl str::FromStr for Access {
+    type Err = error::Error;
+
+    fn from_str(s: &str) -> error::Result<Self> {
+        match s {
+            "open" => Ok(Self(model::Access::Open)),
+            "keyed" => Ok(Self(model::Access::Keyed)),
+            _ => Err(error::Error::bad_value(
+                "access",
+                s,
+                "use `open` or `keyed`",
+            )),
+        }
+    }
+}
+
+impl str::FromStr for Text {
+    type Err = error::Error;
+
+    fn from_str(s: &str) -> error::Result<Self> {
+        Ok(Self(s.to_owned()))
+    }
+}
--- a/src/http/admin/read.rs
+++ b/src/http/admin/read.rs
@@ -67,9 +67,15 @@
 ///
 /// Names what is wrong with it.
 pub fn since_stamp(query: Option<&str>) -> error::Result<event::Stamp> {
-    let Some(value) = since(query)? else {
-        return Ok(event::Stamp::default());
-    };
+    since(query)?.map_or(Ok(event::Stamp::default()), parse_stamp)
+}
+
+/// Reads a stamp, `WALL` or `WALL.COUNTER`.
+///
+/// # Errors
+///
+/// Names what is wrong with it.
+pub fn parse_stamp(value: &str) -> error::Result<event::Stamp> {
     let (wall, counter) = value.split_once('.').unwrap_or((value, "0"));
     match (wall.parse(), counter.parse()) {
         (Ok(wall), Ok(counter)) => Ok(event::Stamp { wall, counter }),
--- a/src/state/audit.rs
+++ b/src/state/audit.rs
@@ -4,6 +4,7 @@
 
 use crate::id;
 use crate::macros;
+use crate::state::change;
 use crate::state::command;
 use crate::state::subject;
 
@@ -46,15 +47,20 @@
     }
 
     /// Adds an entry, and forgets the oldest when there are too many.
-    pub fn record(&mut self, operation: &command::Operation, revision: id::Revision) {
-        let changes = operation.changes.iter().take(ENTRY_SUBJECTS);
+    pub fn record(
+        &mut self,
+        operation: &command::Operation,
+        changes: &[change::Change],
+        revision: id::Revision,
+    ) {
+        let named = changes.iter().take(ENTRY_SUBJECTS);
         self.entries.push_back(Entry {
             revision,
             operator: operation.operator.clone(),
             operation: operation.id.clone(),
             wall: operation.wall,
-            subjects: changes.map(subject::Subject::from_change).collect(),
-            changes: operation.changes.len(),
+            subjects: named.map(subject::Subject::from_change).collect(),
+            changes: changes.len(),
         });
         if self.entries.len() > ENTRIES {
             self.entries.pop_front();
--- a/src/state/check.rs
+++ b/src/state/check.rs
@@ -82,7 +82,20 @@
         next.apply_change(change);
     }
     check_references(&next, &mut faults);
-    check_unique(&next, &mut faults);
+    faults.extend(unique(&next));
+    faults
+}
+
+/// Returns the faults of what a change puts, seen by itself.
+pub fn value(change: &change::Change) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    match change {
+        change::Change::PutAccount(account) => check_account(account, &mut faults),
+        change::Change::PutModel(model) => check_model(model, &mut faults),
+        change::Change::PutServer(server) => check_server(server, &mut faults),
+        change::Change::PutRoute(route) => check_route(route, &mut faults),
+        _ => {}
+    }
     faults
 }
 
@@ -123,11 +136,11 @@
 fn check_change(config: &change::Config, change: &change::Change, faults: &mut Vec<Fault>) {
     use change::Change;
     match change {
-        Change::PutAccount(account) => check_account(account, faults),
+        Change::PutAccount(_)
+        | Change::PutModel(_)
+        | Change::PutServer(_)
+        | Change::PutRoute(_) => faults.extend(value(change)),
         Change::PutKey(key) => check_key(config, key, faults),
-        Change::PutModel(model) => check_model(model, faults),
-        Change::PutServer(server) => check_server(server, faults),
-        Change::PutRoute(route) => check_route(route, faults),
         Change::PutMember(_) | Change::RemoveMember(_) => faults.push(Fault::new(
             "change",
             "member",
@@ -317,7 +330,9 @@
     }
 }
 
-fn check_unique(config: &change::Config, faults: &mut Vec<Fault>) {
+/// Returns the faults of servers with the same address and routes with the same prefix.
+pub fn unique(config: &change::Config) -> Vec<Fault> {
+    let mut faults = Vec::new();
     let mut addresses: sorted::Map<net::SocketAddr, &id::BackendServerId> = sorted::Map::new();
     for server in config.servers.values() {
         if let Some(other) = addresses.insert(server.address, &server.id) {
@@ -334,6 +349,7 @@
             faults.push(Fault::new(field, &route.prefix, remedy));
         }
     }
+    faults
 }
 
 fn join(names: &[impl fmt::Display]) -> String {
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -255,9 +255,9 @@
         if changes.is_empty() {
             return Answer::Done(self.config.revision);
         }
-        let revision = self.commit(changes);
-        self.audit.record(operation, revision);
-        Answer::Done(revision)
+        let next = self.config.revision.next();
+        self.audit.record(operation, &changes, next);
+        Answer::Done(self.commit(changes))
     }
 
     fn conflict(&self, expected: id::Revision) -> Answer {
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,289 @@
+//! The operators' tool against a control member in this process.
+
+use std::fs;
+use std::net;
+use std::path;
+use std::process;
+use std::sync;
+use std::thread;
+
+use buckthorncleat::event;
+use buckthorncleat::http::admin;
+use buckthorncleat::replica;
+use tokio::sync::watch;
+
+/// A control member and a folder with the secrets of one operator.
+struct Bench {
+    folder: tempfile::TempDir,
+    address: net::SocketAddr,
+    stop: watch::Sender<bool>,
+    server: Option<thread::JoinHandle<()>>,
+}
+
+struct Ran {
+    code: i32,
+    out: String,
+    err: String,
+}
+
+impl Bench {
+    fn start() -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let operators = folder.path().join("operators");
+        let made = tool(&["token", "planner", operators.to_str().expect("a path")]);
+        assert_eq!(made.code, 0, "{}", made.err);
+        let operators = admin::token::Operators::from_file(&operators).expect("operators");
+        let instance: buckthorncleat::id::InstanceId = "ctl-a".parse().expect("a name");
+        let recorder = sync::Arc::new(event::Recorder::new(instance.clone()));
+        recorder.record(event::Kind::Started, "test");
+        let group = replica::Group::in_memory(instance);
+        let service = admin::service::Service::new(group, operators, recorder, None);
+        let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (stop, stopped) = watch::channel(false);
+        let server = thread::spawn(move || {
+            let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+            runtime.block_on(async {
+                listener.set_nonblocking(true).expect("a mode");
+                let listener = tokio::net::TcpListener::from_std(listener).expect("a socket");
+                admin::serve::serve_on(listener, service, stopped).await;
+            });
+        });
+        Self {
+            folder,
+            address,
+            stop,
+            server: Some(server),
+        }
+    }
+
+    fn run(&self, args: &[&str]) -> Ran {
+        let token = self.folder.path().join("operators");
+        let admin = self.address.to_string();
+        let token = token.to_str().expect("a path");
+        let fixed = [
+            "--admin",
+            &admin,
+            "--token-file",
+            token,
+            "--timeout-ms",
+            "3000",
+        ];
+        tool(&[&fixed, args].concat())
+    }
+
+    fn ok(&self, line: &str) -> String {
+        let ran = self.run(&line.split_whitespace().collect::<Vec<_>>());
+        assert_eq!(ran.code, 0, "{line}: {}", ran.err);
+        ran.out
+    }
+
+    fn path(&self, name: &str) -> path::PathBuf {
+        self.folder.path().join(name)
+    }
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        self.stop.send_replace(true);
+        if let Some(server) = self.server.take() {
+            server.join().expect("the server ends");
+        }
+    }
+}
+
+fn tool(args: &[&str]) -> Ran {
+    let output = process::Command::new(env!("CARGO_BIN_EXE_buckthorncleat"))
+        .args(args)
+        .env_clear()
+        .output()
+        .expect("the tool runs");
+    Ran {
+        code: output.status.code().expect("an exit code"),
+        out: String::from_utf8_lossy(&output.stdout).into_owned(),
+        err: String::from_utf8_lossy(&output.stderr).into_owned(),
+    }
+}
+
+fn example_sheet(name: &str) -> String {
+    let root = env!("CARGO_MANIFEST_DIR");
+    format!("{root}/examples/{name}/morning.csv")
+}
+
+#[test]
+fn things_are_put_listed_and_removed() {
+    let bench = Bench::start();
+    bench.ok("model put resipi --first-token-ms 5000 --between-tokens-ms 100 --max-output 2048 --kv-bytes-per-token 131072");
+    bench.ok(
+        "route put stock --prefix /shop/stock --open --idempotent-method GET --deadline-ms 800",
+    );
+    bench.ok("server put decode-1 --address 127.0.0.1:7505 --data-centre klang-a --role decode --model resipi --slots 20 --memory 64 --link 1250000000");
+    bench.ok("account put chefs --rate 100 --burst 1000 --priority high");
+    let granted = bench.ok("key grant chefs chefs-1");
+    assert!(granted.contains("secret bck_"), "{granted}");
+    assert!(bench.ok("key list").contains("chefs-1"));
+    assert!(!bench.ok("--json key list").contains("bck_"));
+    assert!(bench.ok("account list").contains("high"));
+    bench.ok("server leave decode-1");
+    assert!(bench.ok("server list").contains("leaving"));
+    assert!(bench.ok("model list").contains("resipi"));
+    assert!(bench.ok("route list").contains("/shop/stock"));
+    assert!(bench.ok("quarantine list").contains("fingerprint"));
+    assert!(bench.ok("member list").contains("instance"));
+    assert!(bench.ok("status").contains("leader ctl-a revision 6"));
+    assert!(bench.ok("timeline --since 0").contains("ctl-a started"));
+    assert!(bench.ok("audit").contains("planner"));
+    bench.ok("key withdraw chefs-1");
+    bench.ok("server remove decode-1");
+    bench.ok("model remove resipi");
+    bench.ok("route remove stock");
+    bench.ok("account remove chefs");
+    assert_eq!(bench.ok("--json audit").matches("\"operator\"").count(), 11);
+}
+
+#[test]
+fn exit_codes_tell_refusals_bad_input_and_silence_apart() {
+    let bench = Bench::start();
+    bench.ok("account put chefs --rate 100 --burst 1000");
+    let cases: &[(&str, i32, &str)] = &[
+        (
+            "account put chefs --rate 0 --burst 1000",
+            1,
+            "account chefs: rate: bad value `0`",
+        ),
+        ("account remove chiefs", 1, "list what exists"),
+        (
+            "account put chefs --rate 9 --burst 9 --expected 0",
+            1,
+            "changed since: put account chefs",
+        ),
+        (
+            "account put chefs --rate nine --burst 9",
+            2,
+            "use a whole number",
+        ),
+        ("account put ch/efs --rate 9 --burst 9", 2, "use 1 to 64"),
+        ("sheet check none.csv", 2, "reading sheet none.csv"),
+        ("server leave none", 1, "not found"),
+        ("drain gw-a1", 2, "give the status addresses"),
+        ("timeline --since yesterday", 2, "use `WALL.COUNTER`"),
+    ];
+    for (line, code, expected) in cases {
+        let ran = bench.run(&line.split_whitespace().collect::<Vec<_>>());
+        assert_eq!(ran.code, *code, "{line}: {}", ran.err);
+        assert!(ran.err.contains(expected), "{line}: {}", ran.err);
+    }
+    let token = bench.path("operators");
+    let token = token.to_str().expect("a path");
+    let silent = [
+        "--admin",
+        "127.0.0.1:1",
+        "--token-file",
+        token,
+        "--timeout-ms",
+        "300",
+    ];
+    let ran = tool(&[&silent[..], &["account", "list"]].concat());
+    assert_eq!(ran.code, 3, "{}", ran.err);
+    let ran = tool(&[&silent[..], &["account", "remove", "x"]].concat());
+    assert!(
+        ran.err.contains("again with `--operation op-"),
+        "{}",
+        ran.err
+    );
+    fs::write(bench.path("wrong"), "not-the-token-of-anyone").expect("a file");
+    let wrong = bench.path("wrong");
+    let wrong = wrong.to_str().expect("a path");
+    let admin = bench.address.to_string();
+    let ran = tool(&["--admin", &admin, "--token-file", wrong, "account", "list"]);
+    assert_eq!(ran.code, 1);
+    assert!(ran.err.contains("an operator's token"), "{}", ran.err);
+}
+
+#[test]
+fn a_resend_under_the_same_name_changes_once() {
+    let bench = Bench::start();
+    let put = "account put chefs --rate 100 --burst 1000 --operation monday-1";
+    let first = bench.ok(put);
+    bench.ok("account put chefs --rate 200 --burst 1000");
+    assert_eq!(bench.ok(put), first);
+    assert!(bench.ok("account list").contains("200"));
+    let other = bench.run(&["--operation", "monday-1", "account", "remove", "chefs"]);
+    assert_eq!(other.code, 1);
+    assert!(other.err.contains("choose a new one"), "{}", other.err);
+}
+
+#[test]
+fn a_key_kept_in_a_file_can_be_granted_again() {
+    let bench = Bench::start();
+    bench.ok("account put chefs --rate 100 --burst 1000");
+    let file = bench.path("key");
+    let grant = format!("key grant chefs chefs-1 --secret-file {}", file.display());
+    let first = bench.ok(&grant);
+    let secret = fs::read_to_string(&file).expect("the secret");
+    assert!(!first.contains(secret.trim()));
+    assert_eq!(bench.ok(&grant), first);
+    assert_eq!(fs::read_to_string(&file).expect("the secret"), secret);
+    let other = bench.run(&["key", "grant", "chefs", "chefs-1"]);
+    assert!(
+        other.err.contains("withdraw the key of this name first"),
+        "{}",
+        other.err
+    );
+}
+
+#[test]
+fn a_sheet_is_one_change_and_the_same_sheet_none() {
+    for name in ["rempah", "pinar"] {
+        let bench = Bench::start();
+        let sheet = example_sheet(name);
+        assert!(
+            bench
+                .ok(&format!("sheet check {sheet}"))
+                .starts_with("ok: 23 rows")
+        );
+        let diff = bench.ok(&format!("sheet diff {sheet}"));
+        assert_eq!(diff.matches("\n+ ").count(), 23, "{diff}");
+        assert_eq!(
+            bench.ok(&format!("sheet apply {sheet}")).trim(),
+            "revision 1"
+        );
+        let again = bench.ok(&format!("sheet apply {sheet}"));
+        assert_eq!(again.trim(), "nothing to change; revision 1");
+        let noon = bench.ok(&format!("sheet diff {sheet} --at 23:00"));
+        assert_eq!(noon.contains("~ account"), name == "pinar", "{noon}");
+    }
+}
+
+#[test]
+fn a_diff_shows_what_a_sheet_overwrites_and_keeps() {
+    let bench = Bench::start();
+    let sheet = example_sheet("rempah");
+    bench.ok(&format!("sheet apply {sheet}"));
+    bench.ok("account put warehouse --rate 500 --burst 2000");
+    bench.ok("account put guests --rate 10 --burst 100");
+    bench.ok("server leave decode-3");
+    let diff = bench.ok(&format!("sheet diff {sheet}"));
+    let expected = "~ account warehouse rate: 500 -> 400 (overwrites revision 2 by planner)";
+    assert!(diff.contains(expected), "{diff}");
+    assert!(
+        diff.contains("= account guests (not in the sheet, kept)"),
+        "{diff}"
+    );
+    assert!(!diff.contains("decode-3"), "{diff}");
+    let pruned = bench.ok(&format!("sheet diff {sheet} --prune"));
+    assert!(pruned.contains("- account guests"), "{pruned}");
+    let late = bench.run(&["--expected", "1", "sheet", "apply", &sheet]);
+    assert_eq!(late.code, 1);
+    assert!(
+        late.err.contains("changed since: put account guests"),
+        "{}",
+        late.err
+    );
+    assert_eq!(
+        bench.ok(&format!("sheet apply {sheet} --prune")).trim(),
+        "revision 5"
+    );
+    assert!(bench.ok("server list").contains("leaving"));
+    assert!(!bench.ok("account list").contains("guests"));
+}
