Add `buckthorncleat ask`: one request as a caller would send it

Cause: the demo and operators need to try a deployment out without further tools. Change: ask entries, ask chat, ask call over the caller interface.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -119,6 +119,9 @@
         #[arg(long, value_parser = read::parse_stamp)]
         since: Option<event::Stamp>,
     },
+    /// Send one request as a caller would.
+    #[command(subcommand)]
+    Ask(Ask),
     /// Let a gateway end its work and stop.
     Drain {
         /// The name of the gateway's instance.
@@ -126,6 +129,61 @@
     },
 }
 
+/// What to send as a caller.
+#[derive(Debug, Subcommand)]
+pub enum Ask {
+    /// Ask which entries to use.
+    Entries {
+        /// The caller address of a gateway.
+        #[arg(long)]
+        entry: net::SocketAddr,
+    },
+    /// Ask a model and print its answer as it comes.
+    Chat(Chat),
+    /// Call a plain service.
+    Call(Call),
+}
+
+/// A question to a model.
+#[derive(Args, Debug)]
+pub struct Chat {
+    /// The caller address of a gateway.
+    #[arg(long)]
+    pub entry: net::SocketAddr,
+    /// The file with the caller's key.
+    #[arg(long)]
+    pub key_file: path::PathBuf,
+    /// The model.
+    #[arg(long)]
+    pub model: id::ModelId,
+    /// The most tokens of the answer.
+    #[arg(long, default_value = "200")]
+    pub max_tokens: u64,
+    /// The question.
+    pub text: String,
+}
+
+/// A call to a plain service.
+#[derive(Args, Debug)]
+pub struct Call {
+    /// The caller address of a gateway.
+    #[arg(long)]
+    pub entry: net::SocketAddr,
+    /// The file with the caller's key, for routes that need one.
+    #[arg(long)]
+    pub key_file: Option<path::PathBuf>,
+    /// Names the call, so that it runs once however often it is sent.
+    #[arg(long)]
+    pub idempotency_key: Option<String>,
+    /// The JSON body.
+    #[arg(long)]
+    pub body: Option<String>,
+    /// The method, such as GET or POST.
+    pub method: String,
+    /// The path, with the query.
+    pub path: String,
+}
+
 /// What to do with client accounts.
 #[derive(Debug, Subcommand)]
 pub enum Account {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The operators' tool.
 
 pub mod args;
+pub mod ask;
 pub mod client;
 pub mod failure;
 pub mod local;
@@ -53,6 +54,9 @@
         Command::Timeline { request, since } => {
             view::timeline(&connect()?, request, since.unwrap_or_default()).await
         }
+        Command::Ask(args::Ask::Entries { entry }) => ask::entries(entry).await,
+        Command::Ask(args::Ask::Chat(chat)) => ask::chat(chat).await,
+        Command::Ask(args::Ask::Call(call)) => ask::call(call).await,
         Command::Drain { instance } => view::drain(&connect()?, &instance).await,
     }
 }
