--- /dev/null
+++ b/src/control/handler.rs
@@ -0,0 +1,141 @@
+//! The answers of a control member to other processes.
+
+use std::sync;
+
+use tokio::time;
+
+use crate::control::sessions;
+use crate::controller::membership;
+use crate::id;
+use crate::peer::message;
+use crate::peer::server;
+use crate::replica::group;
+use crate::state::command;
+
+/// Answers gateways and other members.
+#[derive(Debug)]
+pub struct Handler {
+    group: group::Group,
+    sessions: sync::Arc<sessions::Sessions>,
+}
+
+impl server::Handler for Handler {
+    async fn handle(&self, from: id::InstanceId, request: message::Request) -> message::Reply {
+        match request {
+            message::Request::Replica(bytes) => self.take_replica(&from, &bytes),
+            message::Request::Watch(watch) if watch.member.id == from => self.watch(watch).await,
+            message::Request::Propose(command) => self.propose(&command).await,
+            message::Request::Leave(incarnation) => self.leave(from, incarnation).await,
+            message::Request::Ping => message::Reply::Accepted,
+            message::Request::Watch(_)
+            | message::Request::Limiter(_)
+            | message::Request::Scheduler(_) => message::Reply::Unsupported,
+        }
+    }
+}
+
+impl Handler {
+    /// Makes the handler of a member.
+    pub fn new(group: group::Group, sessions: sync::Arc<sessions::Sessions>) -> Self {
+        Self { group, sessions }
+    }
+
+    fn take_replica(&self, from: &id::InstanceId, bytes: &[u8]) -> message::Reply {
+        match self.group.handle_message(from, bytes) {
+            Ok(()) => message::Reply::Accepted,
+            Err(e) => {
+                log::warn!("message of the log from {from}: {e}");
+                message::Reply::Unsupported
+            }
+        }
+    }
+
+    async fn propose(&self, command: &command::Command) -> message::Reply {
+        match self.group.submit(command).await {
+            Ok(outcome) => reply_to_proposal(outcome),
+            Err(e) => {
+                log::warn!("proposal refused: {e}");
+                message::Reply::Unsupported
+            }
+        }
+    }
+
+    /// Takes a gateway out at its own word; its successors need not wait for its session to end.
+    async fn leave(&self, from: id::InstanceId, incarnation: id::Incarnation) -> message::Reply {
+        if self.group.watch().borrow().leads.is_none() {
+            return self.not_leader();
+        }
+        let changes = self.sessions.decide(membership::Input::Leave {
+            instance: from,
+            incarnation,
+        });
+        if changes.is_empty() {
+            return message::Reply::Accepted;
+        }
+        match self.propose(&command::Command::System(changes)).await {
+            message::Reply::Applied(_) => message::Reply::Accepted,
+            other => other,
+        }
+    }
+
+    /// Holds a watch until there is news, then proves the lead and answers.
+    async fn watch(&self, watch: message::Watch) -> message::Reply {
+        let mut view = self.group.watch();
+        if view.borrow().leads.is_none() {
+            return self.not_leader();
+        }
+        let incarnation = watch.member.incarnation;
+        let wait = watch.wait.min(self.sessions.longest_wait());
+        let have = watch.have;
+        self.sessions.step(membership::Input::Watch {
+            member: watch.member,
+            have,
+        });
+        let mut settled = self.sessions.watch_settled();
+        let news = async {
+            while !self.sessions.has_news(incarnation) {
+                if settled.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        let newer = view.wait_for(|v| v.revision > have || v.leads.is_none());
+        let held = async {
+            tokio::select! {
+                () = news => (),
+                _ = newer => (),
+            }
+        };
+        // No news until the end of the wait is an answer too: it keeps the lease fresh.
+        let _ = time::timeout(wait.as_duration(), held).await;
+        if self.group.confirm().await.is_err() {
+            return self.not_leader();
+        }
+        let settled = self.sessions.tell_settled(incarnation);
+        message::Reply::Watched(self.watched(have, settled))
+    }
+
+    fn watched(&self, have: id::Revision, settled: id::Epoch) -> message::Watched {
+        let update = self
+            .group
+            .with_state(|state| match state.commits_after(have) {
+                Some(commits) => message::Update::Commits(commits.to_vec()),
+                None => message::Update::Snapshot(Box::new(state.config().clone())),
+            });
+        message::Watched { update, settled }
+    }
+
+    fn not_leader(&self) -> message::Reply {
+        message::Reply::NotLeader(self.group.status().leader)
+    }
+}
+
+fn reply_to_proposal(outcome: group::Outcome) -> message::Reply {
+    match outcome {
+        group::Outcome::Applied(answer) => message::Reply::Applied(answer),
+        group::Outcome::NotLeader(leader) => message::Reply::NotLeader(leader),
+        group::Outcome::Uncertain => message::Reply::Uncertain,
+        group::Outcome::Busy => message::Reply::NotLeader(None),
+        group::Outcome::Done | group::Outcome::Invalid => message::Reply::Unsupported,
+    }
+}
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -4,4 +4,5 @@
 //! or a random source, so that randomised tests run millions of steps of the same code.
 
 pub mod limiter;
+pub mod membership;
 pub mod scheduler;
--- a/src/replica/group/driver.rs
+++ b/src/replica/group/driver.rs
@@ -17,6 +17,7 @@
 use crate::id;
 use crate::peer::server;
 use crate::replica::core;
+use crate::replica::core::members;
 use crate::replica::core::message;
 use crate::replica::group::Event;
 use crate::replica::group::Outcome;
@@ -252,7 +253,11 @@
     fn apply(&mut self, entry: &message::Entry) -> error::Result<()> {
         let outcome = match &entry.payload {
             message::Payload::Command(bytes) => Outcome::Applied(self.apply_command(bytes)?),
-            message::Payload::Empty | message::Payload::Members(_) => Outcome::Done,
+            message::Payload::Members(members) => {
+                log_members(members);
+                Outcome::Done
+            }
+            message::Payload::Empty => Outcome::Done,
         };
         if let Some(proposal) = self.proposals.remove(&entry.at.index) {
             let lost = proposal.term != entry.at.term;
@@ -340,3 +345,12 @@
         }
     }
 }
+
+fn log_members(members: &members::Membership) {
+    for (instance, seat) in members.voters.iter() {
+        log::info!("member {instance} in life {} votes", seat.incarnation);
+    }
+    for (instance, seat) in members.learners.iter() {
+        log::info!("member {instance} in life {} catches up", seat.incarnation);
+    }
+}
--- /dev/null
+++ b/tests/control_process.rs
@@ -0,0 +1,67 @@
+//! Three control processes under kills, freezes and a lost disk: no acknowledged change is lost.
+
+mod control_support;
+
+use control_support::cluster;
+
+/// The changes that one phase of a test waits for.
+const CHANGES: usize = 40;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn members_killed_in_the_middle_of_writes() {
+    let mut cluster = cluster::Cluster::start(3).await;
+    let mut writer = cluster.writer();
+    writer.write(CHANGES).await;
+    for _ in 0..3 {
+        let leader = cluster.leader().await;
+        writer.write_while(CHANGES, || cluster.kill(leader)).await;
+        cluster.restart(leader);
+        writer.write(CHANGES).await;
+    }
+    for member in 0..3 {
+        cluster.kill(member);
+    }
+    for member in 0..3 {
+        cluster.restart(member);
+    }
+    writer.write(1).await;
+    writer.check().await;
+    cluster.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_frozen_leader_comes_back_as_follower() {
+    let cluster = cluster::Cluster::start(3).await;
+    let mut writer = cluster.writer();
+    writer.write(CHANGES).await;
+    for _ in 0..2 {
+        let leader = cluster.leader().await;
+        writer
+            .write_while(CHANGES, || cluster.signal(leader, "STOP"))
+            .await;
+        cluster.signal(leader, "CONT");
+        writer.write(CHANGES).await;
+    }
+    writer.check().await;
+    cluster.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_member_without_its_disk_joins_as_learner() {
+    let mut cluster = cluster::Cluster::start(3).await;
+    let mut writer = cluster.writer();
+    writer.write(CHANGES).await;
+    let leader = cluster.leader().await;
+    writer.write_while(CHANGES, || cluster.kill(leader)).await;
+    cluster.delete_folder(leader);
+    cluster.restart(leader);
+    cluster.until_repaired(leader).await;
+    // The second instance is lost right after the repair: the repaired one must carry the load.
+    let second = (leader + 1) % 3;
+    writer.write_while(CHANGES, || cluster.kill(second)).await;
+    writer.check().await;
+    cluster.restart(second);
+    writer.write(CHANGES).await;
+    writer.check().await;
+    cluster.stop().await;
+}
--- /dev/null
+++ b/tests/control_support/mod.rs
@@ -0,0 +1,4 @@
+//! Real control processes on the loopback interface, and a writer that keeps the acknowledgements.
+
+pub mod cluster;
+pub mod writer;
