--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -16,6 +16,8 @@
 use crate::error;
 use crate::event;
 use crate::gateway::shared;
+use crate::http::admin::read;
+use crate::http::admin::wire;
 use crate::http::body::Body;
 use crate::id;
 use crate::macros;
@@ -91,9 +93,9 @@
 ) -> hyper::Response<Body> {
     match (request.method(), request.uri().path()) {
         (&hyper::Method::GET, "/v1/status") => json(200, &status(cx)),
-        (&hyper::Method::GET, "/v1/events") => match since(request.uri().query()) {
-            Some(stamp) => json(200, &cx.recorder.events_since(stamp)),
-            None => problem(400, "since: use `WALL.COUNTER`, such as `1764800000000.0`"),
+        (&hyper::Method::GET, "/v1/events") => match read::since_stamp(request.uri().query()) {
+            Ok(stamp) => json(200, &events(cx, stamp)),
+            Err(e) => problem(400, &e.to_string()),
         },
         (&hyper::Method::GET, "/metrics") => text(handle.render()),
         (&hyper::Method::POST, "/v1/drain") => {
@@ -107,6 +109,11 @@
     }
 }
 
+fn events(cx: &shared::Shared, since: event::Stamp) -> wire::Events {
+    let events = cx.recorder.events_since(since);
+    wire::Events { events }
+}
+
 fn status(cx: &shared::Shared) -> Status {
     let config = cx.config();
     Status {
@@ -119,22 +126,6 @@
     }
 }
 
-/// Reads `since=WALL.COUNTER` from a query; without it, all events are meant.
-fn since(query: Option<&str>) -> Option<event::Stamp> {
-    let Some(value) = query
-        .into_iter()
-        .flat_map(|q| q.split('&'))
-        .find_map(|pair| pair.strip_prefix("since="))
-    else {
-        return Some(event::Stamp::default());
-    };
-    let (wall, counter) = value.split_once('.').unwrap_or((value, "0"));
-    Some(event::Stamp {
-        wall: wall.parse().ok()?,
-        counter: counter.parse().ok()?,
-    })
-}
-
 fn json<T: serde::Serialize>(status: u16, value: &T) -> hyper::Response<Body> {
     let body = serde_json::to_vec(value).unwrap_or_default();
     respond(status, "application/json", body)
