--- a/stand-in/src/bin/stand_in.rs
+++ b/stand-in/src/bin/stand_in.rs
@@ -6,7 +6,10 @@
 use clap::Parser as _;
 use stand_in::engine;
 use stand_in::plain;
+use stand_in::platform;
 use stand_in::shutdown;
+use stand_in::weights;
+use stand_in::wire;
 
 /// Small fakes of what stands around buckthorncleat; for tests and the demo only.
 #[derive(Debug, clap::Parser)]
@@ -34,6 +37,30 @@
         #[command(flatten)]
         settings: plain::Settings,
     },
+    /// The platform's lagging list of instances.
+    Platform {
+        /// Address to listen on, as `IP:port`.
+        #[arg(long)]
+        listen: net::SocketAddr,
+        #[command(flatten)]
+        settings: platform::Settings,
+    },
+    /// The rate-limited weight store.
+    Weights {
+        /// Address to listen on, as `IP:port`.
+        #[arg(long)]
+        listen: net::SocketAddr,
+        #[command(flatten)]
+        settings: weights::Settings,
+    },
+    /// A TCP relay that loses, delays and slows what it carries.
+    Wire {
+        /// Address to listen on, as `IP:port`.
+        #[arg(long)]
+        listen: net::SocketAddr,
+        #[command(flatten)]
+        settings: wire::Settings,
+    },
 }
 
 #[tokio::main]
@@ -44,6 +71,9 @@
     let result = match args.command {
         Command::Engine { listen, settings } => engine::server::run(listen, settings, stop).await,
         Command::Plain { listen, settings } => plain::run(listen, settings, stop).await,
+        Command::Platform { listen, settings } => platform::run(listen, settings, stop).await,
+        Command::Weights { listen, settings } => weights::run(listen, settings, stop).await,
+        Command::Wire { listen, settings } => wire::run(listen, settings, stop).await,
     };
     signals.abort();
     let _ = signals.await;
--- a/stand-in/src/engine/decode.rs
+++ b/stand-in/src/engine/decode.rs
@@ -136,7 +136,7 @@
     pub fn detach(&mut self, request: id::RequestId) {
         let now = self.now;
         if let Ok(decoding) = self.decoding(request) {
-            decoding.readers -= 1;
+            decoding.readers = decoding.readers.saturating_sub(1);
             decoding.left_at = (decoding.readers == 0).then_some(now);
         }
     }
--- a/stand-in/src/engine/server.rs
+++ b/stand-in/src/engine/server.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::client;
 use crate::connection;
 use crate::engine::link;
 use crate::engine::machine;
@@ -31,6 +32,7 @@
     cuts: atomic::AtomicU64,
     link: link::Link,
     load_model: clock::Millis,
+    weights: Option<net::SocketAddr>,
     connections: sync::Arc<connection::Registry>,
 }
 
@@ -42,6 +44,7 @@
             cuts: atomic::AtomicU64::new(0),
             link: link::Link::new(settings.link_bytes_per_second),
             load_model: settings.load_model_ms,
+            weights: settings.weights,
             connections: sync::Arc::default(),
             engine: sync::Mutex::new(machine::Engine::new(settings)),
         }
@@ -137,10 +140,7 @@
             ("GET", ["_stand-in", "totals"]) => Ok(ok(&self.0.read(|e| e.totals().clone()))),
             ("GET", ["_stand-in", "heads"]) => Ok(ok(&self.0.connections.received())),
             ("POST", ["_stand-in", "faults"]) => self.faults(connection, req).await,
-            _ => Err(http::Failure::new(
-                hyper::StatusCode::NOT_FOUND,
-                "unknown path",
-            )),
+            _ => Err(http::Failure::unknown_path()),
         };
         answer.unwrap_or_else(|failure| failure.to_response())
     }
@@ -200,16 +200,31 @@
             .and_then(|value| value.to_str().ok()?.parse().ok())
             .ok_or(refusal::Refusal::NoFencing)?;
         self.0.change(|e| e.order(number, &order))?;
-        if matches!(
-            order,
-            wire::Order::LoadModel { .. } | wire::Order::LoadAdapter { .. }
-        ) {
-            time::sleep(self.0.load_model.as_duration()).await;
-        }
+        self.load(&order).await?;
         self.0.change(|e| e.finish_order(&order));
         Ok(ok(&serde_json::Map::new()))
     }
 
+    async fn load(&self, order: &wire::Order) -> Result<(), http::Failure> {
+        let path = match order {
+            wire::Order::LoadModel { model, version } => format!("/v1/weights/{model}/{version}"),
+            wire::Order::LoadAdapter { model, adapter } => format!("/v1/weights/{model}/{adapter}"),
+            wire::Order::UnloadModel { .. } | wire::Order::ChangeRole { .. } => return Ok(()),
+        };
+        time::sleep(self.0.load_model.as_duration()).await;
+        let Some(store) = self.0.weights else {
+            return Ok(());
+        };
+        let answer = client::ask(store, client::request(hyper::Method::GET, &path)).await;
+        match answer {
+            Ok(answer) if answer.status == hyper::StatusCode::OK => Ok(()),
+            _ => Err(http::Failure::new(
+                hyper::StatusCode::BAD_GATEWAY,
+                "no weights",
+            )),
+        }
+    }
+
     async fn faults(&self, connection: u64, req: http::Request) -> Answer {
         let faults: fault::Faults = http::read_json(req.into_body()).await?;
         if faults.crash {
--- a/stand-in/src/engine/settings.rs
+++ b/stand-in/src/engine/settings.rs
@@ -53,6 +53,9 @@
     /// How long loading a model or an adapter takes, in milliseconds.
     #[arg(long, default_value = "200")]
     pub load_model_ms: clock::Millis,
+    /// Weight store that models and adapters are loaded from, as `IP:port`.
+    #[arg(long)]
+    pub weights: Option<std::net::SocketAddr>,
     /// Obeys orders with an old fencing number.
     #[arg(long)]
     pub ignore_fencing: bool,
--- a/stand-in/src/server.rs
+++ b/stand-in/src/server.rs
@@ -36,15 +36,24 @@
     fn call(&self, connection: u64, req: Request) -> impl future::Future<Output = Response> + Send;
 }
 
+/// Binds the address.
+///
+/// # Errors
+///
+/// Says which address can't be bound.
+pub async fn bind(address: net::SocketAddr) -> buckthorncleat::Result<tokio::net::TcpListener> {
+    tokio::net::TcpListener::bind(address)
+        .await
+        .map_err(|e| buckthorncleat::Error::io(format!("listen on {address}"), e))
+}
+
 /// Binds the address and prints the line `listening ADDR`.
 ///
 /// # Errors
 ///
 /// Says which address can't be bound.
 pub async fn listen(address: net::SocketAddr) -> buckthorncleat::Result<tokio::net::TcpListener> {
-    let listener = tokio::net::TcpListener::bind(address)
-        .await
-        .map_err(|e| buckthorncleat::Error::io(format!("listen on {address}"), e))?;
+    let listener = bind(address).await?;
     let bound = listener
         .local_addr()
         .map_err(|e| buckthorncleat::Error::io(format!("listen on {address}"), e))?;
@@ -119,6 +128,11 @@
         Self { status, message }
     }
 
+    /// Says that nothing answers at the path.
+    pub fn unknown_path() -> Self {
+        Self::new(hyper::StatusCode::NOT_FOUND, "unknown path")
+    }
+
     /// Makes the answer that says so.
     pub fn to_response(&self) -> Response {
         let problem = Problem {
