--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 mod macros;
 
 pub mod backend;
+pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod control;
@@ -14,8 +15,10 @@
 pub mod gateway;
 pub mod http;
 pub mod id;
+pub mod logging;
 pub mod peer;
 pub mod replica;
+pub mod shutdown;
 pub mod sorted;
 pub mod state;
 pub mod unit;
