Add the load tool: seeded open-loop callers and their figures

Placement and limits are judged by goodput under both targets, wasted prefill, the worst-served account and wrongful refusals; so far nothing measured them. buckthorncleat-load run takes a JSON plan, draws all calls from its seed, makes each at its time, compares each answer with the whole expected text and each order with what the services ran, and writes JSON and an SVG plot.

Tests: figures in tables, and the whole tool against a fake gateway that answers, answers with another text, breaks off, refuses or hangs. The surge test first failed on a bound of its own plan (20,000 calls cut the end of the run); the test now lifts that bound.

--- a/stand-in/src/lib.rs
+++ b/stand-in/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod connection;
 pub mod engine;
 pub mod fault;
+pub mod load;
 pub mod plain;
 pub mod platform;
 pub mod process;
--- /dev/null
+++ b/stand-in/src/load/fairness.rs
@@ -0,0 +1,30 @@
+//! Fair shares of client accounts.
+
+/// Divides an amount over claimants by weight; none gets more than its demand.
+///
+/// What one leaves goes to the others, by weight again (weighted max-min fairness). Demands and
+/// the amount have one unit; weights are above 0.
+pub fn shares(amount: f64, claims: &[Claim]) -> Vec<f64> {
+    let mut order: Vec<usize> = (0..claims.len()).collect();
+    let ratio = |i: usize| claims[i].demand / claims[i].weight;
+    order.sort_by(|a, b| ratio(*a).total_cmp(&ratio(*b)));
+    let mut left = amount;
+    let mut weight_left: f64 = claims.iter().map(|c| c.weight).sum();
+    let mut shares = vec![0.0; claims.len()];
+    for i in order {
+        let even = left * claims[i].weight / weight_left;
+        shares[i] = even.min(claims[i].demand);
+        left -= shares[i];
+        weight_left -= claims[i].weight;
+    }
+    shares
+}
+
+/// What one account asks for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Claim {
+    /// The most that it can use.
+    pub demand: f64,
+    /// Its weight.
+    pub weight: f64,
+}
--- /dev/null
+++ b/stand-in/src/load/mod.rs
@@ -0,0 +1,12 @@
+//! The load tool: seeded open-loop callers against running gateways, and what they met.
+
+pub mod arrival;
+pub mod caller;
+pub mod entries;
+pub mod fairness;
+pub mod ideal;
+pub mod plan;
+pub mod plot;
+pub mod record;
+pub mod report;
+pub mod run;
--- /dev/null
+++ b/stand-in/src/load/plot.rs
@@ -0,0 +1,86 @@
+//! Plots as SVG files.
+
+use std::path;
+
+use plotters::prelude::*;
+
+const SIZE: (u32, u32) = (960, 540);
+const FONT: (&str, u32) = ("sans-serif", 18);
+
+/// One line of a plot.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// Its name.
+    pub name: String,
+    /// Its points.
+    pub points: Vec<(f64, f64)>,
+}
+
+/// What stands around the lines.
+#[derive(Clone, Copy, Debug)]
+pub struct Labels<'a> {
+    /// The title.
+    pub title: &'a str,
+    /// The name and unit of the horizontal axis.
+    pub x: &'a str,
+    /// The name and unit of the vertical axis.
+    pub y: &'a str,
+    /// The names of the horizontal positions 0, 1 and so on; empty for a plain axis.
+    pub positions: &'a [String],
+}
+
+/// Draws lines into an SVG file.
+///
+/// # Errors
+///
+/// If the file can't be written.
+pub fn draw(path: &path::Path, labels: Labels<'_>, lines: &[Line]) -> buckthorncleat::Result<()> {
+    try_draw(path, labels, lines).map_err(|e| {
+        let doing = format!("draw {}", path.display());
+        buckthorncleat::Error::io(doing, std::io::Error::other(e.to_string()))
+    })
+}
+
+fn try_draw(
+    path: &path::Path,
+    labels: Labels<'_>,
+    lines: &[Line],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let points = || lines.iter().flat_map(|line| &line.points);
+    let right = points().map(|p| p.0).fold(1.0, f64::max);
+    let top = points().map(|p| p.1).fold(0.0, f64::max) * 1.1 + f64::EPSILON;
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(labels.title, FONT)
+        .margin(12)
+        .x_label_area_size(44)
+        .y_label_area_size(64)
+        .build_cartesian_2d(0.0..right, 0.0..top)?;
+    let position = |x: &f64| match labels.positions.get(*x as usize) {
+        Some(name) if x.fract() == 0.0 => name.clone(),
+        _ if labels.positions.is_empty() => format!("{x}"),
+        _ => String::new(),
+    };
+    chart
+        .configure_mesh()
+        .x_desc(labels.x)
+        .y_desc(labels.y)
+        .x_label_formatter(&position)
+        .draw()?;
+    for (i, line) in lines.iter().enumerate() {
+        let colour = Palette99::pick(i).stroke_width(2);
+        let series = LineSeries::new(line.points.iter().copied(), colour);
+        chart
+            .draw_series(series)?
+            .label(&line.name)
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], colour));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .draw()?;
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/stand-in/src/load/run.rs
@@ -0,0 +1,109 @@
+//! Runs a plan: open-loop callers, each call at its time whatever the others do.
+
+use std::net;
+use std::sync;
+
+use tokio::time;
+
+use crate::client;
+use crate::engine::totals;
+use crate::load::arrival;
+use crate::load::caller;
+use crate::load::entries;
+use crate::load::plan;
+use crate::load::record;
+use crate::load::report;
+use crate::plain;
+
+/// How long the totals of a stand-in may take; a lost stand-in has none.
+const TOTALS_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// Runs a plan and reports what its callers met; `ended` is called at the end of each call.
+pub async fn run(plan: &sync::Arc<plan::Plan>, ended: impl Fn(&record::Record)) -> report::Report {
+    let arrivals = arrival::draw(plan);
+    let before = engine_totals(plan).await;
+    let records = make_calls(plan, &arrivals, ended).await;
+    let after = engine_totals(plan).await;
+    let orders = service_orders(plan).await;
+    let seen = report::Seen {
+        records,
+        before,
+        after,
+        orders,
+    };
+    report::Report::new(plan, &arrivals, &seen)
+}
+
+async fn make_calls(
+    plan: &sync::Arc<plan::Plan>,
+    arrivals: &[arrival::Arrival],
+    ended: impl Fn(&record::Record),
+) -> Vec<record::Record> {
+    let start = time::Instant::now();
+    let kept = (0..plan.traffic.callers).map(|_| sync::Arc::new(entries::Kept::default()));
+    let kept: Vec<_> = kept.collect();
+    let mut calls = tokio::task::JoinSet::new();
+    let mut records = Vec::new();
+    for arrival in arrivals {
+        let due = start + arrival.at.as_duration();
+        while let Ok(Some(done)) = time::timeout_at(due, calls.join_next()).await {
+            finish(&mut records, done, &ended);
+        }
+        time::sleep_until(due).await;
+        let (plan, arrival) = (sync::Arc::clone(plan), arrival.clone());
+        let kept = sync::Arc::clone(&kept[arrival.number as usize % kept.len()]);
+        calls.spawn(async move {
+            let cx = caller::Context {
+                plan: &plan,
+                start,
+                kept: &kept,
+            };
+            caller::call(cx, &arrival).await
+        });
+    }
+    while let Some(done) = calls.join_next().await {
+        finish(&mut records, done, &ended);
+    }
+    records.sort_by_key(|record| record.number);
+    records
+}
+
+fn finish(
+    records: &mut Vec<record::Record>,
+    done: Result<record::Record, tokio::task::JoinError>,
+    ended: &impl Fn(&record::Record),
+) {
+    let record = done.expect("a call does not panic");
+    ended(&record);
+    records.push(record);
+}
+
+async fn engine_totals(plan: &plan::Plan) -> Vec<totals::Totals> {
+    let mut all = Vec::new();
+    for address in &plan.engines {
+        all.push(
+            read(*address, "/_stand-in/totals")
+                .await
+                .unwrap_or_default(),
+        );
+    }
+    all
+}
+
+async fn service_orders(plan: &plan::Plan) -> Vec<plain::Orders> {
+    let mut all = Vec::new();
+    for address in &plan.services {
+        all.push(
+            read(*address, "/_stand-in/orders")
+                .await
+                .unwrap_or_default(),
+        );
+    }
+    all
+}
+
+async fn read<T: serde::de::DeserializeOwned>(address: net::SocketAddr, path: &str) -> Option<T> {
+    let req = client::request(hyper::Method::GET, path);
+    let answer = time::timeout(TOTALS_TIMEOUT, client::ask(address, req)).await;
+    answer.ok()?.ok()?.json().ok()
+}
