--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -8,6 +8,8 @@
 use clap::Subcommand;
 
 use crate::clock;
+use crate::event;
+use crate::http::admin::read;
 use crate::id;
 use crate::state::model;
 use crate::unit;
@@ -114,9 +116,12 @@
         #[arg(long)]
         request: Option<id::RequestId>,
         /// Only events after this time, `WALL` or `WALL.COUNTER` in milliseconds since 1970.
-        #[arg(long)]
-        since: Option<String>,
+        #[arg(long, value_parser = read::parse_stamp)]
+        since: Option<event::Stamp>,
     },
+    /// Send one request as a caller would.
+    #[command(subcommand)]
+    Ask(Ask),
     /// Let a gateway end its work and stop.
     Drain {
         /// The name of the gateway's instance.
@@ -124,6 +129,61 @@
     },
 }
 
+/// What to send as a caller.
+#[derive(Debug, Subcommand)]
+pub enum Ask {
+    /// Ask which entries to use.
+    Entries {
+        /// The caller address of a gateway.
+        #[arg(long)]
+        entry: net::SocketAddr,
+    },
+    /// Ask a model and print its answer as it comes.
+    Chat(Chat),
+    /// Call a plain service.
+    Call(Call),
+}
+
+/// A question to a model.
+#[derive(Args, Debug)]
+pub struct Chat {
+    /// The caller address of a gateway.
+    #[arg(long)]
+    pub entry: net::SocketAddr,
+    /// The file with the caller's key.
+    #[arg(long)]
+    pub key_file: path::PathBuf,
+    /// The model.
+    #[arg(long)]
+    pub model: id::ModelId,
+    /// The most tokens of the answer.
+    #[arg(long, default_value = "200")]
+    pub max_tokens: u64,
+    /// The question.
+    pub text: String,
+}
+
+/// A call to a plain service.
+#[derive(Args, Debug)]
+pub struct Call {
+    /// The caller address of a gateway.
+    #[arg(long)]
+    pub entry: net::SocketAddr,
+    /// The file with the caller's key, for routes that need one.
+    #[arg(long)]
+    pub key_file: Option<path::PathBuf>,
+    /// Names the call, so that it runs once however often it is sent.
+    #[arg(long)]
+    pub idempotency_key: Option<String>,
+    /// The JSON body.
+    #[arg(long)]
+    pub body: Option<String>,
+    /// The method, such as GET or POST.
+    pub method: String,
+    /// The path, with the query.
+    pub path: String,
+}
+
 /// What to do with client accounts.
 #[derive(Debug, Subcommand)]
 pub enum Account {
