Add the comparison of policies on clusters of real processes (untested against gateways)

buckthorncleat-load compare starts control group, gateways and stand-ins on loopback for each run and prints a table of medians and ends.

--- a/stand-in/src/bin/load.rs
+++ b/stand-in/src/bin/load.rs
@@ -5,10 +5,16 @@
 use std::process;
 use std::sync;
 
+use buckthorncleat::clock;
 use clap::Parser as _;
+use stand_in::engine::settings;
 use stand_in::load::arrival;
+use stand_in::load::case;
+use stand_in::load::cluster;
+use stand_in::load::compare;
 use stand_in::load::plan;
 use stand_in::load::plot;
+use stand_in::load::policy;
 use stand_in::load::report;
 use stand_in::load::run;
 
@@ -24,6 +30,8 @@
 enum Command {
     /// Runs one plan against running gateways.
     Run(Run),
+    /// Starts deployments of its own on loopback and compares policies in several cases.
+    Compare(Compare),
 }
 
 #[derive(Debug, clap::Args)]
@@ -39,11 +47,39 @@
     plot: Option<path::PathBuf>,
 }
 
+#[derive(Debug, clap::Args)]
+struct Compare {
+    /// Policies, separated by commas; all when left out.
+    #[arg(long, value_delimiter = ',')]
+    policies: Vec<policy::Policy>,
+    /// Cases, separated by commas; all when left out.
+    #[arg(long, value_delimiter = ',')]
+    cases: Vec<case::Case>,
+    /// How many seeds; the first is 1.
+    #[arg(long, default_value_t = 5)]
+    seeds: u64,
+    /// How long callers arrive in each run, in milliseconds.
+    #[arg(long, default_value = "20000")]
+    duration_ms: clock::Millis,
+    #[command(flatten)]
+    size: cluster::Size,
+    /// Folder for settings and logs; kept afterwards.
+    #[arg(long)]
+    folder: path::PathBuf,
+    /// File for the rows of the table, in JSON; all runs are in FOLDER/runs.json.
+    #[arg(long)]
+    out: Option<path::PathBuf>,
+    /// File for a plot of the goodput, in SVG.
+    #[arg(long)]
+    plot: Option<path::PathBuf>,
+}
+
 #[tokio::main]
 async fn main() -> process::ExitCode {
     env_logger::init();
     let result = match Args::parse().command {
         Command::Run(args) => run_plan(&args).await,
+        Command::Compare(args) => compare_policies(args).await,
     };
     match result {
         Ok(()) => process::ExitCode::SUCCESS,
@@ -66,6 +102,47 @@
     write_json(args.out.as_deref(), &report)
 }
 
+async fn compare_policies(args: Compare) -> buckthorncleat::Result<()> {
+    let comparison = compare::Comparison {
+        policies: all_if_none(args.policies, &policy::Policy::ALL),
+        cases: all_if_none(args.cases, &case::Case::ALL),
+        seeds: (1..=args.seeds).collect(),
+        duration: args.duration_ms,
+        size: args.size,
+        engine: settings::Settings::with_stated_costs(),
+    };
+    let order = comparison.order();
+    let style = indicatif::ProgressStyle::with_template("{wide_bar} {pos}/{len} {eta} {msg}");
+    let style = style.expect("a fixed template is valid");
+    let bar = indicatif::ProgressBar::new(order.len() as u64).with_style(style);
+    let mut runs = Vec::new();
+    for (i, (seed, case, policy)) in order.into_iter().enumerate() {
+        bar.set_message(format!("seed {seed} {} {}", case.name(), policy.name()));
+        let folder = args.folder.join(format!("run-{i}"));
+        fs::create_dir_all(&folder).map_err(|e| {
+            buckthorncleat::Error::io(format!("make the folder {}", folder.display()), e)
+        })?;
+        runs.push(comparison.run(&folder, (seed, case, policy)).await?);
+        bar.inc(1);
+        write_json(Some(&args.folder.join("runs.json")), &runs)?;
+    }
+    bar.finish_and_clear();
+    let rows = compare::rows(&runs);
+    print!("{}", compare::table(&rows));
+    if let Some(path) = &args.plot {
+        compare::draw(path, &rows)?;
+    }
+    args.out
+        .map_or(Ok(()), |path| write_json(Some(&path), &rows))
+}
+
+fn all_if_none<T: Copy>(given: Vec<T>, all: &[T]) -> Vec<T> {
+    match given.is_empty() {
+        true => all.to_vec(),
+        false => given,
+    }
+}
+
 fn plot_latencies(path: &path::Path, report: &report::Report) -> buckthorncleat::Result<()> {
     let line = |name: &str, p: report::Percentiles| plot::Line {
         name: name.to_owned(),
--- a/stand-in/src/engine/settings.rs
+++ b/stand-in/src/engine/settings.rs
@@ -67,7 +67,22 @@
 /// Mark in a prompt that crashes the engine that decodes it.
 pub const CRASH_DECODE_MARK: &str = "[crash-decode]";
 
+/// Lets clap fill in the defaults where no command line is at hand.
+#[derive(clap::Parser)]
+struct Defaults {
+    #[command(flatten)]
+    settings: Settings,
+}
+
 impl Settings {
+    /// Returns an engine with the costs that docs/ENGINES.md states.
+    pub fn with_stated_costs() -> Self {
+        let args = [
+            "", "--id", "engine", "--role", "prefill", "--model", "model",
+        ];
+        <Defaults as clap::Parser>::parse_from(args).settings
+    }
+
     /// Returns the time to compute so many prompt tokens, in microseconds.
     pub fn prefill_us(&self, tokens: unit::Tokens) -> u64 {
         let rate = self.prefill_tokens_per_second.as_u64().max(1);
--- /dev/null
+++ b/stand-in/src/load/cluster.rs
@@ -0,0 +1,490 @@
+//! All processes of one deployment on loopback: stand-ins, control group and gateways.
+
+use std::fs;
+use std::net;
+use std::path;
+
+use buckthorncleat::clock;
+use buckthorncleat::config::settings;
+use buckthorncleat::controller::ownership;
+use buckthorncleat::http::admin::wire;
+use buckthorncleat::http::admin::write;
+use buckthorncleat::id;
+use buckthorncleat::sorted;
+use buckthorncleat::state::change;
+use buckthorncleat::state::model;
+use buckthorncleat::unit;
+use tokio::time;
+
+use crate::client;
+use crate::fault;
+use crate::load::plan;
+use crate::load::policy;
+use crate::process;
+
+/// The rate of each engine's link.
+pub const LINK: unit::BytesPerSecond = unit::BytesPerSecond::new(1_250_000_000);
+
+const KV_BYTES_PER_TOKEN: unit::Bytes = unit::Bytes::new(131_072);
+const MEMORY: unit::Pieces = unit::Pieces::new(128);
+const SLOTS: u32 = 20;
+const CONTROL_MEMBERS: usize = 3;
+const DATA_CENTRES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
+const OPERATOR_TOKEN: &str = "load-tool-operator-token";
+const SECRET: &str = "load-tool-shared-secret";
+
+/// How long a cluster may take to serve after its start.
+const START_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// How many processes a cluster has.
+#[derive(Clone, Copy, Debug, clap::Args)]
+pub struct Size {
+    /// Prefill engines.
+    #[arg(long, default_value_t = 4)]
+    pub prefill: usize,
+    /// Decode engines.
+    #[arg(long, default_value_t = 3)]
+    pub decode: usize,
+    /// Plain services.
+    #[arg(long, default_value_t = 2)]
+    pub services: usize,
+    /// Gateways.
+    #[arg(long, default_value_t = 3)]
+    pub gateways: usize,
+}
+
+/// A running deployment; its processes end when this is dropped.
+#[derive(Debug)]
+pub struct Cluster {
+    folder: path::PathBuf,
+    servers: Vec<Server>,
+    control: Vec<process::Child>,
+    admin: Vec<net::SocketAddr>,
+    peers: Vec<settings::ControlPeer>,
+    gateways: Vec<Gateway>,
+    model: id::ModelId,
+}
+
+#[derive(Debug)]
+struct Server {
+    role: model::Role,
+    address: net::SocketAddr,
+    child: process::Child,
+}
+
+#[derive(Debug)]
+struct Gateway {
+    id: id::InstanceId,
+    address: net::SocketAddr,
+    child: process::Child,
+}
+
+impl Cluster {
+    /// Starts all processes in a folder, configures them and waits until all gateways serve.
+    ///
+    /// The plan gets the addresses.
+    ///
+    /// # Errors
+    ///
+    /// If a program is not built, can't be started or does not serve in time.
+    pub async fn start(
+        folder: &path::Path,
+        size: Size,
+        policy: policy::Policy,
+        plan: &mut plan::Plan,
+    ) -> buckthorncleat::Result<Self> {
+        let mut cluster = Self {
+            folder: folder.to_owned(),
+            servers: Vec::new(),
+            control: Vec::new(),
+            admin: Vec::new(),
+            peers: Vec::new(),
+            gateways: Vec::new(),
+            model: plan.model.id.clone(),
+        };
+        cluster.write_text("secret", SECRET)?;
+        cluster.write_text("operators", &format!("load {OPERATOR_TOKEN}\n"))?;
+        cluster.start_stand_ins(size)?;
+        cluster.start_control()?;
+        cluster.configure(plan).await?;
+        cluster.start_gateways(size.gateways, policy)?;
+        cluster.fill_addresses(plan);
+        cluster.wait_serving(plan).await?;
+        Ok(cluster)
+    }
+
+    /// Ends all processes that still run, gateways first.
+    ///
+    /// # Errors
+    ///
+    /// If one does not end in time.
+    pub fn end(mut self) -> buckthorncleat::Result<()> {
+        let gateways = self.gateways.iter_mut().map(|g| &mut g.child);
+        let servers = self.servers.iter_mut().map(|s| &mut s.child);
+        for child in gateways.chain(&mut self.control).chain(servers) {
+            if child.is_running() {
+                child.end()?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Kills a decode engine.
+    ///
+    /// # Errors
+    ///
+    /// If the operating system refuses.
+    pub fn kill_decode_engine(&mut self) -> buckthorncleat::Result<()> {
+        let decode = |s: &&mut Server| s.role == model::Role::Decode;
+        let server = self.servers.iter_mut().find(decode);
+        server.map_or(Ok(()), |server| server.child.kill())
+    }
+
+    /// Kills the gateway that places the model's requests.
+    ///
+    /// # Errors
+    ///
+    /// If the operating system refuses.
+    pub fn kill_placement_owner(&mut self) -> buckthorncleat::Result<()> {
+        let role = ownership::Role::Scheduler(self.model.clone());
+        let members = self.gateways.iter().map(|g| (g.id.clone(), member(g)));
+        let members: sorted::Map<_, _> = members.collect();
+        let owner = ownership::owner_of(&role, &members);
+        let gateway = self.gateways.iter_mut().find(|g| Some(&g.id) == owner);
+        gateway.map_or(Ok(()), |gateway| gateway.child.kill())
+    }
+
+    /// Sets faults at one prefill engine.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be reached.
+    pub async fn set_prefill_faults(&self, faults: &fault::Faults) -> buckthorncleat::Result<()> {
+        let prefill = |s: &&Server| s.role == model::Role::Prefill;
+        if let Some(server) = self.servers.iter().find(prefill) {
+            let req = client::post("/_stand-in/faults", faults);
+            client::ask(server.address, req).await?;
+        }
+        Ok(())
+    }
+
+    fn start_stand_ins(&mut self, size: Size) -> buckthorncleat::Result<()> {
+        let roles = [
+            (model::Role::Prefill, size.prefill),
+            (model::Role::Decode, size.decode),
+            (model::Role::Plain, size.services),
+        ];
+        for (role, count) in roles {
+            for number in 0..count {
+                let server = self.start_stand_in(role, number)?;
+                self.servers.push(server);
+            }
+        }
+        Ok(())
+    }
+
+    fn start_stand_in(&self, role: model::Role, number: usize) -> buckthorncleat::Result<Server> {
+        let name = format!("{role}-{number}");
+        let role_name = role.to_string();
+        let link = LINK.to_string();
+        let slots = SLOTS.to_string();
+        let memory = MEMORY.to_string();
+        let engine = [
+            "engine",
+            "--id",
+            &name,
+            "--role",
+            &role_name,
+            "--model",
+            self.model.as_str(),
+            "--slots",
+            &slots,
+            "--memory-pieces",
+            &memory,
+            "--link-bytes-per-second",
+            &link,
+        ];
+        let plain = ["plain", "--id", &name];
+        let args = match role {
+            model::Role::Plain => &plain[..],
+            model::Role::Prefill | model::Role::Decode => &engine[..],
+        };
+        let (child, address) = process::Child::start_stand_in(&name, args, &self.folder)?;
+        Ok(Server {
+            role,
+            address,
+            child,
+        })
+    }
+
+    fn start_control(&mut self) -> buckthorncleat::Result<()> {
+        let peers = process::free_addresses(2 * CONTROL_MEMBERS)?;
+        let (peers, admin) = peers.split_at(CONTROL_MEMBERS);
+        self.admin = admin.to_vec();
+        let member = |(i, address): (usize, &net::SocketAddr)| settings::ControlPeer {
+            instance: name(&format!("control-{i}")),
+            peer_address: *address,
+        };
+        self.peers = peers.iter().enumerate().map(member).collect();
+        for i in 0..CONTROL_MEMBERS {
+            let settings = self.control_settings(i);
+            let child =
+                self.start_daemon("buckthorncleat-control", &format!("control-{i}"), &settings)?;
+            self.control.push(child);
+        }
+        Ok(())
+    }
+
+    fn control_settings(&self, i: usize) -> settings::Control {
+        settings::Control {
+            instance: self.peers[i].instance.clone(),
+            data_centre: data_centre(i),
+            peer_address: self.peers[i].peer_address,
+            admin_address: self.admin[i],
+            members: self.peers.clone(),
+            data_folder: self.folder.join(format!("control-{i}-data")),
+            secret_file: self.folder.join("secret"),
+            operators_file: self.folder.join("operators"),
+            timing: settings::ControlTiming::default(),
+        }
+    }
+
+    fn start_gateways(
+        &mut self,
+        count: usize,
+        policy: policy::Policy,
+    ) -> buckthorncleat::Result<()> {
+        let addresses = process::free_addresses(3 * count)?;
+        for (i, addresses) in addresses.chunks_exact(3).enumerate() {
+            let id = format!("gateway-{i}");
+            let settings = self.gateway_settings(i, &id, addresses, policy);
+            let child = self.start_daemon("buckthorncleat-gateway", &id, &settings)?;
+            self.gateways.push(Gateway {
+                id: settings.instance,
+                address: settings.caller_address,
+                child,
+            });
+        }
+        Ok(())
+    }
+
+    fn gateway_settings(
+        &self,
+        i: usize,
+        id: &str,
+        addresses: &[net::SocketAddr],
+        policy: policy::Policy,
+    ) -> settings::Gateway {
+        settings::Gateway {
+            instance: name(id),
+            data_centre: data_centre(i),
+            caller_address: addresses[0],
+            peer_address: addresses[1],
+            status_address: addresses[2],
+            control: self.peers.clone(),
+            secret_file: self.folder.join("secret"),
+            platform_address: None,
+            placement: policy.placement(),
+            objective: policy.objective(),
+            limits: policy.limits(),
+            timing: settings::GatewayTiming::default(),
+        }
+    }
+
+    fn start_daemon<T: serde::Serialize>(
+        &self,
+        program: &str,
+        name: &str,
+        settings: &T,
+    ) -> buckthorncleat::Result<process::Child> {
+        let file = format!("{name}.json");
+        let text = serde_json::to_string_pretty(settings).expect("settings are plain data");
+        self.write_text(&file, &text)?;
+        let path = self.folder.join(file).display().to_string();
+        process::Child::start(program, name, &["--config", &path], &self.folder)
+    }
+
+    fn write_text(&self, file: &str, text: &str) -> buckthorncleat::Result<()> {
+        let path = self.folder.join(file);
+        fs::write(&path, text)
+            .map_err(|e| buckthorncleat::Error::io(format!("write {}", path.display()), e))
+    }
+
+    async fn configure(&self, plan: &plan::Plan) -> buckthorncleat::Result<()> {
+        let changes = wire::Changes {
+            changes: self.changes(plan),
+        };
+        let end = time::Instant::now() + START_TIMEOUT;
+        let mut last = String::new();
+        while time::Instant::now() < end {
+            for address in &self.admin {
+                let mut req = client::post("/v1/changes", &changes);
+                let token = format!("Bearer {OPERATOR_TOKEN}");
+                let headers = req.headers_mut();
+                headers.insert(hyper::header::AUTHORIZATION, header(&token));
+                headers.insert(write::OPERATION_ID, header("load-start"));
+                match client::ask(*address, req).await {
+                    Ok(answer) if answer.status.is_success() => return Ok(()),
+                    Ok(answer) => last = format!("{answer:?}"),
+                    Err(e) => last = e.to_string(),
+                }
+            }
+            time::sleep(RETRY_PAUSE).await;
+        }
+        Err(late("the control group takes no changes", &last))
+    }
+
+    fn changes(&self, plan: &plan::Plan) -> Vec<change::Change> {
+        let mut changes = vec![change::Change::PutModel(model::Model {
+            id: plan.model.id.clone(),
+            first_token: plan.model.first_token_ms,
+            between_tokens: plan.model.between_tokens_ms,
+            max_output: unit::Tokens::new(plan.traffic.answer.max),
+            kv_bytes_per_token: KV_BYTES_PER_TOKEN,
+        })];
+        let routes = routes(&plan.traffic);
+        changes.extend(routes.iter().cloned().map(change::Change::PutRoute));
+        for (i, server) in self.servers.iter().enumerate() {
+            changes.push(change::Change::PutServer(
+                self.backend_server(i, server, &routes),
+            ));
+        }
+        for account in &plan.accounts {
+            changes.push(change::Change::PutAccount(model::ClientAccount {
+                id: account.id.clone(),
+                rate: account.rate,
+                burst: account.burst,
+                priority: model::Priority::Normal,
+                weight: account.weight,
+            }));
+            changes.push(change::Change::PutKey(model::Key {
+                id: name(&format!("key-{}", account.id)),
+                account: account.id.clone(),
+                hash: model::KeyHash::from_secret(account.key.as_bytes()),
+            }));
+        }
+        changes
+    }
+
+    fn backend_server(
+        &self,
+        i: usize,
+        server: &Server,
+        routes: &[model::Route],
+    ) -> model::BackendServer {
+        let is_plain = server.role == model::Role::Plain;
+        let routes = routes.iter().map(|r| r.id.clone()).filter(|_| is_plain);
+        model::BackendServer {
+            id: name(&format!("{}-{i}", server.role)),
+            address: server.address,
+            data_centre: data_centre(i),
+            role: server.role,
+            models: if is_plain {
+                Vec::new()
+            } else {
+                vec![self.model.clone()]
+            },
+            routes: routes.collect(),
+            state: model::ServerState::InService,
+            slots: SLOTS,
+            memory: MEMORY,
+            link: LINK,
+            checks_fencing: true,
+        }
+    }
+
+    fn fill_addresses(&self, plan: &mut plan::Plan) {
+        let of = |plain| {
+            let servers = self.servers.iter();
+            let servers = servers.filter(move |s| (s.role == model::Role::Plain) == plain);
+            servers.map(|s| s.address).collect()
+        };
+        plan.entries = self.gateways.iter().map(|g| g.address).collect();
+        plan.engines = of(false);
+        plan.services = of(true);
+    }
+
+    async fn wait_serving(&self, plan: &plan::Plan) -> buckthorncleat::Result<()> {
+        let end = time::Instant::now() + START_TIMEOUT;
+        for gateway in &self.gateways {
+            let mut last = String::new();
+            while !serves(plan, gateway.address, self.gateways.len(), &mut last).await {
+                if time::Instant::now() > end {
+                    last.push_str(&gateway.child.log());
+                    return Err(late(&format!("{} does not serve", gateway.id), &last));
+                }
+                time::sleep(RETRY_PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Tells whether a gateway names all entries and answers a lookup with a key.
+async fn serves(
+    plan: &plan::Plan,
+    address: net::SocketAddr,
+    entries: usize,
+    last: &mut String,
+) -> bool {
+    let advice = client::request(hyper::Method::GET, "/v1/entries");
+    let mut lookup = client::request(hyper::Method::GET, &plan.traffic.lookup_path);
+    let key = format!("Bearer {}", plan.accounts[0].key);
+    lookup
+        .headers_mut()
+        .insert(hyper::header::AUTHORIZATION, header(&key));
+    let advice = client::ask(address, advice).await;
+    let lookup = client::ask(address, lookup).await;
+    *last = format!("{advice:?} {lookup:?}");
+    let named = advice.and_then(|a| a.json::<buckthorncleat::controller::entries::Advice>());
+    named.is_ok_and(|a| a.entries.len() == entries) && lookup.is_ok_and(|a| a.status.is_success())
+}
+
+fn routes(traffic: &plan::Traffic) -> Vec<model::Route> {
+    let route = |id: &str, prefix: &str, order: bool| model::Route {
+        id: name(id),
+        prefix: prefix.to_owned(),
+        access: model::Access::Keyed,
+        idempotent_methods: vec!["GET".to_owned()],
+        require_idempotency_key: order,
+        deadline: clock::Millis::from_secs(2),
+        cost: traffic.call_cost,
+    };
+    vec![
+        route("orders", &traffic.order_path, true),
+        route("bookings", &traffic.booking_path, true),
+        route("lookups", &traffic.lookup_path, false),
+    ]
+}
+
+fn member(gateway: &Gateway) -> model::Member {
+    model::Member {
+        id: gateway.id.clone(),
+        incarnation: id::Incarnation::new(1),
+        data_centre: data_centre(0),
+        caller_address: gateway.address,
+        peer_address: gateway.address,
+        leaving: false,
+    }
+}
+
+fn name<T: std::str::FromStr<Err = buckthorncleat::Error>>(text: &str) -> T {
+    text.parse().expect("fixed names are valid")
+}
+
+fn data_centre(i: usize) -> id::DataCentre {
+    name(DATA_CENTRES[i % DATA_CENTRES.len()])
+}
+
+fn header(text: &str) -> hyper::header::HeaderValue {
+    text.parse().expect("fixed texts are header values")
+}
+
+fn late(what: &str, last: &str) -> buckthorncleat::Error {
+    buckthorncleat::Error::damaged(
+        format!("{what} in time ({last})"),
+        "see the logs of the run",
+    )
+}
