--- a/src/controller/limiter/bucket.rs
+++ b/src/controller/limiter/bucket.rs
@@ -13,8 +13,14 @@
 /// The most charges of one bucket that are kept for amendment.
 pub const MAX_CHARGES: usize = 16_384;
 
-/// The longest time ahead for which tokens are promised.
-pub const MAX_DELAY: clock::Millis = clock::Millis::from_secs(30);
+/// The longest time ahead for which tokens are promised; a new owner waits as long before its
+/// bucket fills.
+pub const MAX_DELAY: clock::Millis = clock::Millis::from_secs(2);
+
+/// How long after its start a charge is answered again; later the request is told to ask anew.
+///
+/// It bounds how much later than its charge a request can start when answers are lost.
+pub const MAX_RESEND: clock::Millis = clock::Millis::from_secs(2);
 
 /// What a refused request is told when its tokens never come, because the rate is zero.
 pub const RETRY_NEVER: clock::Millis = clock::Millis::from_secs(24 * 3600);
@@ -40,6 +46,13 @@
         }
     }
 
+    /// Makes an empty bucket that begins to fill [`MAX_DELAY`] from now.
+    pub fn after_unknown_owner(now: clock::Millis, limit: level::Limit) -> Self {
+        let mut bucket = Self::new(now + MAX_DELAY, limit, level::Level::ZERO);
+        bucket.now = now;
+        bucket
+    }
+
     /// Returns the limit in force.
     pub fn limit(&self) -> level::Limit {
         self.history.limit()
@@ -113,7 +126,7 @@
     }
 
     fn repeat(&self, event: &history::Event) -> message::Reply {
-        if event.settled {
+        if event.settled || self.now - event.at > MAX_RESEND {
             return message::Reply::Refused {
                 retry_after: clock::Millis::ZERO,
             };
--- a/src/controller/limiter/history.rs
+++ b/src/controller/limiter/history.rs
@@ -169,9 +169,7 @@
 
     fn flow_to(&self, from: (clock::Millis, level::Limit), event: &Event) -> level::Flow {
         let (at, limit) = from;
-        level::Flow::fill(limit, event.at - at)
-            .then(level::Flow::clip(event.limit.full()))
-            .then(level::Flow::charge(event.tokens))
+        level::Flow::fill(limit, event.at - at).then(level::Flow::charge(event.tokens))
     }
 
     fn replay(&mut self) {
--- a/src/controller/limiter/level.rs
+++ b/src/controller/limiter/level.rs
@@ -132,14 +132,6 @@
         }
     }
 
-    /// Lowers the level to a cap.
-    pub fn clip(cap: Level) -> Self {
-        Self {
-            add: Level::ZERO,
-            cap,
-        }
-    }
-
     /// Joins this stretch and the one that follows it.
     #[must_use]
     pub fn then(self, next: Self) -> Self {
--- a/src/controller/limiter/message.rs
+++ b/src/controller/limiter/message.rs
@@ -59,7 +59,7 @@
             /// How long the gateway must wait before it starts the request.
             delay: clock::Millis,
         },
-        /// The account has no tokens in time, or the request was refunded before.
+        /// The account has no tokens in time, or its charge was refunded or is old.
         Refused {
             /// When enough tokens will be there, if no one else takes them.
             retry_after: clock::Millis,
--- a/src/controller/limiter/owner.rs
+++ b/src/controller/limiter/owner.rs
@@ -50,14 +50,15 @@
         }
     }
 
-    /// Starts an account that this instance newly owns, with an empty bucket.
+    /// Starts an account that this instance newly owns, with an empty bucket that begins to fill
+    /// [`bucket::MAX_DELAY`] from now.
     ///
-    /// Starting at zero is safe without a hand-over: whatever the owner before had granted, the
-    /// level of an ideal bucket can't be lower. An account that is not configured is ignored.
+    /// That is safe without a hand-over: the owner before has stopped, and what it promised ahead
+    /// starts before the bucket begins to fill. An account that is not configured is ignored.
     pub fn start_account(&mut self, now: clock::Millis, id: &id::ClientAccountId) {
         self.now = self.now.max(now);
         if let Some(limit) = self.limits.get(id) {
-            let bucket = bucket::Bucket::new(self.now, *limit, level::Level::ZERO);
+            let bucket = bucket::Bucket::after_unknown_owner(self.now, *limit);
             self.buckets.insert(id.clone(), bucket);
         }
     }
