--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,3 +1,7 @@
 //! Settings files of the daemons and the planners' sheet.
 
+pub mod check;
+pub mod file;
+pub mod probe;
 pub mod settings;
+pub mod sheet;
--- a/src/controller/limiter/message.rs
+++ b/src/controller/limiter/message.rs
@@ -17,7 +17,7 @@
 
 impl Request {
     /// Returns the account concerned.
-    pub fn account(&self) -> &id::ClientAccountId {
+    pub const fn account(&self) -> &id::ClientAccountId {
         match self {
             Self::Charge(charge) => &charge.account,
             Self::Refund(refund) => &refund.account,
