--- /dev/null
+++ b/tests/admin_claims.rs
@@ -0,0 +1,162 @@
+//! Claims of non-idempotent calls: at most one holder, bounded answers, ages, dead gateways.
+
+use buckthorncleat::clock;
+use buckthorncleat::id;
+use buckthorncleat::state::change;
+use buckthorncleat::state::claim;
+use buckthorncleat::state::command;
+
+const GATEWAY: &str = "gw-a1";
+
+fn key() -> command::ClaimKey {
+    command::ClaimKey {
+        owner: "chefs".to_owned(),
+        key: "order-1".to_owned(),
+    }
+}
+
+fn claim(request: u128) -> command::Command {
+    command::Command::Claim(command::Claim {
+        key: key(),
+        digest: 7,
+        request: id::RequestId::new(request),
+        gateway: GATEWAY.parse().expect("a name"),
+        incarnation: id::Incarnation::new(1),
+    })
+}
+
+fn settle(request: u128, end: command::ClaimEnd) -> command::Command {
+    command::Command::Settle(command::Settlement {
+        key: key(),
+        request: id::RequestId::new(request),
+        end,
+    })
+}
+
+fn answer_of(size: usize) -> command::StoredAnswer {
+    command::StoredAnswer {
+        status: 201,
+        content_type: "text/plain".to_owned(),
+        body: vec![b'x'; size],
+    }
+}
+
+fn ran(size: usize) -> command::ClaimEnd {
+    command::ClaimEnd::Ran(answer_of(size))
+}
+
+fn lost_gateway() -> command::Command {
+    let id = GATEWAY.parse().expect("a name");
+    command::Command::System(vec![change::Change::RemoveMember(id)])
+}
+
+#[test]
+fn resends_see_how_the_claimed_call_stands() {
+    use command::Answer;
+    let large = claim::STORED_ANSWER_BYTES + 1;
+    let age = command::Command::Advance(claim::MAX_ADVANCE);
+    let ages = claim::CLAIM_AGE.as_u64() / claim::MAX_ADVANCE.as_u64();
+    let days_less_one = vec![age.clone(); ages as usize - 1];
+    let day = vec![age; ages as usize];
+    let lost = lost_gateway;
+    let table: Vec<(&str, Vec<command::Command>, Answer)> = vec![
+        ("running", vec![], Answer::Running),
+        ("ran", vec![settle(1, ran(9))], Answer::Ran(answer_of(9))),
+        ("too large", vec![settle(1, ran(large))], Answer::RanNotKept),
+        (
+            "not run",
+            vec![settle(1, command::ClaimEnd::NotRun)],
+            Answer::Claimed,
+        ),
+        (
+            "unknown",
+            vec![settle(1, command::ClaimEnd::Unknown)],
+            Answer::Unknown,
+        ),
+        ("not the holder", vec![settle(3, ran(9))], Answer::Running),
+        (
+            "settled twice",
+            vec![settle(1, ran(9)), settle(1, ran(8))],
+            Answer::Ran(answer_of(9)),
+        ),
+        ("gateway lost", vec![lost()], Answer::Unknown),
+        (
+            "told after the loss",
+            vec![lost(), settle(1, ran(9))],
+            Answer::Ran(answer_of(9)),
+        ),
+        (
+            "not run after the loss",
+            vec![lost(), settle(1, command::ClaimEnd::NotRun)],
+            Answer::Claimed,
+        ),
+        ("young", days_less_one, Answer::Running),
+        ("aged", day, Answer::Claimed),
+        (
+            "removed",
+            vec![command::Command::ExpireClaims(vec![key()])],
+            Answer::Claimed,
+        ),
+        (
+            "one long step",
+            vec![command::Command::Advance(clock::Millis::MAX)],
+            Answer::Running,
+        ),
+    ];
+    for (name, commands, expected) in table {
+        let mut state = command::State::default();
+        assert_eq!(state.apply(&claim(1)), Answer::Claimed);
+        assert_eq!(
+            state.apply(&claim(1)),
+            Answer::Claimed,
+            "the holder's own resend"
+        );
+        for command in &commands {
+            state.apply(command);
+        }
+        assert_eq!(state.apply(&claim(2)), expected, "{name}");
+        let bytes = state.to_bytes().expect("a snapshot");
+        assert_eq!(
+            command::State::from_bytes(&bytes).expect("a state"),
+            state,
+            "{name}"
+        );
+    }
+}
+
+#[test]
+fn another_call_must_not_reuse_a_key() {
+    let mut state = command::State::default();
+    state.apply(&claim(1));
+    let command::Command::Claim(mut other) = claim(2) else {
+        unreachable!()
+    };
+    other.digest = 8;
+    let answer = state.apply(&command::Command::Claim(other));
+    assert_eq!(answer, command::Answer::KeyReused);
+}
+
+#[test]
+fn all_stored_answers_together_are_bounded() {
+    let mut state = command::State::default();
+    let fit = claim::STORED_TOTAL_BYTES / claim::STORED_ANSWER_BYTES;
+    for i in 0..fit + 1 {
+        let numbered = command::ClaimKey {
+            key: format!("order-{i}"),
+            ..key()
+        };
+        let command::Command::Claim(mut first) = claim(1) else {
+            unreachable!()
+        };
+        first.key = numbered.clone();
+        let first = command::Command::Claim(first);
+        assert_eq!(state.apply(&first), command::Answer::Claimed);
+        state.apply(&command::Command::Settle(command::Settlement {
+            key: numbered,
+            request: id::RequestId::new(1),
+            end: ran(claim::STORED_ANSWER_BYTES),
+        }));
+        let kept = matches!(state.apply(&first), command::Answer::Ran(_));
+        assert_eq!(kept, i < fit);
+    }
+}
