--- a/src/http/admin/serve.rs
+++ b/src/http/admin/serve.rs
@@ -21,12 +21,6 @@
 use crate::http::admin::token;
 use crate::replica;
 
-/// The longest time for a request's head to arrive, also on an idle connection.
-pub const HEAD_TIMEOUT: clock::Millis = clock::Millis::from_secs(10);
-
-/// The longest time that running requests get after a stop.
-pub const STOP_TIMEOUT: clock::Millis = clock::Millis::from_secs(15);
-
 /// The most connections at once; more wait.
 pub const MAX_CONNECTIONS: usize = 256;
 
@@ -81,10 +75,8 @@
     }
     drop(listener);
     let ended = async { while connections.join_next().await.is_some() {} };
-    if time::timeout(STOP_TIMEOUT.as_duration(), ended)
-        .await
-        .is_err()
-    {
+    let limit = service.bounds().stop_timeout.as_duration();
+    if time::timeout(limit, ended).await.is_err() {
         connections.shutdown().await;
     }
 }
@@ -100,7 +92,7 @@
     };
     let running = http1::Builder::new()
         .timer(rt::TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT.as_duration())
+        .header_read_timeout(admin.bounds().head_timeout.as_duration())
         .serve_connection(rt::TokioIo::new(stream), service::service_fn(answer));
     let mut running = pin::pin!(running);
     let ended = tokio::select! {
--- a/src/http/admin/service.rs
+++ b/src/http/admin/service.rs
@@ -20,11 +20,29 @@
 use crate::replica;
 use crate::state::command;
 
-/// The largest body of a request, in bytes.
-pub const MAX_BODY_BYTES: usize = 8 << 20;
+/// Bounds on requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// The longest time for a request's head to arrive, also on an idle connection.
+    pub head_timeout: clock::Millis,
+    /// The longest time for a body to arrive.
+    pub body_timeout: clock::Millis,
+    /// The longest time that running requests get after a stop.
+    pub stop_timeout: clock::Millis,
+    /// The largest body of a request, in bytes.
+    pub max_body_bytes: usize,
+}
 
-/// The longest time for a body to arrive.
-pub const BODY_TIMEOUT: clock::Millis = clock::Millis::from_secs(10);
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            head_timeout: clock::Millis::from_secs(10),
+            body_timeout: clock::Millis::from_secs(10),
+            stop_timeout: clock::Millis::from_secs(15),
+            max_body_bytes: 8 << 20,
+        }
+    }
+}
 
 /// What the admin interface answers from.
 #[derive(Clone, Debug)]
@@ -33,6 +51,7 @@
     operators: token::Operators,
     recorder: sync::Arc<event::Recorder>,
     metrics: Option<metrics_exporter_prometheus::PrometheusHandle>,
+    bounds: Bounds,
 }
 
 impl Service {
@@ -48,9 +67,21 @@
             operators,
             recorder,
             metrics,
+            bounds: Bounds::default(),
         }
     }
 
+    /// Sets other bounds than the usual ones.
+    #[must_use]
+    pub fn with_bounds(self, bounds: Bounds) -> Self {
+        Self { bounds, ..self }
+    }
+
+    /// Returns the bounds on requests.
+    pub fn bounds(&self) -> Bounds {
+        self.bounds
+    }
+
     /// Answers a request; a refusal is an answer too.
     pub async fn answer<B>(&self, req: hyper::Request<B>) -> reply::Reply
     where
@@ -65,7 +96,7 @@
         if head.method == Method::GET {
             return self.read(&head, &target).await;
         }
-        let body = match read_body(&head, body).await {
+        let body = match read_body(&head, body, self.bounds).await {
             Ok(body) => body,
             Err(refusal) => return *refusal,
         };
@@ -192,6 +223,7 @@
 async fn read_body<B>(
     head: &hyper::http::request::Parts,
     body: B,
+    bounds: Bounds,
 ) -> Result<Bytes, Box<reply::Reply>>
 where
     B: hyper::body::Body,
@@ -199,19 +231,21 @@
 {
     let length = head.headers.get(header::CONTENT_LENGTH);
     let length: Option<u64> = length.and_then(|v| v.to_str().ok()?.parse().ok());
-    if length.is_some_and(|n| n > MAX_BODY_BYTES as u64) {
-        return Err(Box::new(too_large()));
+    if length.is_some_and(|n| n > bounds.max_body_bytes as u64) {
+        return Err(Box::new(too_large(bounds)));
     }
-    let whole = Limited::new(body, MAX_BODY_BYTES).collect();
-    match tokio::time::timeout(BODY_TIMEOUT.as_duration(), whole).await {
+    let whole = Limited::new(body, bounds.max_body_bytes).collect();
+    match tokio::time::timeout(bounds.body_timeout.as_duration(), whole).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(Box::new(too_large())),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+            Err(Box::new(too_large(bounds)))
+        }
         Ok(Err(e)) => {
             let message = format!("body: {e}; send it whole");
             Err(Box::new(reply::refuse(wire::Reason::BadRequest, message)))
         }
         Err(_) => {
-            let message = format!("body: send it within {BODY_TIMEOUT}");
+            let message = format!("body: send it within {}", bounds.body_timeout);
             let mut refusal = reply::refuse(wire::Reason::Timeout, message);
             reply::set(&mut refusal, header::CONNECTION, "close");
             Err(Box::new(refusal))
@@ -219,8 +253,8 @@
     }
 }
 
-fn too_large() -> reply::Reply {
-    let message = format!("body: send at most {MAX_BODY_BYTES} bytes");
+fn too_large(bounds: Bounds) -> reply::Reply {
+    let message = format!("body: send at most {} bytes", bounds.max_body_bytes);
     let mut refusal = reply::refuse(wire::Reason::TooLarge, message);
     reply::set(&mut refusal, header::CONNECTION, "close");
     refusal
