--- a/src/controller/scheduler/message.rs
+++ b/src/controller/scheduler/message.rs
@@ -39,7 +39,7 @@
 macros::data! {
     /// Asks for a place for one request.
     pub struct Place {
-        /// The request.
+        /// The request; each attempt to run it has an id of its own.
         pub request: id::RequestId,
         /// The account that it runs for.
         pub account: id::ClientAccountId,
@@ -143,6 +143,8 @@
             /// When it may find a place.
             retry_after: clock::Millis,
         },
+        /// There is no decision yet; ask again for the same request.
+        Waiting,
         /// The message was taken in.
         Noted,
         /// Of the renewed reservations, these are not held here.
--- a/src/id.rs
+++ b/src/id.rs
@@ -98,6 +98,12 @@
     pub const fn as_u128(self) -> u128 {
         self.0
     }
+
+    /// Returns the id by which the engines know the given attempt, counted from 0.
+    #[must_use]
+    pub const fn of_attempt(self, attempt: u32) -> Self {
+        Self(self.0.wrapping_add(attempt as u128))
+    }
 }
 
 impl fmt::Display for RequestId {
