Count percentiles beyond the first step, and leave out the warm-up

The first trial showed a median first token of 0.2 ms: saturating_record clamps to the histogram's first range instead of growing it. A test with times up to 50 s failed so and passes now. Calls of the warm-up, while prefix caches are cold, no longer count.

--- a/stand-in/src/bin/load.rs
+++ b/stand-in/src/bin/load.rs
@@ -61,6 +61,9 @@
     /// How long callers arrive in each run, in milliseconds.
     #[arg(long, default_value = "20000")]
     duration_ms: clock::Millis,
+    /// How long calls do not count at the start of each run, in milliseconds.
+    #[arg(long, default_value = "5000")]
+    warm_up_ms: clock::Millis,
     #[command(flatten)]
     size: cluster::Size,
     /// Folder for settings and logs; kept afterwards.
@@ -108,6 +111,7 @@
         cases: all_if_none(args.cases, &case::Case::ALL),
         seeds: (1..=args.seeds).collect(),
         duration: args.duration_ms,
+        warm_up: args.warm_up_ms,
         size: args.size,
         engine: settings::Settings::with_stated_costs(),
     };
--- a/stand-in/src/load/case.rs
+++ b/stand-in/src/load/case.rs
@@ -96,16 +96,17 @@
             account.burst = unit::Tokens::new((rate * BURST_S).max(20_000.0) as u64);
         }
         if self == Self::Surge {
-            let third = plan.traffic.duration_ms.as_u64() / 3;
+            let start = plan.traffic.warm_up_ms;
+            let third = plan.traffic.counted().as_u64() / 3;
             plan.accounts[SURGING_ACCOUNT].surge = Some(plan::Surge {
                 factor: SURGE * RATE_OVER_SHARE / load,
-                from_ms: clock::Millis::new(third),
-                until_ms: clock::Millis::new(2 * third),
+                from_ms: start + clock::Millis::new(third),
+                until_ms: start + clock::Millis::new(2 * third),
             });
         }
     }
 
-    /// Does to a running cluster what the case says, at a third of the run.
+    /// Does to a running cluster what the case says, at a third of the time that counts.
     ///
     /// # Errors
     ///
--- a/stand-in/src/load/cluster.rs
+++ b/stand-in/src/load/cluster.rs
@@ -115,20 +115,15 @@
         Ok(cluster)
     }
 
-    /// Ends all processes that still run, gateways first.
+    /// Ends all processes that still run: the gateways together, then the others together.
     ///
     /// # Errors
     ///
     /// If one does not end in time.
     pub fn end(mut self) -> buckthorncleat::Result<()> {
-        let gateways = self.gateways.iter_mut().map(|g| &mut g.child);
+        end_all(self.gateways.iter_mut().map(|g| &mut g.child))?;
         let servers = self.servers.iter_mut().map(|s| &mut s.child);
-        for child in gateways.chain(&mut self.control).chain(servers) {
-            if child.is_running() {
-                child.end()?;
-            }
-        }
-        Ok(())
+        end_all(self.control.iter_mut().chain(servers))
     }
 
     /// Kills a decode engine.
@@ -422,6 +417,22 @@
     }
 }
 
+fn end_all<'a>(
+    children: impl Iterator<Item = &'a mut process::Child>,
+) -> buckthorncleat::Result<()> {
+    let mut running: Vec<_> = children
+        .filter_map(|c| c.is_running().then_some(c))
+        .collect();
+    for child in &mut running {
+        child.signal(process::Signal::Term)?;
+    }
+    for child in running {
+        let code = child.wait_end()?;
+        log::info!("{} ended with {code:?}", child.name());
+    }
+    Ok(())
+}
+
 /// Tells whether a gateway names all entries and answers a lookup with a key.
 async fn serves(
     plan: &plan::Plan,
--- a/stand-in/src/load/compare.rs
+++ b/stand-in/src/load/compare.rs
@@ -36,6 +36,8 @@
     pub seeds: Vec<u64>,
     /// How long callers arrive in each run.
     pub duration: clock::Millis,
+    /// How long calls do not count at the start of each run.
+    pub warm_up: clock::Millis,
     /// The processes of each run.
     pub size: cluster::Size,
     /// What engines cost, for the capacity.
@@ -80,7 +82,7 @@
     ) -> buckthorncleat::Result<Run> {
         let mut plan = self.plan(seed, case);
         let mut cluster = cluster::Cluster::start(folder, self.size, policy, &mut plan).await?;
-        let strike_at = time::Instant::now() + self.duration.as_duration() / 3;
+        let strike_at = time::Instant::now() + self.strike_after().as_duration();
         let strike = async {
             time::sleep_until(strike_at).await;
             case.strike(&mut cluster).await
@@ -96,6 +98,12 @@
         })
     }
 
+    /// Returns when a case strikes: at a third of the time that counts.
+    fn strike_after(&self) -> clock::Millis {
+        let counted = self.duration - self.warm_up;
+        self.warm_up + clock::Millis::new(counted.as_u64() / 3)
+    }
+
     /// Returns the plan of a run, without addresses.
     pub fn plan(&self, seed: u64, case: case::Case) -> plan::Plan {
         let mut plan = plan::Plan {
@@ -114,6 +122,7 @@
             traffic: plan::Traffic {
                 seed,
                 duration_ms: self.duration,
+                warm_up_ms: self.warm_up,
                 ..plan::Traffic::default()
             },
         };
--- a/stand-in/src/load/plan.rs
+++ b/stand-in/src/load/plan.rs
@@ -81,7 +81,9 @@
     pub seed: u64,
     /// How long callers arrive.
     pub duration_ms: clock::Millis,
-    /// The most calls.
+    /// How long calls do not count at the start, while caches are cold.
+    pub warm_up_ms: clock::Millis,
+    /// The most calls; those that come later are left out.
     pub max_calls: usize,
     /// The longest time of one call.
     pub call_timeout_ms: clock::Millis,
@@ -141,6 +143,7 @@
         Self {
             seed: 1,
             duration_ms: clock::Millis::from_secs(20),
+            warm_up_ms: clock::Millis::ZERO,
             max_calls: 20_000,
             call_timeout_ms: clock::Millis::from_secs(60),
             callers: 32,
@@ -171,6 +174,13 @@
     }
 }
 
+impl Traffic {
+    /// Returns how long calls count.
+    pub fn counted(&self) -> clock::Millis {
+        self.duration_ms - self.warm_up_ms
+    }
+}
+
 impl Plan {
     /// Reads a plan file.
     ///
@@ -201,7 +211,9 @@
             (field, value, fits, "use a number from 0 to 1")
         };
         let traffic = &self.traffic;
+        let counted = traffic.counted();
         let checks = [
+            positive("traffic.duration_ms - warm_up_ms", counted.as_secs_f64()),
             positive("entries", self.entries.len() as f64),
             positive("accounts", self.accounts.len() as f64),
             positive("traffic.callers", traffic.callers as f64),
--- a/stand-in/src/load/report.rs
+++ b/stand-in/src/load/report.rs
@@ -139,7 +139,10 @@
     pub fn new(times: impl Iterator<Item = f64>) -> Self {
         let mut histogram = hdrhistogram::Histogram::<u64>::new(3).expect("three digits are valid");
         for time in times {
-            histogram.saturating_record((time.max(0.0) / STEP_MS) as u64);
+            let steps = (time.max(0.0) / STEP_MS).round() as u64;
+            histogram
+                .record(steps)
+                .expect("the histogram grows as needed");
         }
         let at = |quantile| histogram.value_at_quantile(quantile) as f64 * STEP_MS;
         Self {
@@ -161,19 +164,22 @@
     pub fn new(plan: &plan::Plan, arrivals: &[arrival::Arrival], seen: &Seen) -> Self {
         assert_eq!(arrivals.len(), seen.records.len(), "each call has a record");
         let within = ideal::admitted(plan, arrivals);
-        let accounts = account_figures(plan, arrivals, &seen.records, &within);
-        let ends = |end| seen.records.iter().filter(|r| r.end == end).count() as u64;
+        let cold = arrivals.partition_point(|a| a.at < plan.traffic.warm_up_ms);
+        let records = &seen.records[cold..];
+        let within = &within[cold..];
+        let accounts = account_figures(plan, &arrivals[cold..], records, within);
+        let ends = |end| records.iter().filter(|r| r.end == end).count() as u64;
         let served = accounts.iter().map(|a| a.served);
         Self {
             seed: plan.traffic.seed,
-            chats: chats(plan, &seen.records),
+            chats: chats(plan, records),
             plain: plain_figures(plan, arrivals, seen),
             wasted_prefill: wasted(seen),
             worst_served: served.fold(f64::INFINITY, f64::min),
             accounts,
-            wrongful_refusals: part(&seen.records, &within, record::Record::is_limited),
-            refused_within_limits: part(&seen.records, &within, record::Record::is_refused),
-            refusals: refusals(&seen.records),
+            wrongful_refusals: part(records, within, record::Record::is_limited),
+            refused_within_limits: part(records, within, record::Record::is_refused),
+            refusals: refusals(records),
             wrong: ends(record::End::Wrong),
             broken: ends(record::End::Broken),
             unreachable: ends(record::End::Unreachable),
@@ -207,7 +213,7 @@
         offered: chats().count() as u64,
         whole: chats().filter(|r| r.end == record::End::Whole).count() as u64,
         good,
-        goodput: good as f64 / plan.traffic.duration_ms.as_secs_f64(),
+        goodput: good as f64 / plan.traffic.counted().as_secs_f64(),
         first_token: Percentiles::new(chats().filter_map(|r| r.first_token_ms)),
         between_tokens: Percentiles::new(chats().filter_map(|r| r.between_tokens_ms)),
     }
--- a/stand-in/src/process.rs
+++ b/stand-in/src/process.rs
@@ -171,6 +171,11 @@
         }
     }
 
+    /// Returns the name it was started under.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     /// Returns the process id.
     pub fn pid(&self) -> u32 {
         self.child.id()
--- a/stand-in/tests/load_figures.rs
+++ b/stand-in/tests/load_figures.rs
@@ -177,6 +177,27 @@
     assert!(report.worst_served < 1.0);
 }
 
+#[test]
+fn percentiles_cover_long_times() {
+    let found = report::Percentiles::new((1..=1_000).map(|i| f64::from(i) * 50.0));
+    let cases = [
+        (found.p50, 25_000.0),
+        (found.p90, 45_000.0),
+        (found.p99, 49_500.0),
+        (found.max, 50_000.0),
+    ];
+    for (found, expected) in cases {
+        assert!(
+            (found / expected - 1.0_f64).abs() < 0.002,
+            "{found} for {expected}"
+        );
+    }
+    assert_eq!(
+        report::Percentiles::new([].into_iter()),
+        report::Percentiles::default()
+    );
+}
+
 #[test]
 fn a_plan_with_faults_names_them_all() {
     let mut plan = plan(Vec::new());
