Prove the replicated log by seeded random runs

A world of replicas over a faulty network and faulty disks checks election safety, log matching, leader completeness, state machine equality, reads and acknowledged writes.

--- a/src/replica/core/follower.rs
+++ b/src/replica/core/follower.rs
@@ -43,7 +43,10 @@
 
     /// Tells a leader of an older term about the newer one.
     pub(super) fn reject_old_leader(&mut self, from: &message::NodeId) {
-        let outcome = Outcome::Differs(id::LogIndex::default());
+        let outcome = Outcome::Differs {
+            refused: id::LogIndex::default(),
+            retry: id::LogIndex::default(),
+        };
         self.send_after_sync(from, Body::Appended { round: 0, outcome });
     }
 
@@ -65,10 +68,11 @@
             self.commit_known(committed.min(last));
             Outcome::Matched(last)
         } else {
-            let hint = joined.log.last().index.as_u64();
-            let before = previous.index.as_u64().saturating_sub(1);
-            let hint = id::LogIndex::new(hint.min(before));
-            Outcome::Differs(hint.max(joined.committed))
+            let retry = joined.log.before_term_at(previous.index);
+            Outcome::Differs {
+                refused: previous.index,
+                retry: retry.max(joined.committed),
+            }
         };
         self.send_after_sync(from, Body::Appended { round, outcome });
     }
--- a/src/replica/core/formation.rs
+++ b/src/replica/core/formation.rs
@@ -29,13 +29,28 @@
 }
 
 impl core::Replica {
+    /// Tells whether this member should ask to be taken in: it has no group, or it has no vote
+    /// and hears of no leader, since the entry that made it a learner may have been replaced.
+    pub(super) fn is_outside(&self, now: clock::Millis) -> bool {
+        let votes = self
+            .members()
+            .is_some_and(|m| m.is_voter(&self.settings.node));
+        !votes && !self.hears_leader(now)
+    }
+
+    /// Tells whether the sender of a hello may belong to the group of this member.
+    pub(super) fn may_share_group(&self, group: id::Incarnation) -> bool {
+        let own = self.joined.as_ref().map(|j| j.group);
+        group == id::Incarnation::default() || own == Some(group)
+    }
+
     /// Asks all initial members, and forms a group when all may.
     pub(super) fn say_hello(&mut self, now: clock::Millis) {
         if now < self.hello.next_at {
             return;
         }
         self.hello.next_at = now + self.settings.heartbeat * 2;
-        if self.may_form() {
+        if self.joined.is_none() && self.may_form() {
             self.form();
             return;
         }
@@ -85,18 +100,18 @@
     }
 
     /// Answers a member without a group.
-    pub(super) fn answer_hello(&mut self, now: clock::Millis, message: &message::Message) {
-        let from = &message.from;
+    pub(super) fn answer_hello(&mut self, now: clock::Millis, from: &message::NodeId) {
         let formed = self.joined.is_some();
         self.send_after_sync(from, Body::Seen { formed });
         let Some(joined) = &self.joined else {
             return;
         };
-        let head = &joined.snapshot.head;
-        let first = head.at == message::Position::default();
-        if first && head.members.is_voter(from) {
-            let head = head.clone();
-            self.send_after_sync(from, Body::Genesis(head));
+        // A leader brings its voters up to date by itself. Without one, the group may need this
+        // voter, which was counted in when the group was formed and never heard of it, to elect.
+        let is_lone_voter = joined.log.members().is_voter(from) && self.leader().is_none();
+        if is_lone_voter {
+            let snapshot = message::Snapshot::clone(&joined.snapshot);
+            self.send_after_sync(from, Body::Welcome(Box::new(snapshot)));
         }
         self.consider_newcomer(now, from);
     }
@@ -115,11 +130,12 @@
             Body::Seen { formed: false } => {
                 self.hello.unformed.insert(from.instance, from.incarnation);
             }
-            Body::Genesis(head) if head.members.is_voter(&self.settings.node) => {
-                self.install(message::Snapshot {
-                    head,
-                    data: Vec::new(),
-                });
+            Body::Welcome(snapshot) => {
+                let term = snapshot.head.at.term;
+                if term > self.hard.term {
+                    self.enter_term(now, term);
+                }
+                self.install(*snapshot);
             }
             Body::Append { round, .. } => {
                 let outcome = message::Outcome::Blank;
--- a/src/replica/core/leader.rs
+++ b/src/replica/core/leader.rs
@@ -140,7 +140,7 @@
                 );
                 progress.match_up_to(index);
             }
-            Outcome::Differs(index) => progress.back_to(index),
+            Outcome::Differs { refused, retry } => progress.refuse(refused, retry),
             Outcome::Blank if progress.transfer.is_none() => {
                 progress.transfer = snapshot.map(|snapshot| progress::Transfer {
                     snapshot,
@@ -432,7 +432,7 @@
                 return;
             }
             (None, Some(term)) => {
-                let entries = if progress.in_flight < progress::WINDOW {
+                let entries = if progress.may_send() {
                     joined.log.entries_after(previous, APPEND_BYTES).to_vec()
                 } else {
                     Vec::new()
@@ -463,8 +463,7 @@
             return;
         };
         if let Some(progress) = self.progress_mut(node) {
-            progress.next = last.next();
-            progress.in_flight += 1;
+            progress.note_sent(last);
         }
     }
 
--- a/src/replica/core/log.rs
+++ b/src/replica/core/log.rs
@@ -56,6 +56,16 @@
         self.entries.get(offset as usize)
     }
 
+    /// Returns the index before all entries of the term that stands at `index`, or the last index
+    /// when the log ends before.
+    pub fn before_term_at(&self, index: id::LogIndex) -> id::LogIndex {
+        let Some(term) = self.entry(index).map(|e| e.at.term) else {
+            return self.last().index.min(index);
+        };
+        let first = self.entries.partition_point(|e| e.at.term < term);
+        id::LogIndex::new(self.base.index.as_u64() + first as u64)
+    }
+
     /// Tells whether the log holds this very entry.
     pub fn contains(&self, at: message::Position) -> bool {
         self.term_at(at.index) == Some(at.term)
--- a/src/replica/core/message.rs
+++ b/src/replica/core/message.rs
@@ -109,8 +109,8 @@
             /// Whether the answering member belongs to a group.
             formed: bool,
         },
-        /// The first state of a new group.
-        Genesis(SnapshotHead),
+        /// A committed state, for a voter of a group that has not heard of it yet.
+        Welcome(Box<Snapshot>),
         /// Asks whether an election could be won, without a change of term.
         PreVote {
             /// The end of the candidate's log.
@@ -179,8 +179,13 @@
     pub enum Outcome {
         /// The member's log is on disk and equal to the leader's up to here.
         Matched(id::LogIndex),
-        /// The logs differ before the entries; try again after this index.
-        Differs(id::LogIndex),
+        /// The logs differ before the entries.
+        Differs {
+            /// The index before the entries that were refused.
+            refused: id::LogIndex,
+            /// The index after which to try again.
+            retry: id::LogIndex,
+        },
         /// The member has no state; send it a snapshot.
         Blank,
     }
--- a/src/replica/core/mod.rs
+++ b/src/replica/core/mod.rs
@@ -267,8 +267,10 @@
     }
 
     fn tick(&mut self, now: clock::Millis) {
-        if self.joined.is_none() {
+        if self.is_outside(now) {
             self.say_hello(now);
+        }
+        if self.joined.is_none() {
             return;
         }
         if self.is_leader() {
@@ -284,7 +286,9 @@
             return;
         }
         if matches!(message.body, Body::Hello) {
-            self.answer_hello(now, &message);
+            if self.may_share_group(message.group) {
+                self.answer_hello(now, &message.from);
+            }
             return;
         }
         if message.to != *me {
--- a/src/replica/core/progress.rs
+++ b/src/replica/core/progress.rs
@@ -16,6 +16,8 @@
     pub matched: id::LogIndex,
     /// The index of the next entry to send.
     pub next: id::LogIndex,
+    /// Whether the place where the logs meet is still searched for.
+    pub probing: bool,
     /// The appends sent and not answered since the last heartbeat.
     pub in_flight: u32,
     /// The newest heartbeat round that was answered.
@@ -41,6 +43,7 @@
         Self {
             matched: id::LogIndex::default(),
             next: last.next(),
+            probing: true,
             in_flight: 0,
             acked_round: 0,
             heard_at: now,
@@ -57,6 +60,7 @@
 
     /// Takes in that the member's log is equal up to `index`.
     pub fn match_up_to(&mut self, index: id::LogIndex) {
+        self.probing = false;
         self.matched = self.matched.max(index);
         self.next = self.next.max(self.matched.next());
         let matched = self.matched;
@@ -64,8 +68,29 @@
             .take_if(|t| matched >= t.snapshot.head.at.index);
     }
 
-    /// Takes in that the member's log differs after `index`.
-    pub fn back_to(&mut self, index: id::LogIndex) {
-        self.next = index.next().max(self.matched.next());
+    /// Takes in that the member refused entries after `refused`; an answer to an older attempt is
+    /// left aside, or the search would start over and over.
+    pub fn refuse(&mut self, refused: id::LogIndex, retry: id::LogIndex) {
+        let is_old = self.probing && refused.next() != self.next;
+        if is_old || refused <= self.matched {
+            return;
+        }
+        self.probing = true;
+        self.in_flight = 0;
+        self.next = retry.min(refused).next().max(self.matched.next());
+    }
+
+    /// Tells whether more entries may be sent before the next answer.
+    pub fn may_send(&self) -> bool {
+        let window = if self.probing { 1 } else { WINDOW };
+        self.in_flight < window
+    }
+
+    /// Takes in that entries up to `last` were sent.
+    pub fn note_sent(&mut self, last: id::LogIndex) {
+        self.in_flight += 1;
+        if !self.probing {
+            self.next = last.next();
+        }
     }
 }
--- /dev/null
+++ b/tests/replica.rs
@@ -0,0 +1,76 @@
+//! Randomised runs of the replicated log over a faulty network and faulty disks.
+//!
+//! The full bar is 1,000 seeds of 10,000 steps:
+//! `REPLICA_SEEDS=1000 REPLICA_STEPS=10000 cargo test --release --test replica`.
+//! `REPLICA_FIRST_SEED` starts elsewhere, to run one seed again.
+
+mod replica_support;
+
+use std::panic;
+
+use replica_support::world;
+
+/// The seeds and steps when the environment does not say otherwise.
+const SEEDS: u64 = 24;
+const STEPS: u64 = 3_000;
+
+/// The seeds within which a planted fault must be found.
+const PLANTED_SEEDS: u64 = 200;
+
+fn from_env(name: &str, default: u64) -> u64 {
+    std::env::var(name).map_or(default, |v| v.parse().unwrap())
+}
+
+/// Runs seeds on all processors and returns the sum of what happened.
+fn run_seeds(planted: world::Planted) -> world::Counts {
+    let first = from_env("REPLICA_FIRST_SEED", 0);
+    let seeds = from_env("REPLICA_SEEDS", SEEDS);
+    let steps = from_env("REPLICA_STEPS", STEPS);
+    let threads = from_env("REPLICA_THREADS", 3);
+    let run = |thread: u64| {
+        let mut counts = world::Counts::default();
+        for seed in (first..first + seeds).filter(|s| s % threads == thread) {
+            let run = panic::catch_unwind(|| world::run(seed, steps, planted));
+            counts.add(&run.unwrap_or_else(|_| panic!("seed {seed} failed")));
+        }
+        counts
+    };
+    let run = &run;
+    let mut counts = world::Counts::default();
+    std::thread::scope(|scope| {
+        let running: Vec<_> = (0..threads).map(|t| scope.spawn(move || run(t))).collect();
+        for thread in running {
+            counts.add(&thread.join().expect("a seed failed"));
+        }
+    });
+    counts
+}
+
+#[test]
+fn nothing_acknowledged_is_lost_under_random_faults() {
+    let counts = run_seeds(world::Planted::Nothing);
+    println!("{counts:?}");
+    assert!(counts.acknowledged > 0 && counts.reads > 0 && counts.repairs > 0);
+    assert!(counts.lost_disks > 0 && counts.lost_after_repair > 0 && counts.snapshots > 0);
+}
+
+/// Tells whether some seed finds the planted fault.
+fn is_found(planted: world::Planted) -> bool {
+    let hook = panic::take_hook();
+    panic::set_hook(Box::new(|_| ()));
+    let fails = |seed| panic::catch_unwind(|| world::run(seed, STEPS, planted)).is_err();
+    let found = (0..PLANTED_SEEDS).any(fails);
+    panic::set_hook(hook);
+    found
+}
+
+#[test]
+fn planted_faults_are_found() {
+    let planted = [
+        world::Planted::ConfirmsBeforeSync,
+        world::Planted::KeepsIncarnationOfLostDisk,
+    ];
+    for fault in planted {
+        assert!(is_found(fault), "{fault:?} was not found");
+    }
+}
--- /dev/null
+++ b/tests/replica_support/disk.rs
@@ -0,0 +1,84 @@
+//! A disk that keeps what was synced, and of the rest whatever a crash leaves.
+
+use std::collections;
+
+use buckthorncleat::replica::core;
+use buckthorncleat::replica::core::message;
+
+#[derive(Default)]
+pub struct Disk {
+    durable: core::Stored,
+    waiting: collections::VecDeque<message::Batch>,
+}
+
+impl Disk {
+    pub fn write(&mut self, batch: message::Batch) {
+        self.waiting.push_back(batch);
+    }
+
+    /// Syncs some of the waiting batches and returns the number of the last one.
+    pub fn sync(&mut self, rng: &mut impl rand::Rng) -> Option<u64> {
+        let count = rng.random_range(0..=self.waiting.len());
+        let mut last = None;
+        for batch in self.waiting.drain(..count).collect::<Vec<_>>() {
+            last = Some(batch.number);
+            take(&mut self.durable, batch);
+        }
+        last
+    }
+
+    /// Confirms the last batch and syncs nothing, as a broken program would.
+    pub fn last_unsynced(&self) -> Option<u64> {
+        self.waiting.back().map(|b| b.number)
+    }
+
+    /// Loses what was not synced, but for a random prefix of its records.
+    pub fn crash(&mut self, rng: &mut impl rand::Rng) {
+        let whole = rng.random_range(0..=self.waiting.len());
+        let rest: Vec<message::Batch> = self.waiting.drain(..).collect();
+        for (number, mut batch) in rest.into_iter().enumerate() {
+            if number < whole {
+                take(&mut self.durable, batch);
+                continue;
+            }
+            if batch.snapshot.is_some() && rng.random() {
+                // Only the rename of the snapshot lasted.
+                batch.reset = false;
+                batch.hard = None;
+                batch.entries.clear();
+                take(&mut self.durable, batch);
+            } else if batch.snapshot.is_none() {
+                let kept = rng.random_range(0..=batch.entries.len());
+                batch.entries.truncate(kept);
+                take(&mut self.durable, batch);
+            }
+            return;
+        }
+    }
+
+    pub fn load(&self) -> core::Stored {
+        self.durable.clone()
+    }
+}
+
+/// Does what the storage of a data folder does with a batch and when it is opened.
+fn take(stored: &mut core::Stored, batch: message::Batch) {
+    if let Some(snapshot) = batch.snapshot {
+        let at = snapshot.head.at;
+        let covered = stored.entries.iter().rposition(|e| e.at.index <= at.index);
+        let goes_on = covered.is_none_or(|c| stored.entries[c].at == at);
+        if goes_on && !batch.reset {
+            stored.entries.retain(|e| e.at.index > at.index);
+        } else {
+            stored.entries.clear();
+        }
+        stored.snapshot = Some(message::Snapshot::clone(&snapshot));
+    }
+    if let Some(hard) = batch.hard {
+        stored.hard = hard;
+    }
+    for entry in batch.entries {
+        stored.entries.retain(|e| e.at.index < entry.at.index);
+        stored.entries.push(entry);
+    }
+}
--- /dev/null
+++ b/tests/replica_support/network.rs
@@ -0,0 +1,96 @@
+//! A network that drops, repeats, delays, reorders and cuts in one direction.
+
+use buckthorncleat::clock;
+use buckthorncleat::replica::core::message;
+
+const SHORT_DELAY_MS: u64 = 6;
+const LONG_DELAY_MS: u64 = 400;
+
+/// The messages under way; more are dropped, as by full queues.
+const MAX_WAITING: usize = 200;
+
+#[derive(Default)]
+pub struct Network {
+    waiting: Vec<Waiting>,
+    cuts: Vec<Cut>,
+    pub drop_percent: u32,
+    pub repeat_percent: u32,
+    pub late_percent: u32,
+}
+
+struct Waiting {
+    due: clock::Millis,
+    message: message::Message,
+}
+
+/// A line that carries nothing from one instance to another; `None` stands for all.
+pub struct Cut {
+    pub from: Option<String>,
+    pub to: Option<String>,
+    pub until: clock::Millis,
+}
+
+impl Network {
+    pub fn send(
+        &mut self,
+        now: clock::Millis,
+        message: message::Message,
+        rng: &mut impl rand::Rng,
+    ) {
+        if rng.random_range(0..100) < self.drop_percent {
+            return;
+        }
+        if rng.random_range(0..100) < self.repeat_percent {
+            self.put(now, message.clone(), rng);
+        }
+        self.put(now, message, rng);
+    }
+
+    pub fn cut(&mut self, cut: Cut) {
+        self.cuts.push(cut);
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.drop_percent = 0;
+        self.repeat_percent = 0;
+        self.late_percent = 0;
+    }
+
+    /// Takes a random message that is due and whose line is whole.
+    pub fn receive(
+        &mut self,
+        now: clock::Millis,
+        rng: &mut impl rand::Rng,
+    ) -> Option<message::Message> {
+        self.cuts.retain(|c| c.until > now);
+        let due: Vec<usize> = (0..self.waiting.len())
+            .filter(|at| self.waiting[*at].due <= now)
+            .collect();
+        if due.is_empty() {
+            return None;
+        }
+        let at = due[rng.random_range(0..due.len())];
+        let message = self.waiting.swap_remove(at).message;
+        (!self.is_cut(&message)).then_some(message)
+    }
+
+    fn put(&mut self, now: clock::Millis, message: message::Message, rng: &mut impl rand::Rng) {
+        if self.waiting.len() >= MAX_WAITING {
+            return;
+        }
+        let late = rng.random_range(0..100) < self.late_percent;
+        let longest = if late { LONG_DELAY_MS } else { SHORT_DELAY_MS };
+        let due = now + clock::Millis::new(rng.random_range(0..longest));
+        self.waiting.push(Waiting { due, message });
+    }
+
+    fn is_cut(&self, message: &message::Message) -> bool {
+        let hits = |end: &Option<String>, node: &message::NodeId| {
+            end.as_ref()
+                .is_none_or(|name| name == node.instance.as_str())
+        };
+        let cut = |c: &Cut| hits(&c.from, &message.from) && hits(&c.to, &message.to);
+        self.cuts.iter().any(cut)
+    }
+}
