Give the control process test a token and accounts that pass the checks

Cause: the operators file now refuses tokens under its least length and the state machine refuses a burst below a second of the rate, so the three processes ended at start, and writes were refused. Change: a longer token, a rate and burst of at least 1; the assertions are as they were. Before: 3 of 3 failed ("no leader for too long"). After: 3 of 3 passed in 23.7 s.

--- a/tests/control_support/cluster.rs
+++ b/tests/control_support/cluster.rs
@@ -49,7 +49,11 @@
     pub async fn start(count: usize) -> Self {
         let folder = tempfile::tempdir().unwrap();
         fs::write(folder.path().join("secret"), SECRET).unwrap();
-        fs::write(folder.path().join("operators"), "operator token\n").unwrap();
+        fs::write(
+            folder.path().join("operators"),
+            "operator 0123456789abcdef0123456789abcdef\n",
+        )
+        .unwrap();
         let peers: Vec<settings::ControlPeer> = (0..count).map(control_peer).collect();
         let member = |peer: &settings::ControlPeer| Member {
             settings: member_settings(folder.path(), peer, &peers),
--- a/tests/control_support/writer.rs
+++ b/tests/control_support/writer.rs
@@ -148,8 +148,8 @@
 fn put_account(number: usize) -> change::Change {
     change::Change::PutAccount(model::ClientAccount {
         id: format!("account-{number}").parse().unwrap(),
-        rate: unit::TokensPerSecond::new(number as u64),
-        burst: unit::Tokens::new(1),
+        rate: unit::TokensPerSecond::new(number as u64 + 1),
+        burst: unit::Tokens::new(number as u64 + 1),
         priority: model::Priority::Normal,
         weight: 1,
     })
