Stop requests that crash servers; eject slow services; follow the platform's list

Cause: a request that crashes each server that runs it would have been retried on every one, and a plain service that stalls would have slowed every lookup that drew it. Change: the gateway screens model requests by fingerprint, puts a loss on record before the request runs again, and lets a suspect go once it is 16 tokens past the point of its loss; plain services are picked with outlier ejection and a retry budget; servers that the platform calls leaving get no new work; the end of a claim is recorded after the caller has its answer, also when the claim may not have been committed.

--- a/src/controller/quarantine.rs
+++ b/src/controller/quarantine.rs
@@ -167,6 +167,25 @@
         losses
     }
 
+    /// Notes that a server was lost to one request, as that request alone can tell.
+    ///
+    /// Returns `None` when the request did not run there, or when its loss was noted before.
+    pub fn request_lost(
+        &mut self,
+        cfg: &change::Config,
+        request: id::RequestId,
+        server: &id::BackendServerId,
+    ) -> Option<Loss> {
+        let place = Place {
+            request,
+            server: server.clone(),
+        };
+        let run = self.running.remove(&place)?;
+        let loss = run.to_loss(cfg, &place);
+        self.await_record(cfg, &loss.report);
+        Some(loss)
+    }
+
     /// Takes in a new configuration: losses that are on record now need not be waited for.
     pub fn configure(&mut self, cfg: &change::Config) {
         self.pending.retain(|fingerprint, _| {
--- a/src/controller/scheduler/lifecycle.rs
+++ b/src/controller/scheduler/lifecycle.rs
@@ -145,6 +145,18 @@
         message::Reply::Noted
     }
 
+    pub(super) fn cleared(
+        &mut self,
+        gateway: id::InstanceId,
+        number: id::ReservationId,
+    ) -> message::Reply {
+        let key = reservation::Key { number, gateway };
+        if let Some(reservation) = self.reservations.get_mut(&key) {
+            reservation.place.suspect = false;
+        }
+        message::Reply::Noted
+    }
+
     pub(super) fn failed(&mut self, server: &id::BackendServerId) -> message::Reply {
         let pauses = self.pauses();
         if let Some(slot) = self.fleet.slot(server) {
--- a/src/controller/scheduler/message.rs
+++ b/src/controller/scheduler/message.rs
@@ -15,6 +15,8 @@
         Prefilled(Prefilled),
         /// Says that the decode engine holds the KV cache, so that the prefill engine is free.
         Transferred(id::ReservationId),
+        /// Says that a suspect got past the point where it lost a server: others may run now.
+        Cleared(id::ReservationId),
         /// Keeps reservations alive.
         Renew(Vec<id::ReservationId>),
         /// Says that a request has ended and holds nothing any more.
--- a/src/controller/scheduler/mod.rs
+++ b/src/controller/scheduler/mod.rs
@@ -232,6 +232,7 @@
             message::Request::Place(place) => return self.admit(gateway, place),
             message::Request::Prefilled(prefilled) => self.prefilled(gateway, &prefilled),
             message::Request::Transferred(number) => self.transferred(gateway, number),
+            message::Request::Cleared(number) => self.cleared(gateway, number),
             message::Request::Renew(numbers) => self.renew(&gateway, &numbers),
             message::Request::Finish(finish) => self.finish(gateway, &finish),
             message::Request::Failed(server) => self.failed(&server),
--- a/src/filter/claim.rs
+++ b/src/filter/claim.rs
@@ -54,15 +54,15 @@
         .any(|m| m.eq_ignore_ascii_case(method.as_str()))
 }
 
-/// Records how the claimed call ended.
-pub async fn settle(exchange: &exchange::Exchange, end: command::ClaimEnd) {
+/// Records how the claimed call ended, also when its claim may not have been committed.
+pub async fn settle(exchange: &exchange::Exchange) {
     let Some(key) = exchange.claim.clone() else {
         return;
     };
     let command = command::Command::Settle(command::Settlement {
         key,
         request: exchange.id,
-        end,
+        end: exchange.claim_end.clone(),
     });
     for _ in 0..SETTLE_ATTEMPTS {
         let settled = exchange
@@ -145,6 +145,8 @@
         command::Answer::Ran(stored) => Ok(filter::Flow::Answer(replay(exchange, stored))),
         command::Answer::Running => Err(still_running()),
         command::Answer::KeyReused => Err(reused()),
+        command::Answer::RanNotKept => Err(ran_not_kept()),
+        command::Answer::ClaimsFull => Err(claims_full()),
         _ => Err(may_have_run()),
     }
 }
@@ -171,6 +173,19 @@
     answer::Refusal::not_run(422, "idempotency_key_reused", message)
 }
 
+fn ran_not_kept() -> answer::Refusal {
+    let message = "the call ran, but its answer was too large to keep; look up what it made";
+    answer::Refusal {
+        outcome: answer::Outcome::Ran,
+        ..answer::Refusal::not_run(409, "ran_answer_not_kept", message)
+    }
+}
+
+fn claims_full() -> answer::Refusal {
+    let message = "too many calls are on record; come back later";
+    answer::Refusal::not_run(503, "claims_full", message).retry_after(RUNNING_RETRY)
+}
+
 /// Returns the answer for a call of which nobody knows whether it ran.
 pub fn may_have_run() -> answer::Refusal {
     let message = "the call may have run and is not sent again; look up what it would have made";
--- a/src/filter/exchange.rs
+++ b/src/filter/exchange.rs
@@ -39,8 +39,10 @@
     pub charged: Option<unit::Tokens>,
     /// The tokens that it used.
     pub used: unit::Tokens,
-    /// Its claim, once committed and until settled.
+    /// Its claim, once proposed.
     pub claim: Option<command::ClaimKey>,
+    /// How its claim ends as things stand.
+    pub claim_end: command::ClaimEnd,
     /// The way back.
     pub caller: Caller,
     /// Where the connection learns which key it is used with.
--- a/src/filter/forward_model.rs
+++ b/src/filter/forward_model.rs
@@ -7,6 +7,7 @@
 
 use crate::backend::wire;
 use crate::clock;
+use crate::controller::quarantine;
 use crate::controller::scheduler;
 use crate::event;
 use crate::filter;
@@ -18,6 +19,7 @@
 use crate::http::caller::answer;
 use crate::http::caller::chat;
 use crate::id;
+use crate::state::model;
 use crate::unit;
 
 /// The places that one request may get, one after the other.
@@ -38,7 +40,9 @@
     let exchange::Target::Model(call) = exchange.target.clone() else {
         return Ok(filter::Flow::Next);
     };
-    let mut run = Run::new(call);
+    let account = exchange.account().ok_or_else(exchange::withdrawn)?;
+    let fingerprint = model::Fingerprint::from_request(account, &exchange.body);
+    let mut run = Run::new(call, fingerprint);
     let end = run.finish(exchange).await;
     exchange.used = run.used();
     finish(exchange, &run, end).await
@@ -53,6 +57,9 @@
     pub tokens: Vec<String>,
     /// The tokens of the prompt as the engine counts them.
     pub prompt: Option<unit::Tokens>,
+    /// The tokens that had come when a server was last lost.
+    pub lost_at: usize,
+    fingerprint: model::Fingerprint,
     attempt: u32,
     exclude: Vec<id::BackendServerId>,
     started: bool,
@@ -73,8 +80,10 @@
 }
 
 impl Run {
-    fn new(call: sync::Arc<exchange::ModelCall>) -> Self {
+    fn new(call: sync::Arc<exchange::ModelCall>, fingerprint: model::Fingerprint) -> Self {
         Self {
+            lost_at: 0,
+            fingerprint,
             call,
             tokens: Vec::new(),
             prompt: None,
@@ -111,20 +120,23 @@
     ) -> Result<wire::Done, Interruption> {
         let cx = sync::Arc::clone(&exchange.cx);
         let key = exchange.key.clone().ok_or_else(withdrawn)?;
-        let place = self.place_request(exchange);
+        let mut place = self.place_request(exchange);
         let placement = tokio::select! {
-            placed = self.place(&cx, &place) => placed?,
+            placed = self.screen_and_place(&cx, &mut place) => placed?,
             () = cx.withdrawn(&key) => return Err(withdrawn()),
             () = exchange.caller.gone() => return Err(cancelled()),
         };
-        exchange.check_allowed().map_err(Interruption::End)?;
-        let mut stage = stage::Stage::begin(&cx, exchange.id, place, placement);
+        let mut stage = stage::Stage::begin(&cx, exchange.id, place, placement, self.fingerprint);
+        if let Err(refusal) = exchange.check_allowed() {
+            stage.end(false, self).await;
+            return Err(Interruption::End(refusal));
+        }
         self.started = true;
         let result = tokio::select! {
             result = stage.run(self, &mut exchange.caller) => result,
             () = cx.withdrawn(&key) => Err(withdrawn()),
         };
-        stage.end(result.is_ok(), self.tokens.len()).await;
+        stage.end(result.is_ok(), self).await;
         result
     }
 
@@ -159,6 +171,25 @@
         }
     }
 
+    /// Asks for a place, but never for a request that crashed two servers.
+    async fn screen_and_place(
+        &self,
+        cx: &shared::Shared,
+        place: &mut scheduler::Place,
+    ) -> Result<scheduler::Placement, Interruption> {
+        let patience = place.first_token;
+        let screening = cx.screens.screen(cx, self.fingerprint, patience).await;
+        place.suspect = match screening {
+            quarantine::Screening::Clear => false,
+            quarantine::Screening::Suspect => true,
+            quarantine::Screening::Pending => return Err(Interruption::End(self.not_recorded())),
+            quarantine::Screening::Quarantined => {
+                return Err(Interruption::End(self.quarantined()));
+            }
+        };
+        self.place(cx, place).await
+    }
+
     async fn place(
         &self,
         cx: &shared::Shared,
@@ -205,6 +236,17 @@
             .retry_after(OWNER_RETRY)
     }
 
+    fn quarantined(&self) -> answer::Refusal {
+        let message = "servers crashed while they ran this request; ask your operator";
+        self.refusal(422, "request_quarantined", message)
+    }
+
+    fn not_recorded(&self) -> answer::Refusal {
+        let message = "a server was lost while it ran this request; come back later";
+        self.refusal(503, "server_lost", message)
+            .retry_after(OWNER_RETRY)
+    }
+
     fn gave_up(&self) -> answer::Refusal {
         let message = "backend servers failed the request again and again";
         self.refusal(502, "servers_failed", message)
--- a/src/filter/forward_plain.rs
+++ b/src/filter/forward_plain.rs
@@ -19,8 +19,6 @@
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// The share of a lookup's deadline after which a second server is asked too.
 const HEDGE_SHARE: u64 = 4;
-/// The largest answer that is kept for resends, in bytes.
-const MAX_STORED_BYTES: usize = 64 << 10;
 /// When to come back when no server of a route takes work.
 const NO_SERVER_RETRY: clock::Millis = clock::Millis::new(2_000);
 /// The header that tells plain services which account calls.
@@ -55,7 +53,7 @@
     } else {
         once(exchange, &route).await
     };
-    finish(exchange, &route, sent).await
+    finish(exchange, &route, sent)
 }
 
 /// What became of a call.
@@ -88,11 +86,14 @@
 }
 
 async fn hedged(exchange: &exchange::Exchange, route: &model::Route) -> Sent {
-    let pause = clock::Millis::new(route.deadline.as_u64() / HEDGE_SHARE);
+    let services = &exchange.cx.services;
+    services.note_request();
     let mut calls = futures_util::stream::FuturesUnordered::new();
     let mut tried: Vec<id::BackendServerId> = Vec::new();
+    let mut may_ask = true;
     loop {
-        if let Some(server) = exchange.cx.services.pick(&exchange.cx, route, &tried) {
+        let server = services.pick(&exchange.cx, route, &tried);
+        if let Some(server) = server.filter(|_| may_ask) {
             tried.push(server.id.clone());
             calls.push(attempt(exchange, route, server));
         } else if calls.is_empty() {
@@ -100,12 +101,19 @@
         }
         let next = futures_util::StreamExt::next(&mut calls);
         // A call that fails, or is silent for a while, lets the next server be asked.
-        if let Ok(Some(Ok(answer))) = time::timeout(pause.as_duration(), next).await {
-            return Sent::Answered(answer);
-        }
+        let next = time::timeout(hedge_pause(route).as_duration(), next).await;
+        may_ask = match next {
+            Ok(Some(Ok(answer))) => return Sent::Answered(answer),
+            Ok(Some(Err(client::Failure::NotSent(_)))) => true,
+            _ => services.try_retry(),
+        };
     }
 }
 
+const fn hedge_pause(route: &model::Route) -> clock::Millis {
+    clock::Millis::new(route.deadline.as_u64() / HEDGE_SHARE)
+}
+
 /// Sends the call to one server; another is tried only when surely nothing was sent.
 async fn once(exchange: &exchange::Exchange, route: &model::Route) -> Sent {
     let mut tried: Vec<id::BackendServerId> = Vec::new();
@@ -134,12 +142,14 @@
     server: model::BackendServer,
 ) -> Result<client::Answer, client::Failure> {
     let cx = &exchange.cx;
-    let _running = cx.services.begin(&server.id);
+    let running = cx.services.begin(cx, &server.id, hedge_pause(route));
     cx.recorder
         .record_request(event::Kind::Placed, exchange.id, server.id.as_str());
     let left = route.deadline - exchange.age();
     let request = forwarded(exchange);
-    client::call(server.address, request, left, MAX_ANSWER_BYTES).await
+    let result = client::call(server.address, request, left, MAX_ANSWER_BYTES).await;
+    running.finish(result.as_ref().is_ok_and(|a| !a.status.is_server_error()));
+    result
 }
 
 /// Makes the request that a service sees: without the caller's key, with its account's name.
@@ -186,7 +196,7 @@
     kept
 }
 
-async fn finish(
+fn finish(
     exchange: &mut exchange::Exchange,
     route: &model::Route,
     sent: Sent,
@@ -194,24 +204,16 @@
     match sent {
         Sent::Answered(answer) => {
             exchange.used = route.cost;
-            let stored = stored(&answer);
-            exchange.caller.answer(response(exchange, answer));
+            exchange.claim_end = command::ClaimEnd::Ran(stored(&answer));
             let recorder = &exchange.cx.recorder;
             recorder.record_request(event::Kind::Answered, exchange.id, "");
-            claim::settle(exchange, stored).await;
-            Ok(filter::Flow::Streamed)
-        }
-        Sent::Refused(refusal) => {
-            claim::settle(exchange, command::ClaimEnd::NotRun).await;
-            Err(refusal)
+            Ok(filter::Flow::Answer(response(exchange, answer)))
         }
+        Sent::Refused(refusal) => Err(refusal),
         Sent::Unknown => {
             exchange.used = route.cost;
-            exchange
-                .caller
-                .answer(claim::may_have_run().into_response(exchange.id));
-            claim::settle(exchange, command::ClaimEnd::Unknown).await;
-            Ok(filter::Flow::Streamed)
+            exchange.claim_end = command::ClaimEnd::Unknown;
+            Err(claim::may_have_run())
         }
     }
 }
@@ -228,20 +230,17 @@
     answer::finish(builder, body::Body::from_bytes(answer.body))
 }
 
-fn stored(answer: &client::Answer) -> command::ClaimEnd {
-    if answer.body.len() > MAX_STORED_BYTES {
-        return command::ClaimEnd::Unknown;
-    }
+fn stored(answer: &client::Answer) -> command::StoredAnswer {
     let content_type = answer
         .headers
         .get(header::CONTENT_TYPE)
         .and_then(|value| value.to_str().ok())
         .unwrap_or("application/octet-stream");
-    command::ClaimEnd::Ran(command::StoredAnswer {
+    command::StoredAnswer {
         status: answer.status.as_u16(),
         content_type: content_type.to_owned(),
         body: answer.body.to_vec(),
-    })
+    }
 }
 
 fn too_late(route: &model::Route) -> answer::Refusal {
--- a/src/filter/mod.rs
+++ b/src/filter/mod.rs
@@ -66,7 +66,8 @@
         }
         Err(refusal) => refuse(&mut exchange, refusal),
     }
-    limit::give_back(&exchange).await;
+    // The caller has its answer; what follows must end even so.
+    tokio::join!(limit::give_back(&exchange), claim::settle(&exchange));
 }
 
 async fn pass(exchange: &mut exchange::Exchange) -> Result<Flow, answer::Refusal> {
--- a/src/filter/stage.rs
+++ b/src/filter/stage.rs
@@ -26,6 +26,8 @@
 const CANCEL_ATTEMPTS: u32 = 2;
 /// The times that the owner is told of the end, before that is left to the lease.
 const FINISH_ATTEMPTS: u32 = 3;
+/// The tokens by which a suspect must get past the point where it lost a server.
+const CLEAR_TOKENS: usize = 16;
 /// The pause between two such messages.
 const PAUSE: clock::Millis = clock::Millis::new(50);
 
@@ -38,8 +40,11 @@
     placement: scheduler::Placement,
     prefill: Option<engine::Engine>,
     decode: Option<engine::Engine>,
+    fingerprint: model::Fingerprint,
     held_prefill: bool,
     held_decode: bool,
+    cleared: bool,
+    lost: bool,
 }
 
 impl Stage {
@@ -49,6 +54,7 @@
         request: id::RequestId,
         place: scheduler::Place,
         placement: scheduler::Placement,
+        fingerprint: model::Fingerprint,
     ) -> Self {
         let detail = format!("prefill {} decode {}", placement.prefill, placement.decode);
         cx.recorder
@@ -73,8 +79,11 @@
             request,
             place,
             placement,
+            fingerprint,
             held_prefill: false,
             held_decode: false,
+            cleared: false,
+            lost: false,
         }
     }
 
@@ -101,6 +110,9 @@
     ) -> Result<(), forward_model::Interruption> {
         let prefilled = self.prefill(run).await?;
         run.prompt.get_or_insert(prefilled.tokens);
+        self.cx
+            .screens
+            .leave(self.place.request, &self.placement.prefill);
         self.record(event::Kind::Prefilled, "");
         self.tell(scheduler::Request::Prefilled(scheduler::Prefilled {
             reservation: self.placement.reservation,
@@ -130,6 +142,7 @@
             delivered: run.tokens.clone(),
             priority: self.place.priority,
         };
+        self.screen(&server)?;
         self.held_prefill = true;
         let call = engine.prefill(&body, LONGEST_CALL);
         let result = self.guarded(engine, call).await;
@@ -151,12 +164,23 @@
             from,
             export,
         };
+        self.screen(&server)?;
         self.held_decode = true;
         let call = engine.import(&body, LONGEST_CALL);
         let result = self.guarded(engine, call).await;
         self.checked(&server, result).await
     }
 
+    /// Makes sure that the request may run, and notes where it does.
+    fn screen(&self, server: &id::BackendServerId) -> Result<(), forward_model::Interruption> {
+        let cx = &self.cx;
+        let request = self.place.request;
+        match cx.screens.begin(cx, self.fingerprint, request, server) {
+            true => Ok(()),
+            false => Err(forward_model::Interruption::Retry(None)),
+        }
+    }
+
     /// Waits for a call as long as the engine says, on other connections, that it works on it.
     async fn guarded<T>(
         &self,
@@ -190,7 +214,7 @@
     }
 
     async fn checked<T>(
-        &self,
+        &mut self,
         server: &id::BackendServerId,
         result: Result<T, engine::EngineError>,
     ) -> Result<T, forward_model::Interruption> {
@@ -202,13 +226,14 @@
 
     /// Tells the owner when a server failed, and asks for another place.
     async fn failed(
-        &self,
+        &mut self,
         server: &id::BackendServerId,
         e: &engine::EngineError,
     ) -> forward_model::Interruption {
         self.record(event::Kind::ServerFailed, format!("{server}: {e}"));
         if matches!(e, engine::EngineError::Call(_)) {
             self.tell(scheduler::Request::Failed(server.clone())).await;
+            self.note_loss(server, e).await;
         }
         match e {
             engine::EngineError::Gone => forward_model::Interruption::Retry(None),
@@ -216,12 +241,34 @@
         }
     }
 
+    /// Puts it on record when the server no longer knows the request that it ran.
+    async fn note_loss(&mut self, server: &id::BackendServerId, e: &engine::EngineError) {
+        if e.is_not_run() {
+            self.cx.screens.leave(self.place.request, server);
+            return;
+        }
+        let config = self.cx.config();
+        let Some(record) = config.servers.get(server) else {
+            return;
+        };
+        let held = engine::Engine::new(record.address).held().await;
+        let is_known = held.is_ok_and(|held| {
+            let mut requests = held.requests.iter();
+            requests.any(|h| h.request == self.place.request)
+        });
+        if !is_known {
+            self.lost = true;
+            let cx = &self.cx;
+            cx.screens.lost(cx, self.place.request, server).await;
+        }
+    }
+
     async fn decode(
-        &self,
+        &mut self,
         run: &mut forward_model::Run,
         caller: &mut exchange::Caller,
     ) -> Result<wire::Done, forward_model::Interruption> {
-        let server = &self.placement.decode;
+        let server = &self.placement.decode.clone();
         let engine = self.decode.ok_or(retry(server))?;
         let body = wire::Decode {
             request: self.place.request,
@@ -254,19 +301,20 @@
 
     /// Takes up the stream at the same engine after a connection broke or went silent.
     async fn take_up(
-        &self,
+        &mut self,
         engine: engine::Engine,
         run: &forward_model::Run,
     ) -> Result<engine::TokenStream, forward_model::Interruption> {
         let result = engine
             .resume(self.place.request, run.tokens.len() as u64)
             .await;
-        self.checked(&self.placement.decode, result).await
+        let server = self.placement.decode.clone();
+        self.checked(&server, result).await
     }
 
     /// Passes tokens on until the end, or until the stream breaks, which gives `None`.
     async fn pump(
-        &self,
+        &mut self,
         stream: &mut engine::TokenStream,
         run: &mut forward_model::Run,
         caller: &mut exchange::Caller,
@@ -283,6 +331,7 @@
                         self.record(event::Kind::FirstToken, "");
                     }
                     run.deliver(token, self.request, caller).await?;
+                    self.clear(run).await;
                 }
                 Ok(engine::StreamEvent::Done(done)) => return Ok(self.whole(done, run)),
                 Err(_) => return Ok(None),
@@ -290,6 +339,16 @@
         }
     }
 
+    /// Lets other suspects run once this one is well past the point where it lost a server.
+    async fn clear(&mut self, run: &forward_model::Run) {
+        if !self.place.suspect || self.cleared || run.tokens.len() < run.lost_at + CLEAR_TOKENS {
+            return;
+        }
+        self.cleared = true;
+        let reservation = self.placement.reservation;
+        self.tell(scheduler::Request::Cleared(reservation)).await;
+    }
+
     /// Accepts the end only when every token came.
     fn whole(&self, done: wire::Done, run: &forward_model::Run) -> Option<wire::Done> {
         let came = unit::Tokens::new(run.tokens.len() as u64);
@@ -297,7 +356,8 @@
     }
 
     /// Ends the attempt: nothing stays held at the engines, and the owner knows.
-    pub async fn end(self, done: bool, tokens: usize) {
+    pub async fn end(self, done: bool, run: &mut forward_model::Run) {
+        run.lost_at = run.tokens.len();
         let confirmed = if done {
             true
         } else {
@@ -309,15 +369,21 @@
         self.cx.reservations.remove(self.place.request);
         let finish = scheduler::Request::Finish(scheduler::Finish {
             reservation: self.placement.reservation,
-            output: unit::Tokens::new(tokens as u64),
+            output: unit::Tokens::new(run.tokens.len() as u64),
             confirmed,
         });
         for _ in 0..FINISH_ATTEMPTS {
             if self.tell(finish.clone()).await {
-                return;
+                break;
             }
             time::sleep(PAUSE.as_duration()).await;
         }
+        let passed = !self.lost && (done || self.cleared);
+        let request = self.place.request;
+        let screens = &self.cx.screens;
+        screens
+            .end(&self.cx, self.fingerprint, request, passed)
+            .await;
     }
 
     async fn tell(&self, request: scheduler::Request) -> bool {
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -23,6 +23,7 @@
 use crate::http::caller::answer;
 use crate::id;
 use crate::peer::server;
+use crate::state::command;
 use crate::state::model;
 use crate::unit;
 
@@ -188,6 +189,7 @@
             charged: None,
             used: unit::Tokens::new(0),
             claim: None,
+            claim_end: command::ClaimEnd::NotRun,
             caller,
             authorised: self.key.clone(),
         };
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -197,6 +197,7 @@
     tx: mpsc::Sender<Message>,
     cancels: task::JoinSet<()>,
     revision: id::Revision,
+    leaving: Vec<id::BackendServerId>,
 }
 
 impl Service {
@@ -217,6 +218,7 @@
             tx,
             cancels: task::JoinSet::new(),
             revision: id::Revision::default(),
+            leaving: Vec::new(),
         }
     }
 
@@ -244,13 +246,15 @@
 
     fn configure(&mut self, pollers: &mut poller::Pollers) {
         let config = self.cx.config();
-        if config.revision == self.revision {
+        let leaving = self.cx.platform.leaving();
+        if config.revision == self.revision && leaving == self.leaving {
             return;
         }
+        self.leaving = leaving;
         let Some(model) = config.models.get(&self.model).cloned() else {
             return;
         };
-        let servers = servers_of(&config, &self.model);
+        let servers = servers_of(&config, &self.model, &self.leaving);
         pollers.configure(&servers, &self.tx);
         self.end_gone_gateways(&config);
         self.revision = config.revision;
@@ -394,11 +398,27 @@
     }
 }
 
-fn servers_of(config: &change::Config, model: &id::ModelId) -> Vec<model::BackendServer> {
+fn servers_of(
+    config: &change::Config,
+    model: &id::ModelId,
+    leaving: &[id::BackendServerId],
+) -> Vec<model::BackendServer> {
     config
         .servers
         .values()
         .filter(|server| server.models.contains(model))
-        .cloned()
+        .map(|server| with_platform(server, leaving))
         .collect()
 }
+
+/// Takes a server out of service as soon as either the operators or the platform say so.
+fn with_platform(
+    server: &model::BackendServer,
+    leaving: &[id::BackendServerId],
+) -> model::BackendServer {
+    let mut server = server.clone();
+    if server.state == model::ServerState::InService && leaving.contains(&server.id) {
+        server.state = model::ServerState::Leaving;
+    }
+    server
+}
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -12,7 +12,9 @@
 use crate::gateway::control;
 use crate::gateway::limits;
 use crate::gateway::placement;
+use crate::gateway::platform;
 use crate::gateway::reservations;
+use crate::gateway::screens;
 use crate::gateway::services;
 use crate::id;
 use crate::peer::link;
@@ -34,6 +36,10 @@
     pub control: control::Control,
     /// The limiter roles, or the local limits.
     pub limits: limits::Limits,
+    /// What the platform says of backend servers.
+    pub platform: platform::Platform,
+    /// The requests that crash backend servers.
+    pub screens: screens::Screens,
     /// The plain services.
     pub services: services::Services,
     /// The scheduler roles.
@@ -59,6 +65,8 @@
         Self {
             control: control::Control::new(&settings),
             limits: limits::Limits::new(&settings, clock.now()),
+            platform: platform::Platform::default(),
+            screens: screens::Screens::default(),
             services: services::Services::default(),
             placement: placement::Placement::default(),
             reservations: reservations::Reservations::default(),
