--- a/stand-in/tests/load_figures.rs
+++ b/stand-in/tests/load_figures.rs
@@ -208,3 +208,17 @@
         assert!(message.contains(field), "{message}");
     }
 }
+
+#[test]
+fn the_documented_plan_is_valid() {
+    let text = include_str!("../../docs/LOAD.md");
+    let json = text
+        .split("```json")
+        .nth(1)
+        .unwrap()
+        .split("```")
+        .next()
+        .unwrap();
+    let plan: plan::Plan = serde_json::from_str(json).unwrap();
+    plan.check().unwrap();
+}
