Count cold shared starts in the capacity, and clean up an interrupted comparison

The capacity now counts a quarter as not cached, and five prefill engines balance three decode engines. An interrupted comparison left its processes running; dropping the run kills them now (tried with SIGTERM after 6 s: none left).

--- a/stand-in/src/bin/load.rs
+++ b/stand-in/src/bin/load.rs
@@ -17,6 +17,8 @@
 use stand_in::load::policy;
 use stand_in::load::report;
 use stand_in::load::run;
+use stand_in::shutdown;
+use tokio::sync::watch;
 
 /// Seeded open-loop callers; docs/LOAD.md describes plans and figures.
 #[derive(Debug, clap::Parser)]
@@ -115,6 +117,24 @@
         size: args.size,
         engine: settings::Settings::with_stated_costs(),
     };
+    let (stop, signals) = shutdown::on_signal();
+    let runs = make_runs(&comparison, &args.folder, stop).await;
+    signals.abort();
+    let _ = signals.await;
+    let rows = compare::rows(&runs?);
+    print!("{}", compare::table(&rows));
+    if let Some(path) = &args.plot {
+        compare::draw(path, &rows)?;
+    }
+    args.out
+        .map_or(Ok(()), |path| write_json(Some(&path), &rows))
+}
+
+async fn make_runs(
+    comparison: &compare::Comparison,
+    folder: &path::Path,
+    stop: watch::Receiver<bool>,
+) -> buckthorncleat::Result<Vec<compare::Run>> {
     let order = comparison.order();
     let style = indicatif::ProgressStyle::with_template("{wide_bar} {pos}/{len} {eta} {msg}");
     let style = style.expect("a fixed template is valid");
@@ -122,22 +142,26 @@
     let mut runs = Vec::new();
     for (i, (seed, case, policy)) in order.into_iter().enumerate() {
         bar.set_message(format!("seed {seed} {} {}", case.name(), policy.name()));
-        let folder = args.folder.join(format!("run-{i}"));
-        fs::create_dir_all(&folder).map_err(|e| {
-            buckthorncleat::Error::io(format!("make the folder {}", folder.display()), e)
+        let own = folder.join(format!("run-{i}"));
+        fs::create_dir_all(&own).map_err(|e| {
+            buckthorncleat::Error::io(format!("make the folder {}", own.display()), e)
         })?;
-        runs.push(comparison.run(&folder, (seed, case, policy)).await?);
+        // A run that is dropped kills its processes.
+        let run = tokio::select! {
+            run = comparison.run(&own, (seed, case, policy)) => run?,
+            () = shutdown::requested(stop.clone()) => return Err(interrupted()),
+        };
+        runs.push(run);
         bar.inc(1);
-        write_json(Some(&args.folder.join("runs.json")), &runs)?;
+        write_json(Some(&folder.join("runs.json")), &runs)?;
     }
     bar.finish_and_clear();
-    let rows = compare::rows(&runs);
-    print!("{}", compare::table(&rows));
-    if let Some(path) = &args.plot {
-        compare::draw(path, &rows)?;
-    }
-    args.out
-        .map_or(Ok(()), |path| write_json(Some(&path), &rows))
+    Ok(runs)
+}
+
+fn interrupted() -> buckthorncleat::Error {
+    let doing = "compare policies";
+    buckthorncleat::Error::io(doing, std::io::ErrorKind::Interrupted.into())
 }
 
 fn all_if_none<T: Copy>(given: Vec<T>, all: &[T]) -> Vec<T> {
--- a/stand-in/src/load/case.rs
+++ b/stand-in/src/load/case.rs
@@ -8,6 +8,9 @@
 use crate::load::cluster;
 use crate::load::plan;
 
+/// The part of the shared starts that the capacity counts as not cached.
+const PREFIX_MISSES: f64 = 0.25;
+
 /// The load of the steady case over the capacity.
 const STEADY: f64 = 0.7;
 
@@ -141,7 +144,7 @@
 
 /// Returns the chats a second that engines can do, by their stated costs.
 ///
-/// Shared starts of prompts count as found in the prefix cache.
+/// A quarter of the shared starts of prompts counts as not cached.
 pub fn capacity(
     traffic: &plan::Traffic,
     engine: &settings::Settings,
@@ -149,7 +152,8 @@
     decode_engines: usize,
 ) -> f64 {
     let rate = engine.prefill_tokens_per_second.as_u64() as f64;
-    let prefill = prefill_engines as f64 * rate / traffic.prompt.mean();
+    let missed = PREFIX_MISSES * traffic.prefix_share * traffic.prefix_tokens as f64;
+    let prefill = prefill_engines as f64 * rate / (traffic.prompt.mean() + missed);
     let slots = engine.slots as usize;
     let token_s = engine.step_us(slots) as f64 / 1e6;
     let decode = (decode_engines * slots) as f64 / (traffic.answer.mean() * token_s);
--- a/stand-in/src/load/cluster.rs
+++ b/stand-in/src/load/cluster.rs
@@ -42,7 +42,7 @@
 #[derive(Clone, Copy, Debug, clap::Args)]
 pub struct Size {
     /// Prefill engines.
-    #[arg(long, default_value_t = 4)]
+    #[arg(long, default_value_t = 5)]
     pub prefill: usize,
     /// Decode engines.
     #[arg(long, default_value_t = 3)]
