--- a/stand-in/src/connection.rs
+++ b/stand-in/src/connection.rs
@@ -7,8 +7,6 @@
 use std::sync::atomic;
 use std::task;
 
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
 use tokio::net;
 
 /// The newest bytes kept of each connection.
@@ -123,7 +121,7 @@
     }
 }
 
-impl AsyncRead for Connection {
+impl tokio::io::AsyncRead for Connection {
     fn poll_read(
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
@@ -133,14 +131,14 @@
             return task::Poll::Pending;
         }
         let before = buf.filled().len();
-        let poll = pin::Pin::new(&mut self.stream).poll_read(cx, buf);
+        let poll = tokio::io::AsyncRead::poll_read(pin::Pin::new(&mut self.stream), cx, buf);
         let new = &buf.filled()[before..];
         self.entry.kept.lock().expect("bytes lock").push(new);
         poll
     }
 }
 
-impl AsyncWrite for Connection {
+impl tokio::io::AsyncWrite for Connection {
     fn poll_write(
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
@@ -149,14 +147,14 @@
         if self.entry.is_silent() {
             return task::Poll::Ready(Ok(buf.len()));
         }
-        pin::Pin::new(&mut self.stream).poll_write(cx, buf)
+        tokio::io::AsyncWrite::poll_write(pin::Pin::new(&mut self.stream), cx, buf)
     }
 
     fn poll_flush(
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_flush(cx)
+        tokio::io::AsyncWrite::poll_flush(pin::Pin::new(&mut self.stream), cx)
     }
 
     fn poll_shutdown(
@@ -166,6 +164,6 @@
         if self.entry.is_silent() {
             return task::Poll::Pending;
         }
-        pin::Pin::new(&mut self.stream).poll_shutdown(cx)
+        tokio::io::AsyncWrite::poll_shutdown(pin::Pin::new(&mut self.stream), cx)
     }
 }
--- a/stand-in/src/load/arrival.rs
+++ b/stand-in/src/load/arrival.rs
@@ -5,7 +5,6 @@
 use buckthorncleat::unit;
 use rand::Rng as _;
 use rand::SeedableRng as _;
-use rand_chacha::ChaCha8Rng;
 use rand_distr::Distribution as _;
 
 use crate::load::plan;
@@ -106,7 +105,7 @@
     for (account, settings) in plan.accounts.iter().enumerate() {
         for (kind, rate) in rates {
             let stream = account as u64 * rates.len() as u64 + kind as u64;
-            let mut rng = ChaCha8Rng::seed_from_u64(traffic.seed);
+            let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(traffic.seed);
             rng.set_stream(stream);
             let rate = rate * settings.share / shares;
             for at in times(&mut rng, rate, traffic.duration_ms, settings.surge) {
@@ -129,7 +128,7 @@
 
 /// Draws the times of a Poisson process whose rate is higher in a surge.
 fn times(
-    rng: &mut ChaCha8Rng,
+    rng: &mut rand_chacha::ChaCha8Rng,
     rate: f64,
     duration: clock::Millis,
     surge: Option<plan::Surge>,
@@ -156,7 +155,7 @@
 }
 
 fn draw_work(
-    rng: &mut ChaCha8Rng,
+    rng: &mut rand_chacha::ChaCha8Rng,
     kind: Kind,
     traffic: &plan::Traffic,
     account: &buckthorncleat::id::ClientAccountId,
@@ -180,7 +179,7 @@
 }
 
 fn draw_chat(
-    rng: &mut ChaCha8Rng,
+    rng: &mut rand_chacha::ChaCha8Rng,
     traffic: &plan::Traffic,
     account: &buckthorncleat::id::ClientAccountId,
     mark: &str,
@@ -225,7 +224,7 @@
     text
 }
 
-fn draw_length(rng: &mut ChaCha8Rng, lengths: plan::Lengths) -> u64 {
+fn draw_length(rng: &mut rand_chacha::ChaCha8Rng, lengths: plan::Lengths) -> u64 {
     let drawn = rand_distr::LogNormal::new(lengths.median.ln(), lengths.sigma)
         .map_or(lengths.median, |d| d.sample(rng));
     (drawn as u64).clamp(lengths.min, lengths.max)
--- a/stand-in/src/load/cluster.rs
+++ b/stand-in/src/load/cluster/mod.rs
@@ -1,17 +1,15 @@
 //! All processes of one deployment on loopback: stand-ins, control group and gateways.
 
+mod configuration;
+
 use std::fs;
 use std::net;
 use std::path;
 
-use buckthorncleat::clock;
 use buckthorncleat::config::settings;
 use buckthorncleat::controller::ownership;
-use buckthorncleat::http::admin::wire;
-use buckthorncleat::http::admin::write;
 use buckthorncleat::id;
 use buckthorncleat::sorted;
-use buckthorncleat::state::change;
 use buckthorncleat::state::model;
 use buckthorncleat::unit;
 use tokio::time;
@@ -25,7 +23,6 @@
 /// The rate of each engine's link.
 pub const LINK: unit::BytesPerSecond = unit::BytesPerSecond::new(1_250_000_000);
 
-const KV_BYTES_PER_TOKEN: unit::Bytes = unit::Bytes::new(131_072);
 const MEMORY: unit::Pieces = unit::Pieces::new(128);
 const SLOTS: u32 = 20;
 const CONTROL_MEMBERS: usize = 3;
@@ -308,90 +305,6 @@
         fs::write(&path, text)
             .map_err(|e| buckthorncleat::Error::io(format!("write {}", path.display()), e))
     }
-
-    async fn configure(&self, plan: &plan::Plan) -> buckthorncleat::Result<()> {
-        let changes = wire::Changes {
-            changes: self.changes(plan),
-        };
-        let end = time::Instant::now() + START_TIMEOUT;
-        let mut last = String::new();
-        while time::Instant::now() < end {
-            for address in &self.admin {
-                let mut req = client::post("/v1/changes", &changes);
-                let token = format!("Bearer {OPERATOR_TOKEN}");
-                let headers = req.headers_mut();
-                headers.insert(hyper::header::AUTHORIZATION, header(&token));
-                headers.insert(write::OPERATION_ID, header("load-start"));
-                match client::ask(*address, req).await {
-                    Ok(answer) if answer.status.is_success() => return Ok(()),
-                    Ok(answer) => last = format!("{answer:?}"),
-                    Err(e) => last = e.to_string(),
-                }
-            }
-            time::sleep(RETRY_PAUSE).await;
-        }
-        Err(late("the control group takes no changes", &last))
-    }
-
-    fn changes(&self, plan: &plan::Plan) -> Vec<change::Change> {
-        let mut changes = vec![change::Change::PutModel(model::Model {
-            id: plan.model.id.clone(),
-            first_token: plan.model.first_token_ms,
-            between_tokens: plan.model.between_tokens_ms,
-            max_output: unit::Tokens::new(plan.traffic.answer.max),
-            kv_bytes_per_token: KV_BYTES_PER_TOKEN,
-        })];
-        let routes = routes(&plan.traffic);
-        changes.extend(routes.iter().cloned().map(change::Change::PutRoute));
-        for (i, server) in self.servers.iter().enumerate() {
-            changes.push(change::Change::PutServer(
-                self.backend_server(i, server, &routes),
-            ));
-        }
-        for account in &plan.accounts {
-            changes.push(change::Change::PutAccount(model::ClientAccount {
-                id: account.id.clone(),
-                rate: account.rate,
-                burst: account.burst,
-                priority: model::Priority::Normal,
-                weight: account.weight,
-            }));
-            changes.push(change::Change::PutKey(model::Key {
-                id: name(&format!("key-{}", account.id)),
-                account: account.id.clone(),
-                hash: model::KeyHash::from_secret(account.key.as_bytes()),
-            }));
-        }
-        changes
-    }
-
-    fn backend_server(
-        &self,
-        i: usize,
-        server: &Server,
-        routes: &[model::Route],
-    ) -> model::BackendServer {
-        let is_plain = server.role == model::Role::Plain;
-        let routes = routes.iter().map(|r| r.id.clone()).filter(|_| is_plain);
-        model::BackendServer {
-            id: name(&format!("{}-{i}", server.role)),
-            address: server.address,
-            data_centre: data_centre(i),
-            role: server.role,
-            models: if is_plain {
-                Vec::new()
-            } else {
-                vec![self.model.clone()]
-            },
-            routes: routes.collect(),
-            state: model::ServerState::InService,
-            slots: SLOTS,
-            memory: MEMORY,
-            link: LINK,
-            checks_fencing: true,
-        }
-    }
-
     fn fill_addresses(&self, plan: &mut plan::Plan) {
         let of = |plain| {
             let servers = self.servers.iter();
@@ -455,23 +368,6 @@
     named.is_ok_and(|a| a.entries.len() == entries) && lookup.is_ok_and(|a| a.status.is_success())
 }
 
-fn routes(traffic: &plan::Traffic) -> Vec<model::Route> {
-    let route = |id: &str, prefix: &str, order: bool| model::Route {
-        id: name(id),
-        prefix: prefix.to_owned(),
-        access: model::Access::Keyed,
-        idempotent_methods: vec!["GET".to_owned()],
-        require_idempotency_key: order,
-        deadline: clock::Millis::from_secs(2),
-        cost: traffic.call_cost,
-    };
-    vec![
-        route("orders", &traffic.order_path, true),
-        route("bookings", &traffic.booking_path, true),
-        route("lookups", &traffic.lookup_path, false),
-    ]
-}
-
 fn member(gateway: &Gateway) -> model::Member {
     model::Member {
         id: gateway.id.clone(),
--- a/stand-in/src/load/plot.rs
+++ b/stand-in/src/load/plot.rs
@@ -2,7 +2,13 @@
 
 use std::path;
 
-use plotters::prelude::*;
+use plotters::backend;
+use plotters::chart;
+use plotters::drawing::IntoDrawingArea as _;
+use plotters::element;
+use plotters::series;
+use plotters::style;
+use plotters::style::Color as _;
 
 const SIZE: (u32, u32) = (960, 540);
 const FONT: (&str, u32) = ("sans-serif", 18);
@@ -49,9 +55,9 @@
     let points = || lines.iter().flat_map(|line| &line.points);
     let right = points().map(|p| p.0).fold(1.0, f64::max);
     let top = points().map(|p| p.1).fold(0.0, f64::max) * 1.1 + f64::EPSILON;
-    let area = SVGBackend::new(path, SIZE).into_drawing_area();
-    area.fill(&WHITE)?;
-    let mut chart = ChartBuilder::on(&area)
+    let area = backend::SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&style::WHITE)?;
+    let mut chart = chart::ChartBuilder::on(&area)
         .caption(labels.title, FONT)
         .margin(12)
         .x_label_area_size(44)
@@ -69,17 +75,17 @@
         .x_label_formatter(&position)
         .draw()?;
     for (i, line) in lines.iter().enumerate() {
-        let colour = Palette99::pick(i).stroke_width(2);
-        let series = LineSeries::new(line.points.iter().copied(), colour);
+        let colour = <style::Palette99 as style::Palette>::pick(i).stroke_width(2);
+        let series = series::LineSeries::new(line.points.iter().copied(), colour);
         chart
             .draw_series(series)?
             .label(&line.name)
-            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], colour));
+            .legend(move |(x, y)| element::PathElement::new(vec![(x, y), (x + 18, y)], colour));
     }
     chart
         .configure_series_labels()
-        .background_style(WHITE.mix(0.8))
-        .border_style(BLACK)
+        .background_style(style::WHITE.mix(0.8))
+        .border_style(style::BLACK)
         .draw()?;
     area.present()?;
     Ok(())
