Count the prefill of an engine that dies in a run

The totals of a lost engine read as zero, so its prefill was missing from the wasted part and the decoding of a lost decode engine made others' prefill look wasted. Totals are now read every 0.2 s and the last ones count. The new test fails with the reading taken out (0.0 instead of 1.0).

--- a/stand-in/src/load/report.rs
+++ b/stand-in/src/load/report.rs
@@ -22,7 +22,7 @@
     pub records: Vec<record::Record>,
     /// The totals of the engines before.
     pub before: Vec<totals::Totals>,
-    /// The totals of the engines after; those of a lost engine are zero.
+    /// The totals of the engines after, or the last ones that a lost engine told.
     pub after: Vec<totals::Totals>,
     /// What ran at the plain services that are still there.
     pub orders: Vec<plain::Orders>,
--- a/stand-in/src/load/run.rs
+++ b/stand-in/src/load/run.rs
@@ -1,5 +1,6 @@
 //! Runs a plan: open-loop callers, each call at its time whatever the others do.
 
+use std::convert;
 use std::net;
 use std::sync;
 
@@ -15,15 +16,23 @@
 use crate::load::report;
 use crate::plain;
 
-/// How long the totals of a stand-in may take; a lost stand-in has none.
+/// How long the totals of a stand-in may take.
 const TOTALS_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// The pause between two readings of the engines' totals.
+const TOTALS_PAUSE: time::Duration = time::Duration::from_millis(200);
+
 /// Runs a plan and reports what its callers met; `ended` is called at the end of each call.
 pub async fn run(plan: &sync::Arc<plan::Plan>, ended: impl Fn(&record::Record)) -> report::Report {
     let arrivals = arrival::draw(plan);
-    let before = engine_totals(plan).await;
-    let records = make_calls(plan, &arrivals, ended).await;
-    let after = engine_totals(plan).await;
+    let mut before = vec![totals::Totals::default(); plan.engines.len()];
+    read_totals(plan, &mut before).await;
+    let mut after = before.clone();
+    let records = tokio::select! {
+        records = make_calls(plan, &arrivals, ended) => records,
+        never = keep_reading_totals(plan, &mut after) => match never {},
+    };
+    read_totals(plan, &mut after).await;
     let orders = service_orders(plan).await;
     let seen = report::Seen {
         records,
@@ -78,16 +87,24 @@
     records.push(record);
 }
 
-async fn engine_totals(plan: &plan::Plan) -> Vec<totals::Totals> {
-    let mut all = Vec::new();
-    for address in &plan.engines {
-        all.push(
-            read(*address, "/_stand-in/totals")
-                .await
-                .unwrap_or_default(),
-        );
+/// Reads the totals again and again, so that the last ones of an engine that dies are known.
+async fn keep_reading_totals(
+    plan: &plan::Plan,
+    last: &mut [totals::Totals],
+) -> convert::Infallible {
+    loop {
+        time::sleep(TOTALS_PAUSE).await;
+        read_totals(plan, last).await;
+    }
+}
+
+/// Reads the totals of the engines; those of an engine that does not answer stay as they are.
+async fn read_totals(plan: &plan::Plan, last: &mut [totals::Totals]) {
+    for (address, last) in plan.engines.iter().zip(last) {
+        if let Some(totals) = read(*address, "/_stand-in/totals").await {
+            *last = totals;
+        }
     }
-    all
 }
 
 async fn service_orders(plan: &plan::Plan) -> Vec<plain::Orders> {
--- a/stand-in/tests/load_run.rs
+++ b/stand-in/tests/load_run.rs
@@ -1,11 +1,14 @@
 //! The load tool against a small fake gateway that errs on command.
 
+mod common;
+
 use std::sync;
 use std::time;
 
 use buckthorncleat::clock;
 use buckthorncleat::controller::entries;
 use buckthorncleat::unit;
+use stand_in::client;
 use stand_in::connection;
 use stand_in::engine::text;
 use stand_in::load::plan;
@@ -105,7 +108,7 @@
     }
 }
 
-async fn run(manner: Manner) -> report::Report {
+async fn run(manner: Manner, engines: Vec<std::net::SocketAddr>) -> report::Report {
     let listener = server::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
     let address = listener.local_addr().unwrap();
     let (stop, stopped) = watch::channel(false);
@@ -125,7 +128,7 @@
     let gone = stand_in::process::free_address().unwrap();
     let plan = plan::Plan {
         entries: vec![gone, address],
-        engines: Vec::new(),
+        engines,
         services: Vec::new(),
         accounts: vec![account],
         model: plan::Model {
@@ -160,7 +163,7 @@
         Manner::Refuse,
         Manner::Nothing,
     ] {
-        let report = run(manner).await;
+        let report = run(manner, Vec::new()).await;
         let chats = report.chats.offered;
         assert!(chats > 5);
         let all_if = |is: bool| if is { chats } else { 0 };
@@ -187,3 +190,19 @@
     }
     assert!(started.elapsed() < time::Duration::from_secs(60));
 }
+
+#[tokio::test]
+async fn the_work_of_an_engine_that_dies_in_the_run_counts() {
+    let mut engines = common::Engines::start(&[]);
+    let address = engines.prefill;
+    let lose = async {
+        let call = common::prefill_call(1, "never decoded from [slow-prefill=300]");
+        client::ask(address, client::post("/v1/prefill", &call))
+            .await
+            .unwrap();
+        tokio::time::sleep(time::Duration::from_millis(600)).await;
+        engines.children[0].kill().unwrap();
+    };
+    let (report, ()) = tokio::join!(run(Manner::Answer, vec![address]), lose);
+    assert_eq!(report.wasted_prefill, 1.0);
+}
