Amend charges in logarithmic time

Change: a stretch of history is min(x + add, cap), which joins; the flows are kept in a ring under a binary tree.

--- a/src/controller/limiter/history.rs
+++ b/src/controller/limiter/history.rs
@@ -3,10 +3,11 @@
 use std::collections;
 
 use crate::clock;
+use crate::controller::limiter::flows;
 use crate::controller::limiter::level;
+use crate::controller::limiter::places;
 use crate::id;
 use crate::macros;
-use crate::sorted;
 use crate::unit;
 
 macros::data! {copy
@@ -44,8 +45,9 @@
 pub struct History {
     base: Base,
     events: collections::VecDeque<Event>,
+    flows: flows::Flows,
     first: u64,
-    places: sorted::Map<id::RequestId, u64>,
+    places: places::Places,
     level: level::Level,
 }
 
@@ -55,8 +57,9 @@
         Self {
             base,
             events: collections::VecDeque::new(),
+            flows: flows::Flows::new(),
             first: 0,
-            places: sorted::Map::new(),
+            places: places::Places::new(),
             level: base.level,
         }
     }
@@ -89,7 +92,7 @@
 
     /// Finds the event of a request.
     pub fn find(&self, request: id::RequestId) -> Option<&Event> {
-        let place = *self.places.get(&request)?;
+        let place = self.places.get(request)?;
         self.events.get((place - self.first) as usize)
     }
 
@@ -100,7 +103,8 @@
     /// Panics when it is older than the last event or its request has an event already.
     pub fn push(&mut self, event: Event) {
         assert!(event.at >= self.last_at(), "events must be in order");
-        let flow = self.flow_to(self.last(), &event);
+        let flow = event.flow_from(self.last_at(), self.limit());
+        self.flows.push(flow);
         self.level = flow.apply(self.level);
         if let Some(request) = event.request {
             let place = self.first + self.events.len() as u64;
@@ -127,21 +131,24 @@
 
     /// Amends what a request takes, and replays what came after.
     pub fn settle(&mut self, request: id::RequestId, tokens: unit::Tokens) {
-        let Some(place) = self.places.get(&request) else {
+        let Some(place) = self.places.get(request) else {
             return;
         };
-        let event = &mut self.events[(place - self.first) as usize];
+        let index = (place - self.first) as usize;
+        let (at, limit) = self.before(index);
+        let event = &mut self.events[index];
         event.tokens = tokens;
         event.settled = true;
+        let flow = event.flow_from(at, limit);
+        self.flows.set(index, flow);
         self.replay();
     }
 
     /// Closes the first event to amendment.
     pub fn fold_first(&mut self) {
-        let Some(event) = self.events.pop_front() else {
+        let (Some(event), Some(flow)) = (self.events.pop_front(), self.flows.pop_first()) else {
             return;
         };
-        let flow = self.flow_to((self.base.at, self.base.limit), &event);
         self.base = Base {
             at: event.at,
             limit: event.limit,
@@ -149,7 +156,7 @@
         };
         self.first += 1;
         if let Some(request) = event.request {
-            self.places.remove(&request);
+            self.places.remove(request);
         }
     }
 
@@ -163,34 +170,33 @@
         self.events.iter()
     }
 
-    fn last(&self) -> (clock::Millis, level::Limit) {
-        (self.last_at(), self.limit())
-    }
-
-    fn flow_to(&self, from: (clock::Millis, level::Limit), event: &Event) -> level::Flow {
-        let (at, limit) = from;
-        level::Flow::fill(limit, event.at - at).then(level::Flow::charge(event.tokens))
+    fn before(&self, index: usize) -> (clock::Millis, level::Limit) {
+        match index.checked_sub(1) {
+            Some(before) => (self.events[before].at, self.events[before].limit),
+            None => (self.base.at, self.base.limit),
+        }
     }
 
     fn replay(&mut self) {
-        let mut from = (self.base.at, self.base.limit);
-        let mut level = self.base.level;
-        for event in &self.events {
-            level = self.flow_to(from, event).apply(level);
-            from = (event.at, event.limit);
-        }
-        self.level = level;
+        self.level = self.flows.joined().apply(self.base.level);
     }
 
     fn take_later(&mut self, at: clock::Millis) -> Vec<Event> {
         let keep = self.events.partition_point(|e| e.at <= at);
         let later: Vec<Event> = self.events.drain(keep..).collect();
         for event in &later {
+            self.flows.pop_last();
             if let Some(request) = event.request {
-                self.places.remove(&request);
+                self.places.remove(request);
             }
         }
         self.replay();
         later
     }
 }
+
+impl Event {
+    fn flow_from(&self, at: clock::Millis, limit: level::Limit) -> level::Flow {
+        level::Flow::fill(limit, self.at - at).then(level::Flow::charge(self.tokens))
+    }
+}
