--- a/src/controller/quarantine.rs
+++ b/src/controller/quarantine.rs
@@ -5,6 +5,10 @@
 //! runs again only once its first loss is on record, so a resend through any gateway is known as
 //! one there. The second loss quarantines it, decided by [`change::Config`] itself.
 //!
+//! Another gateway may act on an older configuration until its freshness lease ends. So a gateway
+//! that can't go on with a lost request itself tells its caller only a lease after the record;
+//! otherwise a quick resend elsewhere may cost a third server.
+//!
 //! Suspects run one at a time at a server, so a suspect is never blamed for a loss that another
 //! suspect caused. One that runs to its end is cleared.
 
