--- a/tests/limiter_measures.rs
+++ b/tests/limiter_measures.rs
@@ -58,3 +58,158 @@
         );
     }
 }
+
+const RATE: u64 = 2_000;
+const BURST: u64 = 20_000;
+const LARGEST: u64 = 4_000;
+const MINUTES: u64 = 240;
+const GATEWAYS: u64 = 6;
+const OWNER_LIFE: u64 = 60_000;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Policy {
+    /// One bucket that never changes hands.
+    Ideal,
+    /// An owner is lost each minute; the next starts empty after the lease.
+    LostOwner,
+    /// The owner changes each minute by a planned hand-over; the next starts empty.
+    PlannedFromZero,
+    /// The same, and the level and the charges are passed on.
+    PlannedWithLevel,
+    /// Each gateway has an equal share.
+    StaticShare,
+}
+
+impl Policy {
+    /// How long no owner answers at a change.
+    fn gap(self) -> u64 {
+        match self {
+            Self::Ideal | Self::StaticShare => 0,
+            Self::LostOwner => 2_800,
+            Self::PlannedFromZero | Self::PlannedWithLevel => 100,
+        }
+    }
+}
+
+struct Arrival {
+    at: u64,
+    tokens: u64,
+    used: u64,
+    ends: u64,
+    gateway: u64,
+}
+
+fn arrivals(load: f64, seed: u64) -> Vec<Arrival> {
+    use rand::Rng as _;
+    use rand::SeedableRng as _;
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+    let mean_gap = (LARGEST / 2) as f64 * 0.6 / (RATE as f64 * load) * 1000.0;
+    let mut at = 0.0;
+    let mut list = Vec::new();
+    while at < (MINUTES * 60_000) as f64 {
+        let uniform: f64 = rng.random_range(1e-9..1.0);
+        at -= uniform.ln() * mean_gap;
+        let tokens = rng.random_range(1..LARGEST);
+        list.push(Arrival {
+            at: at as u64,
+            tokens,
+            used: tokens * rng.random_range(200..1_000) / 1_000,
+            ends: rng.random_range(2_000..30_000),
+            gateway: rng.random_range(0..GATEWAYS),
+        });
+    }
+    list
+}
+
+fn fresh_buckets(policy: Policy) -> Vec<bucket::Bucket> {
+    let count = if policy == Policy::StaticShare {
+        GATEWAYS
+    } else {
+        1
+    };
+    let limit = level::Limit {
+        rate: unit::TokensPerSecond::new(RATE / count),
+        burst: unit::Tokens::new(BURST / count),
+    };
+    (0..count)
+        .map(|_| bucket::Bucket::new(clock::Millis::ZERO, limit, limit.full()))
+        .collect()
+}
+
+/// Returns for each arrival whether it was admitted.
+fn run(policy: Policy, list: &[Arrival], patience: u64) -> Vec<bool> {
+    let mut buckets = fresh_buckets(policy);
+    let mut ends: Vec<(u64, usize)> = Vec::new();
+    let mut admitted = vec![false; list.len()];
+    let mut changes = 0;
+    for (i, a) in list.iter().enumerate() {
+        let waits = if policy.gap() == 0 || a.at < OWNER_LIFE {
+            0
+        } else {
+            policy.gap().saturating_sub(a.at % OWNER_LIFE)
+        };
+        let now = clock::Millis::new(a.at + waits);
+        if policy.gap() > 0 && a.at / OWNER_LIFE > changes && waits <= patience {
+            changes = a.at / OWNER_LIFE;
+            let begun = clock::Millis::new(changes * OWNER_LIFE + policy.gap());
+            if policy != Policy::PlannedWithLevel {
+                buckets[0] = bucket::Bucket::after_unknown_owner(begun, buckets[0].limit());
+            }
+        }
+        let (due, later) = ends.into_iter().partition(|(at, _)| *at <= a.at + waits);
+        ends = later;
+        for (_, j) in due {
+            let old: &Arrival = &list[j];
+            let shard = old.gateway as usize % buckets.len();
+            let refund = limiter::Refund {
+                request: charge(j as u128, 0, 0).request,
+                account: "acme".parse().unwrap(),
+                used: unit::Tokens::new(old.used),
+            };
+            buckets[shard].refund(now, &refund);
+        }
+        if waits > patience {
+            continue;
+        }
+        let shard = a.gateway as usize % buckets.len();
+        let request = charge(i as u128, a.tokens, patience - waits);
+        if let limiter::Reply::Granted { delay } = buckets[shard].charge(now, &request) {
+            admitted[i] = true;
+            ends.push((a.at + waits + delay.as_u64() + a.ends, i));
+        }
+    }
+    admitted
+}
+
+/// Prints the requests that were refused though one ideal bucket admits them.
+#[test]
+#[ignore = "prints figures"]
+fn wrongful_refusals() {
+    let policies = [
+        Policy::LostOwner,
+        Policy::PlannedFromZero,
+        Policy::PlannedWithLevel,
+        Policy::StaticShare,
+    ];
+    for load in [0.5, 0.8, 3.0] {
+        for patience in [500, 2_000] {
+            let list = arrivals(load, 1);
+            let ideal = run(Policy::Ideal, &list, patience);
+            let admitted = ideal.iter().filter(|x| **x).count();
+            println!(
+                "load {load}, patience {patience} ms: {} requests, ideal {admitted}",
+                list.len()
+            );
+            for policy in policies {
+                let real = run(policy, &list, patience);
+                let total = real.iter().filter(|x| **x).count();
+                let wrongful = ideal.iter().zip(&real).filter(|(i, r)| **i && !**r).count();
+                println!(
+                    "  {policy:?}: admitted {total}, wrongful {wrongful} ({:.2} %), {:.2} a change",
+                    wrongful as f64 * 100.0 / admitted as f64,
+                    wrongful as f64 / (MINUTES - 1) as f64,
+                );
+            }
+        }
+    }
+}
