--- a/src/backend/client.rs
+++ b/src/backend/client.rs
@@ -65,6 +65,8 @@
 pub struct Streaming {
     /// The HTTP status.
     pub status: hyper::StatusCode,
+    /// The headers.
+    pub headers: hyper::HeaderMap,
     body: body::Incoming,
     connection: pin::Pin<Box<Connection>>,
     ended: bool,
@@ -118,11 +120,10 @@
 ) -> Result<Answer, Failure> {
     let exchange = async {
         let mut streaming = open_unbounded(address, request).await?;
-        let headers = std::mem::take(&mut streaming.1);
-        let body = read_all(&mut streaming.0, max_body).await?;
+        let body = read_all(&mut streaming, max_body).await?;
         Ok(Answer {
-            status: streaming.0.status,
-            headers,
+            status: streaming.status,
+            headers: streaming.headers,
             body,
         })
     };
@@ -139,8 +140,7 @@
     request: hyper::Request<Body>,
     timeout: clock::Millis,
 ) -> Result<Streaming, Failure> {
-    let opened = within(timeout, open_unbounded(address, request)).await?;
-    Ok(opened.0)
+    within(timeout, open_unbounded(address, request)).await
 }
 
 async fn within<T>(
@@ -155,7 +155,7 @@
 async fn open_unbounded(
     address: net::SocketAddr,
     request: hyper::Request<Body>,
-) -> Result<(Streaming, hyper::HeaderMap), Failure> {
+) -> Result<Streaming, Failure> {
     let stream = connect(address).await?;
     let io = rt::TokioIo::new(stream);
     let (mut sender, connection) = http1::handshake(io)
@@ -173,13 +173,13 @@
     };
     let response = response.map_err(|e| Failure::Broken(e.to_string()))?;
     let (parts, body) = response.into_parts();
-    let streaming = Streaming {
+    Ok(Streaming {
         status: parts.status,
+        headers: parts.headers,
         body,
         connection,
         ended,
-    };
-    Ok((streaming, parts.headers))
+    })
 }
 
 async fn connect(address: net::SocketAddr) -> Result<tokio::net::TcpStream, Failure> {
--- a/src/cli/ask.rs
+++ b/src/cli/ask.rs
@@ -61,7 +61,11 @@
         }
         return Err(refused(streaming.status, &text));
     }
-    print_stream(streaming).await
+    let id = header_text(&streaming.headers, answer::REQUEST_HEADER);
+    let mut output = print_stream(streaming).await?;
+    eprintln!("request {}", id.as_deref().unwrap_or("without an id"));
+    output.json["request"] = id.into();
+    Ok(output)
 }
 
 /// Calls a plain service, and prints its answer.
@@ -98,10 +102,7 @@
         return Err(refused(answer.status, &answer.body));
     }
     let text = String::from_utf8_lossy(&answer.body).into_owned();
-    let header = |name: &str| {
-        let value = answer.headers.get(name);
-        value.map(|v| String::from_utf8_lossy(v.as_bytes()).into_owned())
-    };
+    let header = |name| header_text(&answer.headers, name);
     let json = serde_json::json!({
         "status": answer.status.as_u16(),
         "outcome": header(answer::OUTCOME_HEADER),
@@ -112,6 +113,11 @@
     Ok(output::Output { text, json })
 }
 
+fn header_text(headers: &header::HeaderMap, name: &str) -> Option<String> {
+    let value = headers.get(name)?;
+    Some(String::from_utf8_lossy(value.as_bytes()).into_owned())
+}
+
 async fn print_stream(streaming: client::Streaming) -> failure::Result<output::Output> {
     let bytes = stream::unfold(streaming, |mut streaming| async {
         let next = streaming.next().await?;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -6,6 +6,7 @@
 pub mod entries;
 pub mod freshness;
 pub mod limiter;
+pub mod membership;
 pub mod outlier;
 pub mod ownership;
 pub mod quarantine;
