--- /dev/null
+++ b/examples/placement_trial/world.rs
@@ -0,0 +1,659 @@
+//! Callers, gateways and engines around one scheduler, in virtual time.
+
+use std::collections;
+
+use buckthorncleat::backend::wire;
+use buckthorncleat::clock;
+use buckthorncleat::controller::scheduler;
+use buckthorncleat::controller::scheduler::message;
+use buckthorncleat::id;
+use buckthorncleat::sorted;
+use buckthorncleat::state::model;
+use buckthorncleat::unit;
+
+use rand::Rng as _;
+use rand::SeedableRng as _;
+
+use super::engine;
+use super::work;
+
+pub const PREFILLS: usize = 4;
+pub const DECODES: usize = 8;
+pub const FIRST_TOKEN: u64 = 2_000;
+pub const BETWEEN: f64 = 40.0;
+const MOST_OUTPUT: u64 = 1_000;
+/// The network time of a message between gateways, owner and engines.
+const HOP: u64 = 2;
+const REPORT_EVERY: u64 = 500;
+const REPORT_LAG: u64 = 500;
+/// Callers wait this long for the first token, in targets.
+const PATIENCE: u64 = 3;
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    DecodeLost,
+    PrefillSlow,
+    LinkSlow,
+    OwnerKilled,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum State {
+    Away,
+    Asked,
+    Prefilling,
+    Exported { since: u64 },
+    Moving { since: u64, left: f64 },
+    Decoding,
+    Over,
+}
+
+/// One request from its arrival to its end.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub work: work::Work,
+    state: State,
+    place: Option<message::Placement>,
+    exclude: Vec<id::BackendServerId>,
+    tries: u64,
+    delivered: f64,
+    computed: f64,
+    pub first_token: Option<u64>,
+    pub ended: Option<u64>,
+    pub refused: bool,
+}
+
+impl Run {
+    /// Tells whether the answer came whole and within both targets.
+    pub fn is_good(&self) -> bool {
+        let (Some(first), Some(ended)) = (self.first_token, self.ended) else {
+            return false;
+        };
+        let between = (ended - first) as f64 / (self.work.output.max(2) - 1) as f64;
+        first - self.work.at <= FIRST_TOKEN && between <= BETWEEN
+    }
+}
+
+pub struct World {
+    now: u64,
+    fault: Fault,
+    settings: scheduler::Settings,
+    scheduler: scheduler::Scheduler,
+    down_until: u64,
+    pub runs: Vec<Run>,
+    active: Vec<usize>,
+    by_request: collections::BTreeMap<u128, usize>,
+    prefills: Vec<engine::PrefillEngine>,
+    decodes: Vec<engine::DecodeEngine>,
+    links: Vec<f64>,
+    later: collections::BTreeMap<(u64, u64), scheduler::Input>,
+    sequence: u64,
+    rng: rand_chacha::ChaCha8Rng,
+    pub computed: f64,
+    pub wasted: f64,
+    pub steps: u64,
+}
+
+fn name<T: std::str::FromStr<Err = buckthorncleat::Error>>(text: &str) -> T {
+    text.parse().expect("a valid name")
+}
+
+fn number(id: &id::BackendServerId) -> usize {
+    id.as_str()[1..].parse().expect("a number after a letter")
+}
+
+fn record(id: &str, role: model::Role) -> model::BackendServer {
+    model::BackendServer {
+        id: name(id),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        data_centre: name("one"),
+        role,
+        models: vec![name("m")],
+        routes: Vec::new(),
+        state: model::ServerState::InService,
+        slots: engine::SLOTS as u32,
+        memory: unit::Pieces::new(engine::MEMORY),
+        link: unit::BytesPerSecond::new(engine::LINK_PER_MILLI as u64 * 1_000),
+        checks_fencing: true,
+    }
+}
+
+fn configuration() -> scheduler::Input {
+    let prefills = (0..PREFILLS).map(|n| record(&format!("p{n}"), model::Role::Prefill));
+    let decodes = (0..DECODES).map(|n| record(&format!("d{n}"), model::Role::Decode));
+    let account = |(n, weight): (usize, &u32)| {
+        let id: id::ClientAccountId = name(&format!("a{n}"));
+        let record = model::ClientAccount {
+            id: id.clone(),
+            rate: unit::TokensPerSecond::new(1_000_000),
+            burst: unit::Tokens::new(1_000_000),
+            priority: model::Priority::Normal,
+            weight: *weight,
+        };
+        (id, record)
+    };
+    let accounts: sorted::Map<_, _> = work::SHARES.iter().enumerate().map(account).collect();
+    scheduler::Input::Configure {
+        servers: prefills.chain(decodes).collect(),
+        model: model::Model {
+            id: name("m"),
+            first_token: clock::Millis::new(FIRST_TOKEN),
+            between_tokens: clock::Millis::new(BETWEEN as u64),
+            max_output: unit::Tokens::new(MOST_OUTPUT),
+            kv_bytes_per_token: unit::Bytes::new(engine::KV_PER_TOKEN),
+        },
+        accounts,
+    }
+}
+
+impl World {
+    pub fn new(
+        seed: u64,
+        works: Vec<work::Work>,
+        settings: scheduler::Settings,
+        fault: Fault,
+    ) -> Self {
+        let run = |work| Run {
+            work,
+            state: State::Away,
+            place: None,
+            exclude: Vec::new(),
+            tries: 0,
+            delivered: 0.0,
+            computed: 0.0,
+            first_token: None,
+            ended: None,
+            refused: false,
+        };
+        let start = clock::Millis::ZERO;
+        Self {
+            now: 0,
+            fault,
+            scheduler: scheduler::Scheduler::new(start, name("m"), settings.clone(), 1),
+            settings,
+            down_until: 0,
+            runs: works.into_iter().map(run).collect(),
+            active: Vec::new(),
+            by_request: collections::BTreeMap::new(),
+            prefills: vec![engine::PrefillEngine::default(); PREFILLS],
+            decodes: vec![engine::DecodeEngine::default(); DECODES],
+            links: vec![engine::LINK_PER_MILLI; DECODES],
+            later: collections::BTreeMap::new(),
+            sequence: 0,
+            rng: rand_chacha::ChaCha8Rng::seed_from_u64(seed ^ 0x5eed),
+            computed: 0.0,
+            wasted: 0.0,
+            steps: 0,
+        }
+    }
+
+    /// Runs to the end of a time.
+    pub fn run(&mut self, millis: u64) {
+        self.step(configuration());
+        let mut next = 0;
+        for now in 0..millis {
+            self.now = now;
+            self.break_things(millis);
+            while next < self.runs.len() && self.runs[next].work.at <= now {
+                self.active.push(next);
+                self.ask(next);
+                next += 1;
+            }
+            self.deliver();
+            self.run_prefills();
+            self.run_transfers();
+            self.run_decodes();
+            if now % 100 == 0 {
+                self.give_up();
+            }
+            if now % 1_000 == 0 {
+                self.renew();
+            }
+            if now % REPORT_EVERY == 0 {
+                self.report();
+            }
+            self.active.retain(|at| self.runs[*at].state != State::Over);
+            if self.scheduler.next_wakeup().as_u64() <= now {
+                self.step(scheduler::Input::Tick);
+            }
+        }
+    }
+
+    fn break_things(&mut self, millis: u64) {
+        if self.now != millis / 3 {
+            return;
+        }
+        match self.fault {
+            Fault::None => {}
+            Fault::PrefillSlow => self.prefills[0].slow = 4.0,
+            Fault::LinkSlow => self.links[0] /= 10.0,
+            Fault::DecodeLost => {
+                self.decodes[0].dead = true;
+                let streams = std::mem::take(&mut self.decodes[0].streams);
+                for stream in streams {
+                    self.fail(stream.work, true);
+                }
+            }
+            Fault::OwnerKilled => self.replace_owner(),
+        }
+    }
+
+    fn replace_owner(&mut self) {
+        self.down_until = self.now + 1_500;
+        let start = clock::Millis::new(self.down_until);
+        let settings = self.settings.clone();
+        self.scheduler = scheduler::Scheduler::new(start, name("m"), settings, 1 << 32);
+        self.later.clear();
+        self.later(1_500, configuration());
+        for at in self.active.clone() {
+            if self.runs[at].state == State::Asked {
+                let place = self.place_request(at, 1_500);
+                self.send(1_501, at, place);
+            }
+        }
+        for gateway in 0..6 {
+            let request = message::Request::Report(Vec::new());
+            self.later(
+                1_500,
+                scheduler::Input::Request {
+                    gateway: gateway_name(gateway),
+                    request,
+                },
+            );
+        }
+    }
+
+    fn later(&mut self, delay: u64, input: scheduler::Input) {
+        self.sequence += 1;
+        let due = (self.now + delay).max(self.down_until);
+        self.later.insert((due, self.sequence), input);
+    }
+
+    fn send(&mut self, delay: u64, at: usize, request: message::Request) {
+        let gateway = gateway_name(at % 6);
+        self.later(delay, scheduler::Input::Request { gateway, request });
+    }
+
+    fn deliver(&mut self) {
+        while let Some(first) = self.later.first_entry() {
+            if first.key().0 > self.now {
+                break;
+            }
+            let mut input = first.remove();
+            if let scheduler::Input::Request {
+                gateway,
+                request: message::Request::Report(live),
+            } = &mut input
+            {
+                *live = self.live_of(gateway);
+            }
+            self.step(input);
+        }
+    }
+
+    fn live_of(&self, gateway: &id::InstanceId) -> Vec<message::Live> {
+        let its = self
+            .active
+            .iter()
+            .filter(|at| gateway_name(*at % 6) == *gateway);
+        its.filter_map(|at| {
+            let placement = self.runs[*at].place.clone()?;
+            let message::Request::Place(place) = self.place_request(*at, 0) else {
+                return None;
+            };
+            Some(message::Live {
+                reservation: placement.reservation,
+                place: *place,
+                placement,
+                transferred: self.runs[*at].state == State::Decoding,
+            })
+        })
+        .collect()
+    }
+
+    fn step(&mut self, input: scheduler::Input) {
+        if self.now < self.down_until {
+            return;
+        }
+        self.steps += 1;
+        for output in self.scheduler.step(clock::Millis::new(self.now), input) {
+            match output {
+                scheduler::Output::Reply { request, reply, .. } => self.answer(request, reply),
+                scheduler::Output::Cancel { server, request } => self.cancel(&server, request),
+                scheduler::Output::Noted { .. } => {}
+            }
+        }
+    }
+
+    fn request_of(&self, at: usize) -> id::RequestId {
+        id::RequestId::new(at as u128 * 16 + u128::from(self.runs[at].tries % 16))
+    }
+
+    fn place_request(&self, at: usize, lost: u64) -> message::Request {
+        let run = &self.runs[at];
+        let waited = (self.now + lost).saturating_sub(run.work.at);
+        let (role, left) = match run.first_token {
+            None => (message::Role::Both, FIRST_TOKEN.saturating_sub(waited)),
+            Some(_) => (message::Role::Resume, FIRST_TOKEN),
+        };
+        message::Request::Place(Box::new(message::Place {
+            request: self.request_of(at),
+            account: name(&format!("a{}", run.work.account)),
+            priority: model::Priority::Normal,
+            model: name("m"),
+            role,
+            prompt: unit::Tokens::new(run.work.prompt + run.delivered as u64),
+            output: unit::Tokens::new(MOST_OUTPUT),
+            prefix: run.work.prefix.clone(),
+            first_token: clock::Millis::new(left),
+            exclude: run.exclude.clone(),
+            suspect: false,
+        }))
+    }
+
+    fn ask(&mut self, at: usize) {
+        self.runs[at].tries += 1;
+        self.runs[at].state = State::Asked;
+        let request = self.request_of(at);
+        self.by_request.insert(request.as_u128(), at);
+        let place = self.place_request(at, 0);
+        self.send(HOP, at, place);
+    }
+
+    fn answer(&mut self, request: id::RequestId, reply: message::Reply) {
+        let at = self.by_request[&request.as_u128()];
+        if self.runs[at].state != State::Asked || self.request_of(at) != request {
+            return;
+        }
+        match reply {
+            message::Reply::Placed(placement) => {
+                let run = &mut self.runs[at];
+                run.state = State::Prefilling;
+                run.computed = 0.0;
+                let prompt = run.work.prompt + run.delivered as u64;
+                let prefix = run.work.prefix.clone();
+                let prefill = number(&placement.prefill);
+                run.place = Some(placement);
+                let queued = engine::Prefill {
+                    work: at,
+                    prompt,
+                    prefix,
+                    left: None,
+                    cached: 0,
+                };
+                self.prefills[prefill].queue.push_back(queued);
+            }
+            message::Reply::Refused { .. } => {
+                self.runs[at].state = State::Over;
+                self.runs[at].refused = true;
+            }
+            message::Reply::Noted | message::Reply::Unknown(_) => {}
+        }
+    }
+
+    fn cancel(&mut self, server: &id::BackendServerId, request: id::RequestId) {
+        let at = self.by_request[&request.as_u128()];
+        let index = number(server);
+        let is_prefill = server.as_str().starts_with('p');
+        if is_prefill {
+            self.prefills[index].queue.retain(|p| p.work != at);
+        } else {
+            self.decodes[index].streams.retain(|s| s.work != at);
+        }
+        let confirmed = is_prefill || !self.decodes[index].dead;
+        let cancelled = scheduler::Input::Cancelled {
+            server: server.clone(),
+            request,
+            confirmed,
+        };
+        self.later(2 * HOP, cancelled);
+    }
+
+    fn run_prefills(&mut self) {
+        for index in 0..PREFILLS {
+            let mut engine = std::mem::take(&mut self.prefills[index]);
+            let mut total = 0.0;
+            let runs = &mut self.runs;
+            let done = engine.run(&mut |at, tokens| {
+                runs[at].computed += tokens;
+                total += tokens;
+            });
+            self.computed += total;
+            self.prefills[index] = engine;
+            let Some(done) = done else { continue };
+            self.runs[done.work].state = State::Exported { since: self.now };
+            let Some(placement) = &self.runs[done.work].place else {
+                continue;
+            };
+            let prefilled = message::Prefilled {
+                reservation: placement.reservation,
+                cached: unit::Tokens::new(done.cached),
+                kv: unit::Bytes::new(done.prompt * engine::KV_PER_TOKEN),
+            };
+            self.send(2 * HOP, done.work, message::Request::Prefilled(prefilled));
+        }
+    }
+
+    fn run_transfers(&mut self) {
+        let mut moving = Vec::new();
+        for at in self.active.clone() {
+            match self.runs[at].state {
+                State::Exported { since } if self.now > since + engine::EXPORT_LIFE => {
+                    self.fail(at, false);
+                }
+                State::Exported { since } if self.now >= since + 2 * HOP => self.import(at, since),
+                State::Moving { since, .. } if self.now > since + engine::EXPORT_LIFE => {
+                    self.fail(at, false);
+                }
+                State::Moving { .. } => moving.push(at),
+                _ => {}
+            }
+        }
+        let ends: Vec<_> = moving.iter().map(|at| self.ends(*at)).collect();
+        let rates = engine::transfer_rates(&ends, PREFILLS, &self.links);
+        for (at, rate) in moving.into_iter().zip(rates) {
+            self.move_on(at, rate);
+        }
+    }
+
+    fn ends(&self, at: usize) -> (usize, usize) {
+        let placement = self.runs[at]
+            .place
+            .as_ref()
+            .expect("a moving request is placed");
+        (number(&placement.prefill), number(&placement.decode))
+    }
+
+    fn import(&mut self, at: usize, since: u64) {
+        let (_, decode) = self.ends(at);
+        if self.decodes[decode].dead {
+            return self.fail(at, true);
+        }
+        let run = &self.runs[at];
+        let tokens = run.work.prompt + run.delivered as u64;
+        let stream = engine::Stream {
+            work: at,
+            pieces: (run.work.prompt + MOST_OUTPUT).div_ceil(work::PIECE),
+            runs: false,
+            tokens: run.delivered,
+            wanted: run.work.output as f64,
+        };
+        if self.decodes[decode].import(stream) {
+            let left = (tokens * engine::KV_PER_TOKEN) as f64;
+            self.runs[at].state = State::Moving { since, left };
+        }
+    }
+
+    fn move_on(&mut self, at: usize, rate: f64) {
+        let (_, decode) = self.ends(at);
+        let State::Moving { left, .. } = &mut self.runs[at].state else {
+            return;
+        };
+        *left -= rate;
+        if *left > 0.0 {
+            return;
+        }
+        self.runs[at].state = State::Decoding;
+        let streams = &mut self.decodes[decode].streams;
+        if let Some(stream) = streams.iter_mut().find(|s| s.work == at) {
+            stream.runs = true;
+        }
+        if let Some(placement) = &self.runs[at].place {
+            let request = message::Request::Transferred(placement.reservation);
+            self.send(HOP, at, request);
+        }
+    }
+
+    fn run_decodes(&mut self) {
+        for index in 0..DECODES {
+            self.decodes[index].run();
+            let mut over = Vec::new();
+            for stream in &self.decodes[index].streams {
+                let run = &mut self.runs[stream.work];
+                run.delivered = stream.tokens;
+                if stream.tokens >= 1.0 && run.first_token.is_none() {
+                    run.first_token = Some(self.now);
+                }
+                if stream.tokens >= stream.wanted {
+                    over.push(stream.work);
+                }
+            }
+            self.decodes[index].streams.retain(|s| s.tokens < s.wanted);
+            for at in over {
+                self.runs[at].ended = Some(self.now);
+                self.finish(at, true);
+                self.runs[at].state = State::Over;
+            }
+        }
+    }
+
+    fn finish(&mut self, at: usize, confirmed: bool) {
+        let Some(placement) = self.runs[at].place.take() else {
+            return;
+        };
+        let finish = message::Finish {
+            reservation: placement.reservation,
+            output: unit::Tokens::new(self.runs[at].delivered as u64),
+            confirmed,
+        };
+        self.send(HOP, at, message::Request::Finish(finish));
+    }
+
+    /// A request lost its place; the gateway tries again while a first token may come in time.
+    fn fail(&mut self, at: usize, server_failed: bool) {
+        if self.runs[at].state != State::Decoding {
+            self.wasted += self.runs[at].computed;
+        }
+        let (_, decode) = self.ends(at);
+        let server: id::BackendServerId = name(&format!("d{decode}"));
+        if server_failed {
+            self.runs[at].exclude.push(server.clone());
+            self.send(HOP, at, message::Request::Failed(server));
+        } else {
+            self.decodes[decode].streams.retain(|s| s.work != at);
+        }
+        self.finish(at, false);
+        if self.now < self.runs[at].work.at + FIRST_TOKEN || self.runs[at].first_token.is_some() {
+            self.ask(at);
+        } else {
+            self.runs[at].state = State::Over;
+        }
+    }
+
+    /// Callers whose first token does not come give up.
+    fn give_up(&mut self) {
+        for at in self.active.clone() {
+            let run = &self.runs[at];
+            let late = self.now > run.work.at + PATIENCE * FIRST_TOKEN;
+            if !late || run.first_token.is_some() || run.state == State::Over {
+                continue;
+            }
+            if let Some(placement) = run.place.clone() {
+                self.wasted += run.computed;
+                let prefill = number(&placement.prefill);
+                let decode = number(&placement.decode);
+                self.prefills[prefill].queue.retain(|p| p.work != at);
+                self.decodes[decode].streams.retain(|s| s.work != at);
+                self.finish(at, true);
+            }
+            self.runs[at].state = State::Over;
+        }
+    }
+
+    fn renew(&mut self) {
+        for gateway in 0..6 {
+            let its = self.active.iter().filter(|at| **at % 6 == gateway);
+            let placements = its.filter_map(|at| self.runs[*at].place.as_ref());
+            let numbers = placements.map(|p| p.reservation).collect();
+            let request = message::Request::Renew(numbers);
+            self.later(
+                HOP,
+                scheduler::Input::Request {
+                    gateway: gateway_name(gateway),
+                    request,
+                },
+            );
+        }
+    }
+
+    fn report(&mut self) {
+        for index in 0..PREFILLS {
+            let queue = &self.prefills[index].queue;
+            let waiting = queue.len().saturating_sub(1) as u32;
+            let tokens = queue.iter().skip(1).map(|p| p.prompt).sum();
+            let load = load(
+                model::Role::Prefill,
+                queue.len() as u32 - waiting,
+                waiting,
+                tokens,
+                0,
+            );
+            let server: id::BackendServerId = name(&format!("p{index}"));
+            self.later(
+                REPORT_LAG,
+                scheduler::Input::Load {
+                    server: server.clone(),
+                    load,
+                },
+            );
+            let events = std::mem::take(&mut self.prefills[index].events);
+            let kept = events.into_iter().filter(|_| self.rng.random_bool(0.9));
+            let event = |(prefix, stored)| wire::CacheEvent {
+                number: 0,
+                prefix,
+                stored,
+            };
+            let events = kept.map(event).collect();
+            self.later(REPORT_LAG, scheduler::Input::Cache { server, events });
+        }
+        for index in 0..DECODES {
+            let streams = &self.decodes[index].streams;
+            let used = streams.iter().map(|s| s.pieces).sum();
+            if self.decodes[index].dead {
+                continue;
+            }
+            let load = load(model::Role::Decode, streams.len() as u32, 0, 0, used);
+            let server = name(&format!("d{index}"));
+            self.later(REPORT_LAG, scheduler::Input::Load { server, load });
+        }
+    }
+}
+
+fn gateway_name(gateway: usize) -> id::InstanceId {
+    name(&format!("g{gateway}"))
+}
+
+fn load(role: model::Role, running: u32, waiting: u32, tokens: u64, used: u64) -> wire::Load {
+    wire::Load {
+        role,
+        models: vec![name("m")],
+        running,
+        waiting,
+        waiting_tokens: unit::Tokens::new(tokens),
+        used: unit::Pieces::new(used),
+        memory: unit::Pieces::new(engine::MEMORY),
+        age_ms: clock::Millis::new(REPORT_LAG),
+    }
+}
