Place nothing that makes a promised transfer too slow

Cause: prefill was thrown away when a later placement on the same link slowed a large transfer past the life of its export (seen in the trial's failures: always two or more transfers from one sender). Change: link.rs predicts the end of every transfer on a link with one more, and a place is refused when any that still has time would take too long. The trial shows fairness by requests and by tokens.

--- a/examples/placement_trial/main.rs
+++ b/examples/placement_trial/main.rs
@@ -80,7 +80,8 @@
     refused: f64,
     late: f64,
     wasted: f64,
-    worst: f64,
+    worst_requests: f64,
+    worst_tokens: f64,
 }
 
 fn measure(seed: u64, case: &Case, policy: usize) -> Figures {
@@ -107,18 +108,21 @@
         refused: refused / all,
         late: (all - good - refused) / all,
         wasted: world.wasted / world.computed.max(1.0),
-        worst: worst_served(&counted),
+        worst_requests: worst_served(&counted, |_| 1.0),
+        worst_tokens: worst_served(&counted, |r| (r.work.prompt + 2 * r.work.output) as f64),
     }
 }
 
 /// Returns the least ratio of an account's goodput to its fair share: the weighted max-min division
 /// of the policy's own goodput among the accounts' demands.
-fn worst_served(counted: &[&world::Run]) -> f64 {
+fn worst_served(counted: &[&world::Run], size: fn(&world::Run) -> f64) -> f64 {
     let mut demand = [0.0; work::SHARES.len()];
     let mut good = [0.0; work::SHARES.len()];
     for run in counted {
-        demand[run.work.account] += 1.0;
-        good[run.work.account] += f64::from(u8::from(run.is_good()));
+        demand[run.work.account] += size(run);
+        if run.is_good() {
+            good[run.work.account] += size(run);
+        }
     }
     let fair = fair_shares(good.iter().sum(), &demand);
     let ratios = good.iter().zip(&fair).map(|(g, f)| g / f.max(1e-9));
@@ -162,9 +166,9 @@
     let seeds: u64 = args.next().and_then(|s| s.parse().ok()).unwrap_or(5);
     let only = args.next();
     println!(
-        "| case | policy | goodput /s | good % | refused % | late % | wasted prefill % | worst account % |"
+        "| case | policy | goodput /s | good % | refused % | late % | wasted prefill % | worst account, requests % | worst account, tokens % |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for case in CASES
         .iter()
         .filter(|c| only.as_ref().is_none_or(|o| c.name.contains(o.as_str())))
@@ -178,7 +182,7 @@
         for (policy, list) in figures.iter().enumerate() {
             let column = |f: fn(&Figures) -> f64| list.iter().map(f).collect::<Vec<_>>();
             println!(
-                "| {} | {} | {} | {} | {} | {} | {} | {} |",
+                "| {} | {} | {} | {} | {} | {} | {} | {} | {} |",
                 case.name,
                 POLICIES[policy].0,
                 spread(column(|f| f.goodput), 1.0),
@@ -186,7 +190,8 @@
                 spread(column(|f| f.refused), 100.0),
                 spread(column(|f| f.late), 100.0),
                 spread(column(|f| f.wasted), 100.0),
-                spread(column(|f| f.worst), 100.0),
+                spread(column(|f| f.worst_requests), 100.0),
+                spread(column(|f| f.worst_tokens), 100.0),
             );
         }
     }
--- a/src/controller/scheduler/lifecycle.rs
+++ b/src/controller/scheduler/lifecycle.rs
@@ -3,9 +3,9 @@
 use crate::clock;
 use crate::controller::scheduler;
 use crate::controller::scheduler::cancel;
+use crate::controller::scheduler::link;
 use crate::controller::scheduler::message;
 use crate::controller::scheduler::reservation;
-use crate::controller::scheduler::server;
 use crate::id;
 use crate::unit;
 
@@ -29,10 +29,11 @@
         }
         reservation.phase = reservation::Phase::Transferring;
         let (prefill, decode) = (reservation.prefill, reservation.decode);
-        let transfer = server::Transfer {
+        let transfer = link::Transfer {
             key: key.clone(),
             ready_at: self.now,
             bytes: prefilled.kv.as_u64(),
+            begun: true,
         };
         for part in [prefill, decode].into_iter().flatten() {
             if let Some(s) = self.fleet.get_mut(part.slot) {
--- a/src/controller/scheduler/mod.rs
+++ b/src/controller/scheduler/mod.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod health;
 mod lifecycle;
+mod link;
 mod occupancy;
 mod outlook;
 mod placing;
--- a/src/controller/scheduler/placing.rs
+++ b/src/controller/scheduler/placing.rs
@@ -2,6 +2,7 @@
 
 use crate::config::settings;
 use crate::controller::scheduler;
+use crate::controller::scheduler::link;
 use crate::controller::scheduler::message;
 use crate::controller::scheduler::plan;
 use crate::controller::scheduler::queue;
@@ -194,7 +195,7 @@
     /// Enters the prefill and the transfer where later predictions see them.
     fn start(&mut self, key: &reservation::Key, waiting: &queue::Waiting, plan: plan::Plan) {
         let kv = self.model.as_ref().map(|m| m.kv_bytes_per_token.as_u64());
-        let transfer = server::Transfer {
+        let transfer = link::Transfer {
             key: key.clone(),
             ready_at: plan.ready_at,
             bytes: waiting
@@ -202,6 +203,7 @@
                 .prompt
                 .as_u64()
                 .saturating_mul(kv.unwrap_or(0)),
+            begun: false,
         };
         let now = self.now;
         if let Some(s) = self.fleet.get_mut(plan.prefill) {
--- a/src/controller/scheduler/plan.rs
+++ b/src/controller/scheduler/plan.rs
@@ -162,6 +162,16 @@
         least.unwrap_or(needs.prompt.as_u64())
     }
 
+    /// Returns the part of a bound that a prediction may fill.
+    fn part(&self) -> f64 {
+        self.settings.target_percent as f64 / 100.0
+    }
+
+    /// Returns how long a transfer may be under way by prediction, in milliseconds.
+    fn life(&self) -> f64 {
+        self.settings.export_life.as_u64() as f64 * self.part()
+    }
+
     fn prefill_options(&self, needs: &Needs) -> Vec<PrefillOption> {
         let now = self.now.as_u64() as f64;
         let overhead = self.settings.overhead.as_u64() as f64;
@@ -204,7 +214,11 @@
             if step > target && batch > 1 {
                 continue;
             }
-            let link = s.transfer_end(self.now, ready, needs.kv_bytes as f64) - ready;
+            let link = s
+                .link(self.now, self.life())
+                .predict(ready, needs.kv_bytes as f64)
+                .end
+                - ready;
             options.push(DecodeOption {
                 slot,
                 step,
@@ -228,20 +242,19 @@
         deadline: clock::Millis,
     ) -> Option<f64> {
         let bytes = needs.kv_bytes as f64;
-        let end_at = |slot| {
+        let outlook = |slot| {
             let s = self.fleet.get(slot);
-            s.map(|s| s.transfer_end(self.now, prefill.ready, bytes))
+            s.map(|s| s.link(self.now, self.life()).predict(prefill.ready, bytes))
         };
-        let transferred = end_at(prefill.slot)?.max(end_at(decode.slot)?);
-        let life = self.settings.export_life.as_u64() as f64;
-        let percent = self.settings.target_percent as f64 / 100.0;
-        if transferred - prefill.ready > life * percent {
+        let (from, to) = (outlook(prefill.slot)?, outlook(decode.slot)?);
+        let transferred = from.end.max(to.end);
+        if from.too_long || to.too_long {
             return None;
         }
         let now = self.now.as_u64() as f64;
         let takes = transferred + decode.step - now;
         let left = (deadline - self.now).as_u64() as f64;
-        if takes > left * percent {
+        if takes > left * self.part() {
             return None;
         }
         if needs.suspect {
--- a/src/controller/scheduler/server.rs
+++ b/src/controller/scheduler/server.rs
@@ -2,6 +2,7 @@
 
 use crate::clock;
 use crate::controller::scheduler::health;
+use crate::controller::scheduler::link;
 use crate::controller::scheduler::occupancy;
 use crate::controller::scheduler::rate;
 use crate::controller::scheduler::reservation;
@@ -26,17 +27,6 @@
     pub placed_at: clock::Millis,
 }
 
-/// A transfer of KV cache that is under way or will be.
-#[derive(Clone, Debug)]
-pub struct Transfer {
-    /// Its reservation.
-    pub key: reservation::Key,
-    /// When the prefill ended or likely ends.
-    pub ready_at: clock::Millis,
-    /// Its size.
-    pub bytes: u64,
-}
-
 /// One backend server.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -55,7 +45,7 @@
     /// The prefills that it was given, oldest first.
     pub queue: Vec<Queued>,
     /// The transfers over its link, by the time they are ready.
-    pub transfers: Vec<Transfer>,
+    pub transfers: Vec<link::Transfer>,
     last_prefilled: clock::Millis,
     misses: u32,
 }
@@ -167,7 +157,7 @@
     }
 
     /// Adds a transfer to the link.
-    pub fn add_transfer(&mut self, transfer: Transfer) {
+    pub fn add_transfer(&mut self, transfer: link::Transfer) {
         let at = self
             .transfers
             .partition_point(|t| t.ready_at <= transfer.ready_at);
@@ -186,7 +176,7 @@
     }
 
     /// Corrects when a transfer is ready, and its size.
-    pub fn correct_transfer(&mut self, transfer: Transfer) {
+    pub fn correct_transfer(&mut self, transfer: link::Transfer) {
         self.remove_transfer(&transfer.key);
         self.add_transfer(transfer);
     }
@@ -209,21 +199,14 @@
         (within.count() as u32).max(1).min(self.record.slots)
     }
 
-    /// Returns when a transfer that is ready at `ready` likely ends, by this end of the link.
-    pub fn transfer_end(&self, now: clock::Millis, ready: f64, bytes: f64) -> f64 {
-        let rate = self.link_rate_at(now);
-        let mut free_at = now.as_u64() as f64;
-        let mut after = 0.0;
-        for transfer in &self.transfers {
-            let starts = transfer.ready_at.as_u64() as f64;
-            let takes = transfer.bytes as f64 / rate;
-            if starts <= ready {
-                free_at = free_at.max(starts) + takes;
-            } else if starts < ready + bytes / rate {
-                after += takes;
-            }
+    /// Returns the link at a time, whose transfers may be under way for `life` milliseconds.
+    pub fn link(&self, now: clock::Millis, life: f64) -> link::Link<'_> {
+        link::Link {
+            transfers: &self.transfers,
+            now,
+            rate: self.link_rate_at(now),
+            life,
         }
-        free_at.max(ready) + bytes / rate + after
     }
 
     fn link_rate_at(&self, now: clock::Millis) -> f64 {
