Try an account's most urgent request first

Cause: long prompts have little slack; behind short ones of their account they ran out of time, so an account with a few long ones fared worst. Change: within an account and class the order is by latest start.

--- a/src/controller/scheduler/queue.rs
+++ b/src/controller/scheduler/queue.rs
@@ -40,7 +40,7 @@
     index: usize,
 }
 
-/// Requests of one account in one class, oldest first.
+/// Requests of one account in one class, by their latest start.
 #[derive(Clone, Debug)]
 struct Lane {
     account: id::ClientAccountId,
@@ -86,14 +86,18 @@
         self.len == 0
     }
 
-    /// Adds a request behind those of its account and class.
+    /// Adds a request behind those of its account and class that must start earlier.
     pub fn push(&mut self, waiting: Waiting) {
         self.check_at = self.check_at.min(waiting.latest_start);
         self.len += 1;
         let lanes = &mut self.classes[class_of(&waiting.place)];
         let found = lanes.binary_search_by(|lane| lane.account.cmp(&waiting.place.account));
         match found {
-            Ok(at) => lanes[at].requests.push_back(waiting),
+            Ok(at) => {
+                let requests = &mut lanes[at].requests;
+                let behind = requests.partition_point(|w| w.latest_start <= waiting.latest_start);
+                requests.insert(behind, waiting);
+            }
             Err(at) => {
                 let lane = Lane {
                     account: waiting.place.account.clone(),
@@ -120,7 +124,7 @@
         &self.classes[at.class][at.lane].requests[at.index]
     }
 
-    /// Iterates over one class with positions, account by account, each oldest first.
+    /// Iterates over one class with positions, account by account, each by latest start.
     pub fn class(&self, class: usize) -> impl Iterator<Item = (Position, &Waiting)> {
         let lanes = self.classes[class].iter().enumerate();
         lanes.flat_map(move |(lane, content)| {
@@ -129,7 +133,7 @@
         })
     }
 
-    /// Iterates over the oldest request of each account in one class.
+    /// Iterates over the most urgent request of each account in one class.
     pub fn heads(&self, class: usize) -> impl Iterator<Item = (Position, &Waiting)> {
         let lanes = self.classes[class].iter().enumerate();
         lanes.map(move |(lane, content)| {
@@ -172,7 +176,7 @@
         taken
     }
 
-    /// Finds the youngest request of the account that waits with the most in the lowest class.
+    /// Finds the least urgent request of the account that waits with the most in the lowest class.
     pub fn most_crowded(&self, weight: impl Fn(&id::ClientAccountId) -> u64) -> Option<Position> {
         let class = (0..CLASSES).find(|class| !self.classes[*class].is_empty())?;
         let crowd = |lane: &Lane| lane.requests.len() as u64 * 1_000 / weight(&lane.account).max(1);
