Predict each link once a decision where it can be

Cause: the choice predicted the sender's link anew for every pair. Change: the sender's prediction is made once for each prefill server, and a link without transfers needs no table; a sender whose link is too slow now leaves room on the shortlist.

--- a/src/controller/scheduler/link.rs
+++ b/src/controller/scheduler/link.rs
@@ -51,12 +51,19 @@
     /// The link is shared evenly. Each transfer waits at most for all that was ready before it,
     /// and for what becomes ready while it is under way.
     pub fn predict(&self, ready: f64, bytes: f64) -> Outlook {
+        let takes = bytes / self.rate;
+        if self.transfers.is_empty() {
+            return Outlook {
+                end: ready + takes,
+                too_long: takes > self.life,
+            };
+        }
         let mut shares = self.shares();
         let own = shares.partition_point(|s| s.ready <= ready);
         let share = Share {
             ready,
             starts: ready,
-            takes: bytes / self.rate,
+            takes,
         };
         shares.insert(own, share);
         let ends = self.ends(&shares);
--- a/src/controller/scheduler/plan.rs
+++ b/src/controller/scheduler/plan.rs
@@ -93,7 +93,10 @@
 struct PrefillOption {
     slot: fleet::Slot,
     uncached: u64,
+    /// When the prefill likely ends.
     ready: f64,
+    /// When the server's own link likely has sent the KV cache.
+    sent: f64,
     busy: u32,
 }
 
@@ -187,10 +190,17 @@
             }
             let uncached = needs.uncached(slot);
             let takes = uncached as f64 / s.current_rate(self.now);
+            let ready = now + overhead + backlog + takes;
+            let link = s.link(self.now, self.life());
+            let outlook = link.predict(ready, needs.kv_bytes as f64);
+            if outlook.too_long {
+                continue;
+            }
             options.push(PrefillOption {
                 slot,
                 uncached,
-                ready: now + overhead + backlog + takes,
+                ready,
+                sent: outlook.end,
                 busy: s.occupancy.own().requests,
             });
         }
@@ -241,16 +251,13 @@
         decode: &DecodeOption,
         deadline: clock::Millis,
     ) -> Option<f64> {
-        let bytes = needs.kv_bytes as f64;
-        let outlook = |slot| {
-            let s = self.fleet.get(slot);
-            s.map(|s| s.link(self.now, self.life()).predict(prefill.ready, bytes))
-        };
-        let (from, to) = (outlook(prefill.slot)?, outlook(decode.slot)?);
-        let transferred = from.end.max(to.end);
-        if from.too_long || to.too_long {
+        let to = self.fleet.get(decode.slot)?;
+        let link = to.link(self.now, self.life());
+        let outlook = link.predict(prefill.ready, needs.kv_bytes as f64);
+        if outlook.too_long {
             return None;
         }
+        let transferred = prefill.sent.max(outlook.end);
         let now = self.now.as_u64() as f64;
         let takes = transferred + decode.step - now;
         let left = (deadline - self.now).as_u64() as f64;
