Leave a failed server alone until it reports again

Cause: each probe of a lost decode server throws a prefill away. Change: a failed server that has reported its load before gets no probe until a report newer than the failure, or the longest pause, is past.

--- a/src/controller/scheduler/health.rs
+++ b/src/controller/scheduler/health.rs
@@ -32,25 +32,29 @@
         probe_at: clock::Millis,
         /// Whether a request tries it now.
         probing: bool,
+        /// When it failed last.
+        failed_at: clock::Millis,
+        /// Until when it is left alone unless it reports its load again.
+        silent_until: clock::Millis,
     },
 }
 
 impl Health {
     /// Tells whether a request may be placed now.
     pub fn allows(self, now: clock::Millis) -> bool {
-        match self {
-            Self::Up => true,
-            Self::Down {
-                probe_at, probing, ..
-            } => now >= probe_at && !probing,
-        }
+        let probing = matches!(self, Self::Down { probing: true, .. });
+        now >= self.allows_from() && !probing
     }
 
     /// Returns when a request may be placed, if that is known.
     pub fn allows_from(self) -> clock::Millis {
         match self {
             Self::Up => clock::Millis::ZERO,
-            Self::Down { probe_at, .. } => probe_at,
+            Self::Down {
+                probe_at,
+                silent_until,
+                ..
+            } => probe_at.max(silent_until),
         }
     }
 
@@ -66,33 +70,49 @@
         *self = Self::Up;
     }
 
-    /// Notes a failure; several in one pause count once.
-    pub fn failed(&mut self, now: clock::Millis, pauses: Pauses) {
+    /// Notes a failure; several in one pause count once. `reports` tells whether the server has
+    /// reported its load before, so that its silence means something.
+    pub fn failed(&mut self, now: clock::Millis, pauses: Pauses, reports: bool) {
         let failures = match *self {
             Self::Up => 1,
             Self::Down {
-                failures,
-                probing: true,
-                ..
-            } => failures + 1,
-            Self::Down {
-                failures, probe_at, ..
-            } if now >= probe_at => failures + 1,
+                failures, probing, ..
+            } if probing || now >= self.allows_from() => failures + 1,
             Self::Down { .. } => return,
         };
+        let silent_until = match reports {
+            true => now + pauses.longest,
+            false => now,
+        };
         *self = Self::Down {
             failures,
             probe_at: now + pauses.after(failures),
             probing: false,
+            failed_at: now,
+            silent_until,
         };
     }
 
+    /// Notes that the server reported its load as it was at a time.
+    pub fn reported(&mut self, at: clock::Millis) {
+        if let Self::Down {
+            failed_at,
+            silent_until,
+            ..
+        } = self
+            && at > *failed_at
+        {
+            *silent_until = *failed_at;
+        }
+    }
+
     /// Notes that a request left the server without showing how it does.
     pub fn ended(&mut self, now: clock::Millis, pauses: Pauses) {
         if let Self::Down {
             failures,
             probe_at,
             probing,
+            ..
         } = self
             && *probing
         {
--- a/src/controller/scheduler/lifecycle.rs
+++ b/src/controller/scheduler/lifecycle.rs
@@ -150,7 +150,8 @@
         let pauses = self.pauses();
         if let Some(slot) = self.fleet.slot(server) {
             if let Some(s) = self.fleet.get_mut(slot) {
-                s.health.failed(self.now, pauses);
+                let reports = s.occupancy.has_report();
+                s.health.failed(self.now, pauses, reports);
             }
             self.prefixes.forget(slot);
         }
--- a/src/controller/scheduler/occupancy.rs
+++ b/src/controller/scheduler/occupancy.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Tells whether any report has come in.
+    pub fn has_report(&self) -> bool {
+        self.reported_at.is_some()
+    }
+
     /// Returns the requests of the latest report as it came, without correction.
     pub fn reported_requests(&self) -> u32 {
         self.reported_requests
--- a/src/controller/scheduler/report.rs
+++ b/src/controller/scheduler/report.rs
@@ -16,6 +16,7 @@
         let slot = self.fleet.slot(server);
         if let Some(s) = slot.and_then(|slot| self.fleet.get_mut(slot)) {
             s.occupancy.report(now, load);
+            s.health.reported(now - load.age_ms);
         }
     }
 
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -254,6 +254,35 @@
     assert!(shard::placements(&second).is_empty(), "one probe at a time");
 }
 
+#[test]
+fn a_failed_server_that_reports_no_more_is_left_alone() {
+    let load = |age| scheduler::Input::Load {
+        server: shard::name("p0"),
+        load: wire::Load {
+            role: model::Role::Prefill,
+            models: vec![shard::name("m")],
+            running: 0,
+            waiting: 0,
+            waiting_tokens: unit::Tokens::new(0),
+            used: unit::Pieces::new(0),
+            memory: unit::Pieces::new(32),
+            age_ms: at(age),
+        },
+    };
+    let mut scheduler = shard::ready(shard::pool(1, 1));
+    scheduler.step(at(900), load(0));
+    let failed = message::Request::Failed(shard::name("p0"));
+    scheduler.step(READY, shard::ask("g", failed));
+    scheduler.step(at(1_200), load(500));
+    let silent = scheduler.step(at(2_500), shard::ask_place("g", shard::place(1)));
+    assert!(
+        shard::placements(&silent).is_empty(),
+        "its reports are older than its failure"
+    );
+    let heard = scheduler.step(at(2_600), load(500));
+    assert_eq!(shard::placements(&heard).len(), 1);
+}
+
 #[test]
 fn orphans_are_cancelled_and_young_or_reserved_work_is_not() {
     let mut scheduler = shard::ready(shard::pool(1, 1));
