Learn a slow link from transfers that were given up

Cause: a transfer that expired on a slow link taught nothing. Change: a transfer given up after more than its expected time lowers the rate of the links at both ends, like a slow one that ended.

--- a/src/controller/scheduler/lifecycle.rs
+++ b/src/controller/scheduler/lifecycle.rs
@@ -231,6 +231,9 @@
         reservation: &reservation::Reservation,
         part: reservation::Part,
     ) {
+        if let Some(s) = self.fleet.get_mut(part.slot) {
+            s.give_up_transfer(self.now, key);
+        }
         self.leave_server(key, part);
         let target = cancel::Target {
             slot: part.slot,
--- a/src/controller/scheduler/server.rs
+++ b/src/controller/scheduler/server.rs
@@ -175,6 +175,17 @@
         self.remove_transfer(key);
     }
 
+    /// Learns from a transfer that was given up, if it took longer than it should have.
+    pub fn give_up_transfer(&mut self, now: clock::Millis, key: &reservation::Key) {
+        let Some(transfer) = self.transfers.iter().find(|t| t.key == *key && t.begun) else {
+            return;
+        };
+        let took = (now - transfer.ready_at).as_u64() as f64;
+        if took > self.transfer_time(now, transfer.bytes) {
+            self.end_transfer(now, key);
+        }
+    }
+
     /// Corrects when a transfer is ready, and its size.
     pub fn correct_transfer(&mut self, transfer: link::Transfer) {
         self.remove_transfer(&transfer.key);
