Compare reported prompt tokens with whole prompts

Cause: engines report waiting prompt tokens, cached ones included; own prefills were counted without cached ones, so the difference looked like foreign work and kept prefill servers idle. Change: own prefills count whole prompts in that comparison.

--- a/src/controller/scheduler/placing.rs
+++ b/src/controller/scheduler/placing.rs
@@ -211,6 +211,7 @@
             let queued = server::Queued {
                 key: key.clone(),
                 tokens: plan.uncached,
+                prompt: waiting.place.prompt.as_u64(),
                 placed_at: now,
             };
             s.start_prefill(now, queued);
--- a/src/controller/scheduler/report.rs
+++ b/src/controller/scheduler/report.rs
@@ -138,6 +138,7 @@
             let queued = server::Queued {
                 key: key.clone(),
                 tokens,
+                prompt: tokens,
                 placed_at: now,
             };
             s.start_prefill(now, queued);
--- a/src/controller/scheduler/server.rs
+++ b/src/controller/scheduler/server.rs
@@ -23,6 +23,8 @@
     pub key: reservation::Key,
     /// The prompt tokens it likely computes.
     pub tokens: u64,
+    /// All its prompt tokens, as load reports count them.
+    pub prompt: u64,
     /// When it was placed.
     pub placed_at: clock::Millis,
 }
@@ -230,7 +232,7 @@
     }
 
     fn count_tokens(&mut self, now: clock::Millis) {
-        let tokens = self.queue.iter().map(|q| q.tokens).sum();
+        let tokens = self.queue.iter().map(|q| q.prompt).sum();
         self.occupancy.set_tokens(now, tokens);
     }
 }
