Spread claims over shards, and bound their memory

Cause: a sorted vector of all claims moved half of them for each new one. Change: 1,024 shards by the digest of the key; at most 200,000 claims and 32 MiB of answers; when full, settled claims end early, after an hour at least. Events come as a plain list, as from gateways.

--- a/src/http/admin/service.rs
+++ b/src/http/admin/service.rs
@@ -172,8 +172,7 @@
             target::Target::Status => Ok(ok(&read::status(&self.group))),
             target::Target::Events => {
                 let since = read::since_stamp(query)?;
-                let events = self.recorder.events_since(since);
-                Ok(ok(&wire::Events { events }))
+                Ok(ok(&self.recorder.events_since(since)))
             }
             target::Target::Metrics => Ok(reply::text(self.render_metrics())),
             target::Target::Collection(kind) => {
--- a/src/http/admin/wire.rs
+++ b/src/http/admin/wire.rs
@@ -1,6 +1,5 @@
 //! The JSON bodies of the admin interface.
 
-use crate::event;
 use crate::id;
 use crate::macros;
 use crate::replica::group;
@@ -145,14 +144,6 @@
     }
 }
 
-macros::data! {
-    /// Events of one process.
-    pub struct Events {
-        /// The events, oldest first.
-        pub events: Vec<event::Event>,
-    }
-}
-
 macros::data! {
     /// Entries of the audit trail.
     pub struct Audit {
--- a/src/state/claim.rs
+++ b/src/state/claim.rs
@@ -14,6 +14,9 @@
 /// The time after which a claim is dropped, counted from its last change.
 pub const CLAIM_AGE: clock::Millis = clock::Millis::from_secs(24 * 3600);
 
+/// The time before which no claim is dropped for want of room.
+pub const MIN_CLAIM_AGE: clock::Millis = clock::Millis::from_secs(3600);
+
 /// The most time that one [`command::Command::Advance`] adds; more is cut off.
 pub const MAX_ADVANCE: clock::Millis = clock::Millis::from_secs(120);
 
@@ -21,18 +24,21 @@
 pub const STORED_ANSWER_BYTES: usize = 64 << 10;
 
 /// The bytes of bodies that are kept for resends, over all claims.
-pub const STORED_TOTAL_BYTES: usize = 64 << 20;
+pub const STORED_TOTAL_BYTES: usize = 32 << 20;
 
 /// The most claims that are held.
-pub const CLAIMS: usize = 500_000;
+pub const CLAIMS: usize = 200_000;
+
+/// The sorted vectors that the claims are spread over.
+const SHARDS: usize = 1024;
 
 macros::data! {
     /// All claims that are held.
-    #[derive(Default)]
     pub struct Claims {
         now: clock::Millis,
+        count: usize,
         stored_bytes: usize,
-        records: sorted::Map<command::ClaimKey, Record>,
+        shards: Vec<sorted::Map<command::ClaimKey, Record>>,
     }
 }
 
@@ -54,23 +60,37 @@
     }
 }
 
+impl Default for Claims {
+    fn default() -> Self {
+        Self {
+            now: clock::Millis::ZERO,
+            count: 0,
+            stored_bytes: 0,
+            shards: (0..SHARDS).map(|_| sorted::Map::new()).collect(),
+        }
+    }
+}
+
 impl Claims {
     /// Returns the number of claims held.
     pub fn len(&self) -> usize {
-        self.records.len()
+        self.count
     }
 
     /// Tells whether no claim is held.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+        self.count == 0
     }
 
     /// Claims a call, or tells how the claim that is there stands.
     pub fn claim(&mut self, claim: &command::Claim) -> command::Answer {
-        if let Some(record) = self.records.get(&claim.key) {
+        if let Some(record) = self.shard(&claim.key).get(&claim.key) {
             return record.answer_to(claim);
         }
-        if self.records.len() >= CLAIMS {
+        if self.count >= CLAIMS {
+            self.make_room();
+        }
+        if self.count >= CLAIMS {
             return command::Answer::ClaimsFull;
         }
         let record = Record {
@@ -78,7 +98,9 @@
             changed: self.now,
             end: End::Running,
         };
-        self.records.insert(claim.key.clone(), record);
+        let replaced = self.shard(&claim.key).insert(claim.key.clone(), record);
+        assert!(replaced.is_none(), "a call is claimed once");
+        self.count += 1;
         command::Answer::Claimed
     }
 
@@ -86,7 +108,9 @@
     ///
     /// The request that holds the claim may still tell the end after its gateway was given up.
     pub fn settle(&mut self, settlement: &command::Settlement) -> bool {
-        let Some(record) = self.records.get_mut(&settlement.key) else {
+        let (now, stored) = (self.now, self.stored_bytes);
+        let shard = self.shard(&settlement.key);
+        let Some(record) = shard.get_mut(&settlement.key) else {
             return false;
         };
         let open = matches!(record.end, End::Running | End::Unknown);
@@ -94,21 +118,24 @@
             return false;
         }
         if settlement.end == command::ClaimEnd::NotRun {
-            self.records.remove(&settlement.key);
+            shard.remove(&settlement.key);
+            self.count -= 1;
             return true;
         }
-        record.changed = self.now;
-        record.end = End::from_claim_end(&settlement.end, self.stored_bytes);
-        self.stored_bytes += record.end.stored_bytes();
+        record.changed = now;
+        record.end = End::from_claim_end(&settlement.end, stored);
+        let size = record.end.stored_bytes();
+        self.stored_bytes += size;
         true
     }
 
     /// Marks the running claims of a gateway as ones of unknown end, but for those of `alive`.
     pub fn lose(&mut self, gateway: &id::InstanceId, alive: Option<id::Incarnation>) {
-        for record in self.records.values_mut() {
+        let now = self.now;
+        for record in self.shards.iter_mut().flat_map(sorted::Map::values_mut) {
             let dead = record.claim.gateway == *gateway && Some(record.claim.incarnation) != alive;
             if dead && record.end == End::Running {
-                record.changed = self.now;
+                record.changed = now;
                 record.end = End::Unknown;
             }
         }
@@ -118,22 +145,51 @@
     pub fn advance(&mut self, time: clock::Millis) {
         self.now = self.now + time.min(MAX_ADVANCE);
         let now = self.now;
-        self.records.retain(|_, r| now - r.changed < CLAIM_AGE);
-        self.count_stored_bytes();
+        self.keep(|record| now - record.changed < CLAIM_AGE);
     }
 
     /// Removes claims, whatever their age.
     pub fn remove(&mut self, keys: &[command::ClaimKey]) {
         for key in keys {
-            self.records.remove(key);
+            self.shard(key).remove(key);
+        }
+        self.recount();
+    }
+
+    /// Drops settled claims older than half the oldest one's age, but none before their time.
+    fn make_room(&mut self) {
+        let now = self.now;
+        let settled = self.records().filter(|r| r.end != End::Running);
+        let oldest = settled.map(|r| now - r.changed).max().unwrap_or_default();
+        let limit = MIN_CLAIM_AGE.max(clock::Millis::new(oldest.as_u64() / 2));
+        self.keep(|record| record.end == End::Running || now - record.changed < limit);
+    }
+
+    fn keep(&mut self, keep: impl Fn(&Record) -> bool) {
+        for shard in &mut self.shards {
+            shard.retain(|_, record| keep(record));
         }
-        self.count_stored_bytes();
+        self.recount();
     }
 
-    fn count_stored_bytes(&mut self) {
-        self.stored_bytes = self.records.values().map(|r| r.end.stored_bytes()).sum();
+    fn recount(&mut self) {
+        self.count = self.shards.iter().map(sorted::Map::len).sum();
+        self.stored_bytes = self.records().map(|r| r.end.stored_bytes()).sum();
+        assert!(self.count <= CLAIMS);
         assert!(self.stored_bytes <= STORED_TOTAL_BYTES);
     }
+
+    fn records(&self) -> impl Iterator<Item = &Record> {
+        self.shards.iter().flat_map(sorted::Map::values)
+    }
+
+    fn shard(&mut self, key: &command::ClaimKey) -> &mut sorted::Map<command::ClaimKey, Record> {
+        let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+        hasher.update(key.owner.as_bytes());
+        hasher.update(&[0]);
+        hasher.update(key.key.as_bytes());
+        &mut self.shards[hasher.digest() as usize % SHARDS]
+    }
 }
 
 impl Record {
--- a/tests/admin_claims.rs
+++ b/tests/admin_claims.rs
@@ -160,3 +160,45 @@
         assert_eq!(kept, i < fit);
     }
 }
+
+#[test]
+fn a_full_table_drops_settled_claims_after_an_hour_and_none_before() {
+    let claim_of = |i: usize| {
+        let command::Command::Claim(mut claim) = claim(1) else {
+            unreachable!()
+        };
+        claim.key.key = format!("order-{i}");
+        command::Command::Claim(claim)
+    };
+    let settle_of = |i: usize| {
+        let command::Command::Settle(mut settlement) = settle(1, ran(1)) else {
+            unreachable!()
+        };
+        settlement.key.key = format!("order-{i}");
+        command::Command::Settle(settlement)
+    };
+    let mut state = command::State::default();
+    for i in 0..claim::CLAIMS {
+        assert_eq!(state.apply(&claim_of(i)), command::Answer::Claimed);
+        if i > 0 {
+            state.apply(&settle_of(i));
+        }
+    }
+    assert_eq!(
+        state.apply(&claim_of(claim::CLAIMS)),
+        command::Answer::ClaimsFull
+    );
+    let steps = claim::MIN_CLAIM_AGE.as_u64() / claim::MAX_ADVANCE.as_u64();
+    for _ in 0..steps {
+        state.apply(&command::Command::Advance(claim::MAX_ADVANCE));
+    }
+    assert_eq!(
+        state.apply(&claim_of(claim::CLAIMS)),
+        command::Answer::Claimed
+    );
+    assert_eq!(
+        state.claims().len(),
+        2,
+        "the running claim and the new one stay"
+    );
+}
