--- a/src/state/check.rs
+++ b/src/state/check.rs
@@ -24,6 +24,9 @@
 /// The most requests that one backend server may run at once.
 pub const MAX_SLOTS: u32 = 10_000;
 
+/// The most faults that one refusal names.
+pub const MAX_FAULTS: usize = 256;
+
 macros::data! {
     /// One reason to refuse a change.
     pub struct Fault {
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -247,7 +247,8 @@
         if expected != self.config.revision {
             return self.conflict(expected);
         }
-        let faults = check::check(&self.config, &operation.changes);
+        let mut faults = check::check(&self.config, &operation.changes);
+        faults.truncate(check::MAX_FAULTS);
         if !faults.is_empty() {
             return Answer::Refused(faults);
         }
