Test the tool over a follower, a lost answer and gateways

Cause: the resend under one name was tested in the state machine alone. Change: a relay loses the first answer after the change is committed; another stands for a member that does not lead; a third for a gateway.

--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -1,10 +1,13 @@
 //! The operators' tool against a control member in this process.
 
 use std::fs;
+use std::io::Read as _;
+use std::io::Write as _;
 use std::net;
 use std::path;
 use std::process;
 use std::sync;
+use std::sync::atomic;
 use std::thread;
 
 use buckthorncleat::event;
@@ -287,3 +290,122 @@
     assert!(bench.ok("server list").contains("leaving"));
     assert!(!bench.ok("account list").contains("guests"));
 }
+
+/// Serves each connection with a function, one after the other, until it is dropped.
+struct Relay {
+    address: net::SocketAddr,
+    stop: sync::Arc<atomic::AtomicBool>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Relay {
+    fn start(serve: impl Fn(usize, net::TcpStream) + Send + 'static) -> Self {
+        let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let stop = sync::Arc::new(atomic::AtomicBool::new(false));
+        let stopped = stop.clone();
+        let thread = thread::spawn(move || {
+            for (i, stream) in listener.incoming().flatten().enumerate() {
+                if stopped.load(atomic::Ordering::SeqCst) {
+                    break;
+                }
+                serve(i, stream);
+            }
+        });
+        Self {
+            address,
+            stop,
+            thread: Some(thread),
+        }
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.stop.store(true, atomic::Ordering::SeqCst);
+        net::TcpStream::connect(self.address).expect("connected");
+        if let Some(thread) = self.thread.take() {
+            thread.join().expect("the relay ends");
+        }
+    }
+}
+
+fn read_head(stream: &mut net::TcpStream) -> String {
+    let mut text = Vec::new();
+    let mut byte = [0];
+    while !text.ends_with(b"\r\n\r\n") && stream.read(&mut byte).is_ok_and(|n| n > 0) {
+        text.push(byte[0]);
+    }
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+fn answer_with(stream: &mut net::TcpStream, status: &str, body: &str) {
+    let length = body.len();
+    let head =
+        format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n");
+    stream.write_all((head + body).as_bytes()).expect("sent");
+}
+
+#[test]
+fn a_change_is_sent_again_after_a_lost_answer_and_at_the_next_member() {
+    let bench = Bench::start();
+    bench.ok("account put chefs --rate 100 --burst 1000");
+    let follower = Relay::start(|_, mut stream| {
+        read_head(&mut stream);
+        let body = r#"{"reason":"unavailable","message":"not leading","leader":"ctl-a"}"#;
+        answer_with(&mut stream, "503 Service Unavailable", body);
+    });
+    let member = bench.address;
+    let losing = Relay::start(move |i, mut stream| {
+        let request = read_head(&mut stream);
+        let mut onward = net::TcpStream::connect(member).expect("connected");
+        onward.write_all(request.as_bytes()).expect("sent");
+        let mut answer = Vec::new();
+        onward.read_to_end(&mut answer).expect("an answer");
+        if i > 0 {
+            stream.write_all(&answer).expect("sent");
+        }
+    });
+    let token = bench.path("operators");
+    let token = token.to_str().expect("a path");
+    let admin = format!("{},{}", follower.address, losing.address);
+    let fixed = ["--admin", &admin, "--token-file", token];
+    let ran = tool(&[&fixed[..], &["account", "remove", "chefs"]].concat());
+    assert_eq!((ran.code, ran.out.trim()), (0, "revision 2"), "{}", ran.err);
+    assert!(bench.ok("status").contains("revision 2"));
+}
+
+#[test]
+fn gateways_are_read_and_drained_through_their_status_address() {
+    let bench = Bench::start();
+    let gateway = Relay::start(|_, mut stream| {
+        let head = read_head(&mut stream);
+        assert!(
+            !head.to_lowercase().contains("authorization"),
+            "no token for gateways"
+        );
+        let request: Vec<_> = head.split(' ').take(2).collect();
+        match request[..] {
+            ["GET", "/v1/status"] => answer_with(&mut stream, "200 OK", r#"{"instance":"gw-a1"}"#),
+            ["GET", "/v1/events?since=0.0"] => {
+                let event = r#"[{"at":{"wall":1,"counter":0},"instance":"gw-a1","kind":"arrived","request":"0000000000000000000000000000002a","detail":"chat"}]"#;
+                answer_with(&mut stream, "200 OK", event);
+            }
+            ["POST", "/v1/drain"] => answer_with(&mut stream, "202 Accepted", "{}"),
+            _ => answer_with(&mut stream, "404 Not Found", "{}"),
+        }
+    });
+    let with = |line: &str| bench.ok(&format!("--gateways {} {line}", gateway.address));
+    assert!(with("status").contains("gw-a1"));
+    let all = with("timeline");
+    let lines: Vec<_> = all.lines().collect();
+    assert!(
+        lines[0].starts_with("1.0 gw-a1 arrived 0000000000000000000000000000002a chat"),
+        "{all}"
+    );
+    assert!(lines[1].contains("ctl-a started"), "{all}");
+    assert_eq!(with("timeline --request 2a").lines().count(), 1);
+    assert_eq!(with("drain gw-a1").trim(), "gw-a1 drains");
+    let ran = bench.run(&["--gateways", &gateway.address.to_string(), "drain", "gw-b1"]);
+    assert_eq!(ran.code, 2, "{}", ran.err);
+}
