Let operators not lose against gateways that join

Cause: an expected revision also lost against changes of the membership, which the system makes by itself. Seen with three control processes: four operators under one revision all lost, as a session had begun in between. Change: only a revision made by an operator conflicts. Events keep the shape {"events":[...]}, which the gateways took up as well. Conclusion: exactly one operator wins, whatever the system does.

--- a/src/cli/view.rs
+++ b/src/cli/view.rs
@@ -110,19 +110,15 @@
     let mut events = Vec::new();
     let mut silent = Vec::new();
     for address in &cfg.admin {
-        match cx
-            .client
-            .read_at::<Vec<event::Event>>(*address, &path)
-            .await
-        {
-            Ok(answer) => events.extend(answer),
+        match cx.client.read_at::<wire::Events>(*address, &path).await {
+            Ok(answer) => events.extend(answer.events),
             Err(e) => silent.push(format!("# no events of control {address}: {e}")),
         }
     }
     for address in &cfg.gateways {
         let answer = client::send(hyper::Method::GET, *address, &path).await;
-        match answer.and_then(|a| client::decode::<Vec<event::Event>>(&a)) {
-            Ok(answer) => events.extend(answer),
+        match answer.and_then(|a| client::decode::<wire::Events>(&a)) {
+            Ok(answer) => events.extend(answer.events),
             Err(e) => silent.push(format!("# no events of gateway {address}: {e}")),
         }
     }
--- a/src/http/admin/service.rs
+++ b/src/http/admin/service.rs
@@ -172,7 +172,8 @@
             target::Target::Status => Ok(ok(&read::status(&self.group))),
             target::Target::Events => {
                 let since = read::since_stamp(query)?;
-                Ok(ok(&self.recorder.events_since(since)))
+                let events = self.recorder.events_since(since);
+                Ok(ok(&wire::Events { events }))
             }
             target::Target::Metrics => Ok(reply::text(self.render_metrics())),
             target::Target::Collection(kind) => {
--- a/src/http/admin/wire.rs
+++ b/src/http/admin/wire.rs
@@ -1,5 +1,6 @@
 //! The JSON bodies of the admin interface.
 
+use crate::event;
 use crate::id;
 use crate::macros;
 use crate::replica::group;
@@ -144,6 +145,14 @@
     }
 }
 
+macros::data! {
+    /// Events of one process.
+    pub struct Events {
+        /// The events, oldest first.
+        pub events: Vec<event::Event>,
+    }
+}
+
 macros::data! {
     /// Entries of the audit trail.
     pub struct Audit {
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -38,6 +38,8 @@
         /// The operator, for the audit trail.
         pub operator: String,
         /// The revision that the operator saw, or `None` to change whatever is there.
+        ///
+        /// Changes by the system itself since then, such as of the membership, don't conflict.
         pub expected: Option<id::Revision>,
         /// The changes, applied together or not at all.
         pub changes: Vec<change::Change>,
@@ -115,7 +117,7 @@
     pub enum Answer {
         /// The configuration now has this revision.
         Done(id::Revision),
-        /// The operator's expected revision is not the current one.
+        /// An operator changed something after the expected revision, or it does not exist yet.
         Conflict {
             /// The current revision.
             current: id::Revision,
@@ -151,6 +153,8 @@
     #[derive(Default)]
     pub struct State {
         config: change::Config,
+        /// The last revision that an operator made.
+        operated: id::Revision,
         history: Vec<change::Commit>,
         operations: operation::Operations,
         claims: claim::Claims,
@@ -244,7 +248,7 @@
 
     fn operate_first(&mut self, operation: &Operation) -> Answer {
         let expected = operation.expected.unwrap_or(self.config.revision);
-        if expected != self.config.revision {
+        if expected < self.operated || expected > self.config.revision {
             return self.conflict(expected);
         }
         let mut faults = check::check(&self.config, &operation.changes);
@@ -258,7 +262,9 @@
         }
         let next = self.config.revision.next();
         self.audit.record(operation, &changes, next);
-        Answer::Done(self.commit(changes))
+        self.operated = self.commit(changes);
+        assert_eq!(self.operated, next);
+        Answer::Done(next)
     }
 
     fn conflict(&self, expected: id::Revision) -> Answer {
@@ -269,12 +275,13 @@
         };
         let since = self.commits_after(expected).unwrap_or_default();
         let subjects = since.iter().flat_map(|c| &c.changes);
+        let subjects = subjects.map(subject::Subject::from_change);
         Answer::Conflict {
             current: self.config.revision,
             reason: reason.to_owned(),
             changed: subjects
+                .filter(|s| s.kind != subject::Kind::Member)
                 .take(operation::CONFLICT_SUBJECTS)
-                .map(subject::Subject::from_change)
                 .collect(),
         }
     }
