--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control daemon: the replicated log, sessions of gateways and the admin interface.
 
+mod aging;
 mod handler;
 mod proposer;
 mod sessions;
@@ -57,6 +58,7 @@
         )),
         tokio::spawn(wait_for_stop(stop, ending.subscribe())),
         tokio::spawn(proposer::run(sessions, ending.subscribe())),
+        tokio::spawn(aging::run(group.clone(), clock, ending.subscribe())),
         tokio::spawn(serve_admin(
             settings,
             group,
