Race operators against three control processes

Additive in the control tests: a test of 12 rounds in which four operators, one with a sheet, change on top of one revision through different members; the leader is killed in every third round. Exactly one wins each round, and the audit trail holds the winners and no other.

--- a/tests/control_process.rs
+++ b/tests/control_process.rs
@@ -3,6 +3,7 @@
 mod control_support;
 
 use control_support::cluster;
+use control_support::operators;
 
 /// The changes that one phase of a test waits for.
 const CHANGES: usize = 40;
@@ -65,3 +66,23 @@
     writer.check().await;
     cluster.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn racing_operators_have_one_winner_though_leaders_are_killed() {
+    let mut cluster = cluster::Cluster::start(3).await;
+    let addresses = cluster.admin_addresses();
+    let client = operators::client(&addresses, 0);
+    let mut winners = Vec::new();
+    for round in 0..12 {
+        let expected = operators::revision(&client).await;
+        let leader = cluster.leader().await;
+        let racers = operators::race(&addresses, round, expected);
+        if round % 3 == 1 {
+            cluster.kill(leader);
+            cluster.restart(leader);
+        }
+        winners.push(operators::one_winner(racers, expected).await);
+    }
+    assert_eq!(operators::operations(&client).await, winners);
+    cluster.stop().await;
+}
--- a/tests/control_support/cluster.rs
+++ b/tests/control_support/cluster.rs
@@ -160,6 +160,12 @@
         }
     }
 
+    /// Returns where operators connect.
+    pub fn admin_addresses(&self) -> Vec<net::SocketAddr> {
+        let addresses = self.members.iter().map(|m| m.settings.admin_address);
+        addresses.collect()
+    }
+
     fn logs(&self) -> String {
         let log = |m: &Member| {
             let name = format!("{}.log", m.settings.instance);
