--- /dev/null
+++ b/tests/storage.rs
@@ -0,0 +1,278 @@
+//! The data folder under torn writes, damaged bytes, crashes between files and disk errors.
+
+use std::fs;
+use std::path;
+use std::sync;
+
+use buckthorncleat::Category;
+use buckthorncleat::id;
+use buckthorncleat::replica::core;
+use buckthorncleat::replica::core::members;
+use buckthorncleat::replica::core::message;
+use buckthorncleat::replica::storage;
+
+fn instance() -> id::InstanceId {
+    "control-0".parse().unwrap()
+}
+
+fn open(path: &path::Path) -> buckthorncleat::Result<(storage::Folder, core::Stored)> {
+    storage::Folder::open(path, &instance())
+}
+
+fn position(index: u64, term: u64) -> message::Position {
+    message::Position {
+        index: id::LogIndex::new(index),
+        term: id::Term::new(term),
+    }
+}
+
+fn entry(index: u64, term: u64) -> message::Entry {
+    message::Entry {
+        at: position(index, term),
+        payload: message::Payload::Command(vec![index as u8; 9]),
+    }
+}
+
+fn snapshot(index: u64, term: u64) -> message::Batch {
+    let head = message::SnapshotHead {
+        group: id::Incarnation::new(7),
+        at: position(index, term),
+        members: members::Membership::default(),
+    };
+    let data = vec![1; 20];
+    message::Batch {
+        snapshot: Some(sync::Arc::new(message::Snapshot { head, data })),
+        ..message::Batch::default()
+    }
+}
+
+fn entries(indexes: std::ops::RangeInclusive<u64>, term: u64) -> message::Batch {
+    let hard = message::HardState {
+        term: id::Term::new(term),
+        vote: None,
+    };
+    message::Batch {
+        hard: Some(hard),
+        entries: indexes.map(|index| entry(index, term)).collect(),
+        ..message::Batch::default()
+    }
+}
+
+/// Makes a folder with the genesis snapshot and one group commit for each batch.
+fn filled(batches: &[message::Batch]) -> tempfile::TempDir {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut open, _) = open(folder.path()).unwrap();
+    open.write(&[snapshot(0, 0)]).unwrap();
+    for batch in batches {
+        open.write(std::slice::from_ref(batch)).unwrap();
+    }
+    folder
+}
+
+fn files(folder: &path::Path, suffix: &str) -> Vec<path::PathBuf> {
+    let entries = fs::read_dir(folder).unwrap();
+    let paths = entries.map(|e| e.unwrap().path());
+    let mut paths: Vec<_> = paths
+        .filter(|p| p.to_str().unwrap().ends_with(suffix))
+        .collect();
+    paths.sort();
+    paths
+}
+
+fn indexes(stored: &core::Stored) -> Vec<u64> {
+    stored.entries.iter().map(|e| e.at.index.as_u64()).collect()
+}
+
+#[test]
+fn what_was_written_is_read_again() {
+    let folder = filled(&[entries(1..=3, 1), entries(3..=4, 2)]);
+    let (first, stored) = open(folder.path()).unwrap();
+    assert_eq!(stored.hard.term, id::Term::new(2));
+    assert_eq!(
+        stored.entries,
+        [entry(1, 1), entry(2, 1), entry(3, 2), entry(4, 2)]
+    );
+    let node = first.node().clone();
+    drop(first);
+    assert_eq!(open(folder.path()).unwrap().0.node(), &node);
+}
+
+#[test]
+fn the_tail_torn_at_any_byte_is_cut() {
+    let folder = filled(&[entries(1..=2, 1)]);
+    let segment = files(folder.path(), ".seg").pop().unwrap();
+    let before = fs::metadata(&segment).unwrap().len() as usize;
+    let (mut writer, _) = open(folder.path()).unwrap();
+    writer.write(&[entries(3..=3, 1)]).unwrap();
+    drop(writer);
+    let whole = fs::read(&segment).unwrap();
+    for length in before..whole.len() {
+        fs::write(&segment, &whole[..length]).unwrap();
+        let (mut again, stored) = open(folder.path()).unwrap();
+        assert_eq!(indexes(&stored), [1, 2], "cut at {length}");
+        again.write(&[entries(3..=4, 2)]).unwrap();
+        drop(again);
+        assert_eq!(indexes(&open(folder.path()).unwrap().1), [1, 2, 3, 4]);
+    }
+}
+
+#[test]
+fn a_damaged_byte_before_the_tail_is_refused() {
+    let folder = filled(&[entries(1..=2, 1)]);
+    let segment = files(folder.path(), ".seg").pop().unwrap();
+    let synced = fs::metadata(&segment).unwrap().len() as usize;
+    let (mut writer, _) = open(folder.path()).unwrap();
+    writer.write(&[entries(3..=3, 1)]).unwrap();
+    drop(writer);
+    let whole = fs::read(&segment).unwrap();
+    for at in 0..synced {
+        let mut bytes = whole.clone();
+        bytes[at] ^= 0x10;
+        fs::write(&segment, &bytes).unwrap();
+        let error = open(folder.path()).unwrap_err();
+        assert_eq!(error.classify(), Category::Data, "byte {at}");
+        assert!(error.to_string().contains("joins as a learner"), "{error}");
+        assert_eq!(fs::read(&segment).unwrap(), bytes, "nothing is cut");
+    }
+}
+
+#[test]
+fn other_damage_is_refused() {
+    type Damage = fn(&path::Path);
+    let table: [(&str, Damage); 5] = [
+        ("damaged", |folder| {
+            let path = files(folder, ".snap").pop().unwrap();
+            let mut bytes = fs::read(&path).unwrap();
+            bytes[6] ^= 1;
+            fs::write(&path, bytes).unwrap();
+        }),
+        ("before entry", |folder| {
+            fs::remove_file(files(folder, ".snap").pop().unwrap()).unwrap();
+        }),
+        ("no member.json", |folder| {
+            fs::remove_file(folder.join("member.json")).unwrap();
+        }),
+        ("missing log segment", |folder| {
+            let last = files(folder, ".seg").pop().unwrap();
+            let beyond = last.with_file_name("log-00000000000000000009.seg");
+            fs::copy(&last, beyond).unwrap();
+        }),
+        ("belongs to", |folder| {
+            let path = folder.join("member.json");
+            let text = fs::read_to_string(&path).unwrap();
+            fs::write(&path, text.replace("control-0", "control-1")).unwrap();
+        }),
+    ];
+    for (part, damage) in table {
+        let folder = filled(&[entries(1..=3, 1)]);
+        damage(folder.path());
+        let error = open(folder.path()).unwrap_err().to_string();
+        assert!(error.contains(part), "{part}: {error}");
+    }
+}
+
+#[test]
+fn temporary_files_of_a_crash_are_removed() {
+    let folder = filled(&[entries(1..=3, 1)]);
+    fs::write(
+        folder.path().join("snapshot-00000000000000000009.snap.tmp"),
+        b"half",
+    )
+    .unwrap();
+    fs::write(folder.path().join("member.json.tmp"), b"{").unwrap();
+    assert_eq!(indexes(&open(folder.path()).unwrap().1), [1, 2, 3]);
+    assert!(files(folder.path(), ".tmp").is_empty());
+}
+
+#[test]
+fn a_second_process_is_kept_out() {
+    let folder = filled(&[]);
+    let first = open(folder.path()).unwrap();
+    let error = open(folder.path()).unwrap_err().to_string();
+    assert!(error.contains("another process"), "{error}");
+    drop(first);
+    open(folder.path()).unwrap();
+}
+
+#[test]
+fn a_snapshot_takes_the_place_of_what_it_covers() {
+    let folder = filled(&[entries(1..=6, 1), snapshot(4, 1), entries(7..=7, 2)]);
+    let (_, stored) = open(folder.path()).unwrap();
+    assert_eq!(stored.snapshot.unwrap().head.at, position(4, 1));
+    assert_eq!(files(folder.path(), ".snap").len(), 1);
+    let after: Vec<u64> = stored.entries.iter().map(|e| e.at.index.as_u64()).collect();
+    assert_eq!(after, [5, 6, 7]);
+    assert_eq!(
+        stored.hard.term,
+        id::Term::new(2),
+        "the term outlives its segment"
+    );
+}
+
+#[test]
+fn a_snapshot_of_the_leader_voids_another_log() {
+    // The process dies at any point of the installation; what follows is the same.
+    let installed = message::Batch {
+        reset: true,
+        ..snapshot(10, 3)
+    };
+    let whole = filled(&[entries(1..=12, 1), installed.clone()]);
+    let renamed_only = filled(&[entries(1..=12, 1)]);
+    let source = files(whole.path(), ".snap").pop().unwrap();
+    fs::copy(
+        &source,
+        renamed_only.path().join(source.file_name().unwrap()),
+    )
+    .unwrap();
+    for folder in [&whole, &renamed_only] {
+        let (mut writer, stored) = open(folder.path()).unwrap();
+        assert_eq!(indexes(&stored), [0; 0]);
+        writer.write(&[entries(11..=12, 3)]).unwrap();
+        drop(writer);
+        let (_, stored) = open(folder.path()).unwrap();
+        assert_eq!(stored.entries, [entry(11, 3), entry(12, 3)]);
+    }
+}
+
+#[test]
+fn a_new_segment_without_its_first_record_keeps_the_vote() {
+    let folder = filled(&[entries(1..=3, 5)]);
+    let last = files(folder.path(), ".seg").pop().unwrap();
+    let number: u64 = last.to_str().unwrap()[..].rsplit('-').next().unwrap()[..20]
+        .parse()
+        .unwrap();
+    fs::write(
+        last.with_file_name(format!("log-{:020}.seg", number + 1)),
+        b"",
+    )
+    .unwrap();
+    let (mut writer, _) = open(folder.path()).unwrap();
+    writer.write(&[snapshot(3, 5)]).unwrap();
+    drop(writer);
+    assert_eq!(open(folder.path()).unwrap().1.hard.term, id::Term::new(5));
+}
+
+#[test]
+fn large_logs_go_on_in_further_segments() {
+    let folder = filled(&[]);
+    let (mut writer, _) = open(folder.path()).unwrap();
+    for index in 1..=5 {
+        let mut batch = entries(index..=index, 1);
+        batch.entries[0].payload = message::Payload::Command(vec![7; 4 << 20]);
+        writer.write(&[batch]).unwrap();
+    }
+    drop(writer);
+    assert!(files(folder.path(), ".seg").len() > 2);
+    assert_eq!(indexes(&open(folder.path()).unwrap().1), [1, 2, 3, 4, 5]);
+}
+
+#[test]
+fn after_a_disk_error_nothing_more_is_written() {
+    let folder = filled(&[entries(1..=3, 1)]);
+    let (mut writer, _) = open(folder.path()).unwrap();
+    fs::remove_dir_all(folder.path()).unwrap();
+    let error = writer.write(&[snapshot(2, 1)]).unwrap_err();
+    assert_eq!(error.classify(), Category::Io);
+    let error = writer.write(&[entries(4..=4, 1)]).unwrap_err();
+    assert!(error.to_string().contains("restart the member"), "{error}");
+}
