--- /dev/null
+++ b/tests/control_membership.rs
@@ -0,0 +1,220 @@
+//! Sessions of gateways: no life takes a name over while the old one may still serve.
+
+use buckthorncleat::clock;
+use buckthorncleat::controller::membership;
+use buckthorncleat::id;
+use buckthorncleat::state::change;
+use buckthorncleat::state::model;
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+const SESSION: clock::Millis = clock::Millis::new(2_500);
+const LEASE: clock::Millis = clock::Millis::new(2_000);
+
+fn ms(ms: u64) -> clock::Millis {
+    clock::Millis::new(ms)
+}
+
+fn member(name: &str, life: u64) -> model::Member {
+    model::Member {
+        id: name.parse().unwrap(),
+        incarnation: id::Incarnation::new(life),
+        data_centre: "klang-1".parse().unwrap(),
+        caller_address: ([127, 0, 0, 1], 80).into(),
+        peer_address: ([127, 0, 0, 1], 81).into(),
+        leaving: false,
+    }
+}
+
+/// The sessions at a leader, with the configuration that its proposals make.
+struct Leader {
+    membership: membership::Membership,
+    config: change::Config,
+}
+
+impl Leader {
+    fn new() -> Self {
+        let mut leader = Self {
+            membership: membership::Membership::new(SESSION),
+            config: change::Config::default(),
+        };
+        leader.step(ms(0), membership::Input::Lead);
+        leader
+    }
+
+    /// Takes an input and commits what is proposed; returns it.
+    fn step(&mut self, now: clock::Millis, input: membership::Input) -> Vec<change::Change> {
+        let changes = self.membership.step(now, &self.config, input);
+        if !changes.is_empty() {
+            let commit = change::Commit {
+                revision: self.config.revision.next(),
+                changes: changes.clone(),
+            };
+            assert!(self.config.apply(&commit));
+        }
+        changes
+    }
+
+    fn watch(&mut self, now: clock::Millis, member: &model::Member) -> Vec<change::Change> {
+        let (member, have) = (member.clone(), self.config.revision);
+        self.step(now, membership::Input::Watch { member, have })
+    }
+
+    fn leave(&mut self, now: clock::Millis, member: &model::Member) -> Vec<change::Change> {
+        let (instance, incarnation) = (member.id.clone(), member.incarnation);
+        self.step(
+            now,
+            membership::Input::Leave {
+                instance,
+                incarnation,
+            },
+        )
+    }
+
+    fn tick(&mut self, now: clock::Millis) -> Vec<change::Change> {
+        self.step(now, membership::Input::Tick)
+    }
+}
+
+#[test]
+fn an_instance_joins_is_silent_and_is_taken_out() {
+    let mut leader = Leader::new();
+    let a = member("a", 1);
+    assert_eq!(
+        leader.watch(ms(0), &a),
+        [change::Change::PutMember(a.clone())]
+    );
+    assert!(leader.watch(ms(100), &a).is_empty());
+    assert!(leader.tick(ms(100) + SESSION - ms(1)).is_empty());
+    let removed = [change::Change::RemoveMember(a.id.clone())];
+    assert_eq!(leader.tick(ms(100) + SESSION), removed);
+    assert!(leader.tick(ms(200) + SESSION).is_empty());
+}
+
+#[test]
+fn a_new_life_waits_for_the_old_one_unless_it_left() {
+    for left in [false, true] {
+        let mut leader = Leader::new();
+        let (old, new) = (member("a", 1), member("a", 2));
+        leader.watch(ms(0), &old);
+        if left {
+            assert_eq!(leader.leave(ms(10), &old).len(), 1);
+            assert!(leader.watch(ms(15), &old).is_empty(), "an overtaken watch");
+        }
+        let put = [change::Change::PutMember(new.clone())];
+        let early = leader.watch(ms(20), &new);
+        assert_eq!(early.as_slice(), if left { &put[..] } else { &[] });
+        leader.watch(SESSION, &new);
+        assert_eq!(leader.config.members.get(&new.id), Some(&new));
+    }
+}
+
+#[test]
+fn a_leave_of_another_life_changes_nothing() {
+    let mut leader = Leader::new();
+    let (old, new) = (member("a", 1), member("a", 2));
+    leader.watch(ms(0), &new);
+    assert!(leader.leave(ms(10), &old).is_empty());
+    assert!(leader.leave(ms(10), &member("b", 1)).is_empty());
+}
+
+#[test]
+fn a_changed_record_is_put_and_a_new_leader_gives_a_full_session() {
+    let mut leader = Leader::new();
+    let mut a = member("a", 1);
+    leader.watch(ms(0), &a);
+    a.leaving = true;
+    leader.watch(ms(600), &a);
+    assert!(leader.config.members.get(&a.id).unwrap().leaving);
+    leader.step(ms(9_000), membership::Input::Lead);
+    assert!(leader.tick(ms(9_000) + SESSION - ms(1)).is_empty());
+    assert_eq!(leader.tick(ms(9_000) + SESSION).len(), 1);
+}
+
+#[test]
+fn an_epoch_is_settled_once_every_member_has_it() {
+    let mut leader = Leader::new();
+    let (a, b) = (member("a", 1), member("b", 1));
+    leader.watch(ms(0), &a);
+    leader.watch(ms(1), &b);
+    let epoch = leader.config.epoch;
+    leader.watch(ms(2), &a);
+    assert!(leader.membership.settled() < epoch);
+    leader.watch(ms(3), &b);
+    assert_eq!(leader.membership.settled(), epoch);
+    // The dead do not hold the others up for longer than their session.
+    leader.watch(ms(2_000), &a);
+    leader.tick(SESSION + ms(10));
+    assert!(leader.membership.settled() < leader.config.epoch);
+    leader.watch(SESSION + ms(20), &a);
+    assert_eq!(leader.membership.settled(), leader.config.epoch);
+}
+
+/// One process under the shared name, with its lease on its own clock.
+struct Process {
+    member: model::Member,
+    lease_until: clock::Millis,
+    frozen_until: clock::Millis,
+}
+
+/// Random watches, delays, freezes, new lives and new leaders.
+fn run(seed: u64) -> usize {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut leader = Leader::new();
+    let mut processes: Vec<Process> = Vec::new();
+    let mut takeovers = 0;
+    let mut now = ms(0);
+    for life in 1..2_000 {
+        now = now + ms(rng.random_range(0..200));
+        let may_start = processes.iter().all(|p| p.frozen_until > now) || processes.is_empty();
+        if may_start || rng.random_range(0..100) == 0 {
+            processes.push(Process {
+                member: member("a", life),
+                lease_until: ms(0),
+                frozen_until: ms(0),
+            });
+        }
+        let at = rng.random_range(0..processes.len());
+        let process = &mut processes[at];
+        let changes = match rng.random_range(0..20) {
+            0 => {
+                process.frozen_until = now + ms(rng.random_range(0..6_000));
+                Vec::new()
+            }
+            1 => leader.step(now, membership::Input::Lead),
+            2 => leader.tick(now),
+            _ if now < process.frozen_until => Vec::new(),
+            _ => {
+                let sent_at = now;
+                now = now + ms(rng.random_range(0..300));
+                let changes = leader.watch(now, &process.member);
+                let is_member = leader.config.members.get(&process.member.id);
+                if is_member == Some(&process.member) {
+                    process.lease_until = sent_at + LEASE;
+                }
+                changes
+            }
+        };
+        for change in changes {
+            let next = match change {
+                change::Change::PutMember(member) => Some(member.incarnation),
+                _ => None,
+            };
+            takeovers += 1;
+            let others = processes
+                .iter()
+                .filter(|p| Some(p.member.incarnation) != next);
+            let serving = others.filter(|p| p.lease_until > now).count();
+            assert_eq!(serving, 0, "seed {seed}: two lives serve at {now}");
+        }
+    }
+    takeovers
+}
+
+#[test]
+fn two_lives_of_a_name_never_serve_at_once() {
+    let takeovers: usize = (0..300).map(run).sum();
+    println!("{takeovers} changes");
+    assert!(takeovers > 1_000);
+}
--- a/tests/control_process.rs
+++ b/tests/control_process.rs
@@ -65,3 +65,21 @@
     writer.check().await;
     cluster.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_disk_error_stops_the_member_and_the_others_go_on() {
+    let mut cluster = cluster::Cluster::start(3).await;
+    let mut writer = cluster.writer();
+    writer.write(CHANGES).await;
+    let leader = cluster.leader().await;
+    // The next snapshot finds no folder to be written to.
+    cluster.delete_folder(leader);
+    writer.write(CHANGES * 2).await;
+    let status = cluster.until_ended(leader).await;
+    assert!(!status.success());
+    writer.check().await;
+    cluster.restart(leader);
+    cluster.until_repaired(leader).await;
+    writer.check().await;
+    cluster.stop().await;
+}
--- a/tests/control_support/cluster.rs
+++ b/tests/control_support/cluster.rs
@@ -143,16 +143,20 @@
         }
     }
 
+    /// Waits until a member has ended by itself.
+    pub async fn until_ended(&mut self, member: usize) -> process::ExitStatus {
+        let child = self.members[member].child.take().unwrap();
+        wait(child).await
+    }
+
     /// Ends all members gracefully.
     pub async fn stop(mut self) {
         for member in 0..self.members.len() {
             self.signal(member, "TERM");
         }
         for member in &mut self.members {
-            let mut child = member.child.take().unwrap();
-            let ended = tokio::task::spawn_blocking(move || child.wait());
-            let ended = tokio::time::timeout(HANG_GUARD, ended).await;
-            assert!(ended.unwrap().unwrap().unwrap().success());
+            let child = member.child.take().unwrap();
+            assert!(wait(child).await.success());
         }
     }
 
@@ -172,6 +176,12 @@
     }
 }
 
+async fn wait(mut child: process::Child) -> process::ExitStatus {
+    let ended = tokio::task::spawn_blocking(move || child.wait());
+    let ended = tokio::time::timeout(HANG_GUARD, ended).await;
+    ended.expect("the process ends").unwrap().unwrap()
+}
+
 pub async fn ask(
     links: &link::Links,
     address: net::SocketAddr,
