--- a/stand-in/tests/e2e.rs
+++ b/stand-in/tests/e2e/failure.rs
@@ -1,7 +1,5 @@
 //! The whole path over real processes, under failure.
 
-mod e2e_support;
-
 use std::time;
 
 use buckthorncleat::state::change;
@@ -10,7 +8,7 @@
 use stand_in::load::cluster::operate::Which;
 use stand_in::process;
 
-use e2e_support as support;
+use crate::support;
 
 /// The users' bound on a withdrawn key, and a little for the last token under way.
 const WITHDRAWN_WITHIN: time::Duration = time::Duration::from_secs(3);
