--- a/src/controller/quarantine.rs
+++ b/src/controller/quarantine.rs
@@ -5,6 +5,10 @@
 //! runs again only once its first loss is on record, so a resend through any gateway is known as
 //! one there. The second loss quarantines it, decided by [`change::Config`] itself.
 //!
+//! Another gateway may act on an older configuration until its freshness lease ends. So a gateway
+//! that can't go on with a lost request itself tells its caller only a lease after the record;
+//! otherwise a quick resend elsewhere may cost a third server.
+//!
 //! Suspects run one at a time at a server, so a suspect is never blamed for a loss that another
 //! suspect caused. One that runs to its end is cleared.
 
@@ -167,6 +171,25 @@
         losses
     }
 
+    /// Notes that a server was lost to one request, as that request alone can tell.
+    ///
+    /// Returns `None` when the request did not run there, or when its loss was noted before.
+    pub fn request_lost(
+        &mut self,
+        cfg: &change::Config,
+        request: id::RequestId,
+        server: &id::BackendServerId,
+    ) -> Option<Loss> {
+        let place = Place {
+            request,
+            server: server.clone(),
+        };
+        let run = self.running.remove(&place)?;
+        let loss = run.to_loss(cfg, &place);
+        self.await_record(cfg, &loss.report);
+        Some(loss)
+    }
+
     /// Takes in a new configuration: losses that are on record now need not be waited for.
     pub fn configure(&mut self, cfg: &change::Config) {
         self.pending.retain(|fingerprint, _| {
--- a/src/controller/scheduler/plan.rs
+++ b/src/controller/scheduler/plan.rs
@@ -93,7 +93,10 @@
 struct PrefillOption {
     slot: fleet::Slot,
     uncached: u64,
+    /// When the prefill likely ends.
     ready: f64,
+    /// When the server's own link likely has sent the KV cache.
+    sent: f64,
     busy: u32,
 }
 
@@ -162,6 +165,16 @@
         least.unwrap_or(needs.prompt.as_u64())
     }
 
+    /// Returns the part of a bound that a prediction may fill.
+    fn part(&self) -> f64 {
+        self.settings.target_percent as f64 / 100.0
+    }
+
+    /// Returns how long a transfer may be under way by prediction, in milliseconds.
+    fn life(&self) -> f64 {
+        self.settings.export_life.as_u64() as f64 * self.part()
+    }
+
     fn prefill_options(&self, needs: &Needs) -> Vec<PrefillOption> {
         let now = self.now.as_u64() as f64;
         let overhead = self.settings.overhead.as_u64() as f64;
@@ -177,10 +190,17 @@
             }
             let uncached = needs.uncached(slot);
             let takes = uncached as f64 / s.current_rate(self.now);
+            let ready = now + overhead + backlog + takes;
+            let link = s.link(self.now, self.life());
+            let outlook = link.predict(ready, needs.kv_bytes as f64);
+            if outlook.too_long {
+                continue;
+            }
             options.push(PrefillOption {
                 slot,
                 uncached,
-                ready: now + overhead + backlog + takes,
+                ready,
+                sent: outlook.end,
                 busy: s.occupancy.own().requests,
             });
         }
@@ -204,7 +224,11 @@
             if step > target && batch > 1 {
                 continue;
             }
-            let link = s.transfer_end(self.now, ready, needs.kv_bytes as f64) - ready;
+            let link = s
+                .link(self.now, self.life())
+                .predict(ready, needs.kv_bytes as f64)
+                .end
+                - ready;
             options.push(DecodeOption {
                 slot,
                 step,
@@ -227,21 +251,17 @@
         decode: &DecodeOption,
         deadline: clock::Millis,
     ) -> Option<f64> {
-        let bytes = needs.kv_bytes as f64;
-        let end_at = |slot| {
-            let s = self.fleet.get(slot);
-            s.map(|s| s.transfer_end(self.now, prefill.ready, bytes))
-        };
-        let transferred = end_at(prefill.slot)?.max(end_at(decode.slot)?);
-        let life = self.settings.export_life.as_u64() as f64;
-        let percent = self.settings.target_percent as f64 / 100.0;
-        if transferred - prefill.ready > life * percent {
+        let to = self.fleet.get(decode.slot)?;
+        let link = to.link(self.now, self.life());
+        let outlook = link.predict(prefill.ready, needs.kv_bytes as f64);
+        if outlook.too_long {
             return None;
         }
+        let transferred = prefill.sent.max(outlook.end);
         let now = self.now.as_u64() as f64;
         let takes = transferred + decode.step - now;
         let left = (deadline - self.now).as_u64() as f64;
-        if takes > left * percent {
+        if takes > left * self.part() {
             return None;
         }
         if needs.suspect {
