Soak a deployment of real processes at random

Cause: single-fault tests do not show what two faults together do. Change: buckthorncleat-load soak kills, freezes, silences, cuts and takes the disk of processes drawn from a seed while callers, resent orders and racing operators go on, then compares answers, service counts, engine listings, revisions and acknowledged changes.

--- a/stand-in/src/bin/load.rs
+++ b/stand-in/src/bin/load.rs
@@ -17,6 +17,7 @@
 use stand_in::load::policy;
 use stand_in::load::report;
 use stand_in::load::run;
+use stand_in::load::soak;
 use stand_in::shutdown;
 use tokio::sync::watch;
 
@@ -34,6 +35,26 @@
     Run(Run),
     /// Starts deployments of its own on loopback and compares policies in several cases.
     Compare(Compare),
+    /// Injects faults into a deployment of its own while callers and operators go on.
+    Soak(Soak),
+}
+
+#[derive(Debug, clap::Args)]
+struct Soak {
+    /// The seed of arrivals and faults.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How long callers arrive, in milliseconds.
+    #[arg(long, default_value = "60000")]
+    duration_ms: clock::Millis,
+    /// The policy of the gateways.
+    #[arg(long, default_value = "joint-worst-served")]
+    policy: policy::Policy,
+    #[command(flatten)]
+    size: cluster::Size,
+    /// Folder for settings and logs; kept afterwards.
+    #[arg(long)]
+    folder: path::PathBuf,
 }
 
 #[derive(Debug, clap::Args)]
@@ -85,6 +106,7 @@
     let result = match Args::parse().command {
         Command::Run(args) => run_plan(&args).await,
         Command::Compare(args) => compare_policies(args).await,
+        Command::Soak(args) => soak_deployment(&args).await,
     };
     match result {
         Ok(()) => process::ExitCode::SUCCESS,
@@ -130,6 +152,26 @@
         .map_or(Ok(()), |path| write_json(Some(&path), &rows))
 }
 
+async fn soak_deployment(args: &Soak) -> buckthorncleat::Result<()> {
+    let make =
+        |e| buckthorncleat::Error::io(format!("make the folder {}", args.folder.display()), e);
+    fs::create_dir_all(&args.folder).map_err(make)?;
+    let soak = soak::Soak {
+        seed: args.seed,
+        duration: args.duration_ms,
+        size: args.size,
+        policy: args.policy,
+    };
+    let outcome = soak.run(&args.folder).await?;
+    write_json(None, &outcome)?;
+    if outcome.violations.is_empty() {
+        return Ok(());
+    }
+    let remedy = "run the same seed again and read the logs in the folder";
+    let what = format!("{} promises", outcome.violations.len());
+    Err(buckthorncleat::Error::damaged(what, remedy))
+}
+
 async fn make_runs(
     comparison: &compare::Comparison,
     folder: &path::Path,
--- a/stand-in/src/load/cluster/mod.rs
+++ b/stand-in/src/load/cluster/mod.rs
@@ -35,7 +35,7 @@
 const START_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 
 /// How long one control member may take to answer.
-const ASK_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+pub const ASK_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(50);
 
--- a/stand-in/src/load/cluster/operate.rs
+++ b/stand-in/src/load/cluster/operate.rs
@@ -108,16 +108,11 @@
         operation: &str,
         changes: Vec<change::Change>,
     ) -> buckthorncleat::Result<client::Answer> {
-        let changes = wire::Changes { changes };
         let end = time::Instant::now() + cluster::START_TIMEOUT;
         let mut last = String::new();
         while time::Instant::now() < end {
             for address in &self.admin {
-                let mut req = client::post("/v1/changes", &changes);
-                let token = format!("Bearer {}", cluster::OPERATOR_TOKEN);
-                let headers = req.headers_mut();
-                headers.insert(hyper::header::AUTHORIZATION, cluster::header(&token));
-                headers.insert(write::OPERATION_ID, cluster::header(operation));
+                let req = change_request(operation, &changes);
                 match time::timeout(cluster::ASK_TIMEOUT, client::ask(*address, req)).await {
                     Ok(Ok(answer)) if answer.status.as_u16() != 503 => return Ok(answer),
                     other => last = format!("{other:?}"),
@@ -128,9 +123,66 @@
         Err(cluster::late("the control group takes no changes", &last))
     }
 
+    /// Returns the number of gateways.
+    pub fn gateways(&self) -> usize {
+        self.gateways.len()
+    }
+
+    /// Reads the configuration from the leader, if one answers in time.
+    pub async fn config(&self) -> Option<wire::Config> {
+        let end = time::Instant::now() + cluster::START_TIMEOUT;
+        while time::Instant::now() < end {
+            for address in &self.admin {
+                let answer = read(*address, "/v1/config").await;
+                if let Some(config) = answer.and_then(|a| a.json().ok()) {
+                    return Some(config);
+                }
+            }
+            time::sleep(cluster::RETRY_PAUSE).await;
+        }
+        None
+    }
+
+    /// Tells whether all control members vote and have applied about the same entries.
+    pub async fn is_repaired(&self) -> bool {
+        for address in &self.admin {
+            let status = read(*address, "/v1/status").await;
+            let status = status.and_then(|a| a.json::<serde_json::Value>().ok());
+            let voters = status.and_then(|s| s["voters"].as_array().map(Vec::len));
+            if voters != Some(self.admin.len()) {
+                return false;
+            }
+        }
+        true
+    }
+
     fn restart(&self, program: &str, name: &str) -> buckthorncleat::Result<process::Child> {
         let path = self.folder.join(format!("{name}.json"));
         let path = path.display().to_string();
         process::Child::start(program, name, &["--config", &path], &self.folder)
     }
 }
+
+async fn read(address: net::SocketAddr, path: &str) -> Option<client::Answer> {
+    let req = as_operator(client::request(hyper::Method::GET, path));
+    let answer = time::timeout(cluster::ASK_TIMEOUT, client::ask(address, req)).await;
+    let answer = answer.ok()?.ok()?;
+    answer.status.is_success().then_some(answer)
+}
+
+/// Makes the request of a change.
+pub fn change_request(operation: &str, changes: &[change::Change]) -> hyper::Request<client::Body> {
+    let changes = changes.to_vec();
+    let mut req = as_operator(client::post("/v1/changes", &wire::Changes { changes }));
+    req.headers_mut()
+        .insert(write::OPERATION_ID, cluster::header(operation));
+    req
+}
+
+/// Adds the operator's token to a request.
+pub fn as_operator(mut req: hyper::Request<client::Body>) -> hyper::Request<client::Body> {
+    let token = format!("Bearer {}", cluster::OPERATOR_TOKEN);
+    req.headers_mut()
+        .insert(hyper::header::AUTHORIZATION, cluster::header(&token));
+    req
+}
--- a/stand-in/src/load/mod.rs
+++ b/stand-in/src/load/mod.rs
@@ -14,3 +14,4 @@
 pub mod record;
 pub mod report;
 pub mod run;
+pub mod soak;
--- a/stand-in/tests/e2e/support.rs
+++ b/stand-in/tests/e2e/support.rs
@@ -43,9 +43,26 @@
         let cluster = cluster::Cluster::start(folder.path(), size, policy, &mut plan)
             .await
             .unwrap();
-        Self {
+        let world = Self {
             cluster,
             _folder: folder,
+        };
+        world.wait_until_models_answer().await;
+        world
+    }
+
+    /// Owners of placement begin a moment after their gateways serve lookups.
+    async fn wait_until_models_answer(&self) {
+        let end = time::Instant::now() + HANG_GUARD;
+        for i in 0..self.cluster.gateways() {
+            loop {
+                let mut chat = Chat::open(self.entry(i), "ready [len=1]").await.unwrap();
+                if chat.status() == 200 && chat.read_end().await == End::Whole {
+                    break;
+                }
+                assert!(time::Instant::now() < end, "models do not answer");
+                tokio::time::sleep(time::Duration::from_millis(50)).await;
+            }
         }
     }
 
