--- a/src/filter/authorise.rs
+++ b/src/filter/authorise.rs
@@ -2,6 +2,7 @@
 
 use hyper::header;
 
+use crate::clock;
 use crate::filter;
 use crate::filter::exchange;
 use crate::http::caller::answer;
@@ -15,12 +16,16 @@
     "proxy-authorization",
 ];
 
+/// How long a request waits for the configuration to be confirmed again, as after a pause of the
+/// whole process, before it is sent to another entry.
+const FRESH_PATIENCE: clock::Millis = clock::Millis::new(300);
+
 /// Sets the key of the request, or lets it pass without one where that is allowed.
 ///
 /// # Errors
 ///
 /// Refuses keyed targets without a key in force, or while the configuration is not fresh.
-pub fn apply(exchange: &mut exchange::Exchange) -> Result<filter::Flow, answer::Refusal> {
+pub async fn apply(exchange: &mut exchange::Exchange) -> Result<filter::Flow, answer::Refusal> {
     let secret = take_secret(&mut exchange.head.headers);
     if let Some(secret) = &secret {
         check_hidden(exchange, secret)?;
@@ -28,7 +33,7 @@
     if !is_keyed(&exchange.target) {
         return Ok(filter::Flow::Next);
     }
-    if !exchange.cx.is_fresh() {
+    if !exchange.cx.wait_fresh(FRESH_PATIENCE).await {
         return Err(exchange.stale());
     }
     let Some(secret) = secret else {
--- a/src/filter/mod.rs
+++ b/src/filter/mod.rs
@@ -84,7 +84,7 @@
     async fn apply(self, exchange: &mut exchange::Exchange) -> Result<Flow, answer::Refusal> {
         match self {
             Self::Identify => identify::apply(exchange),
-            Self::Authorise => authorise::apply(exchange),
+            Self::Authorise => authorise::apply(exchange).await,
             Self::Limit => limit::apply(exchange).await,
             Self::Claim => claim::apply(exchange).await,
             Self::Local => Ok(local::apply(exchange)),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -3,6 +3,7 @@
 use std::sync;
 
 use tokio::sync::watch;
+use tokio::time;
 
 use crate::clock;
 use crate::config::settings;
@@ -21,6 +22,9 @@
 use crate::state::change;
 use crate::state::model;
 
+/// The pause between two looks at the freshness lease.
+const FRESH_PAUSE: clock::Millis = clock::Millis::new(10);
+
 /// The state that the tasks of one gateway share.
 #[derive(Debug)]
 pub struct Shared {
@@ -110,6 +114,15 @@
         self.lease().is_fresh(self.clock.now())
     }
 
+    /// Waits for a confirmed configuration, and tells whether there is one.
+    pub async fn wait_fresh(&self, patience: clock::Millis) -> bool {
+        let until = self.clock.now() + patience;
+        while !self.is_fresh() && self.clock.now() < until {
+            time::sleep(FRESH_PAUSE.as_duration()).await;
+        }
+        self.is_fresh()
+    }
+
     /// Returns the freshness lease.
     pub fn lease(&self) -> sync::MutexGuard<'_, freshness::Lease> {
         self.lease
