--- a/src/replica/core/leader.rs
+++ b/src/replica/core/leader.rs
@@ -109,6 +109,7 @@
             return;
         }
         let next = self.members().and_then(|m| m.after(change));
+        let next = next.filter(|next| self.hears_quorum_of(now, next));
         let Some(next) = next else {
             self.refuse(request, Refusal::Invalid);
             return;
@@ -278,7 +279,7 @@
         } else {
             members.with_promoted(instance)
         };
-        if next.voters.is_empty() {
+        if !self.hears_quorum_of(now, &next) {
             return;
         }
         self.append_own(message::Payload::Members(next));
@@ -312,7 +313,12 @@
         if now < leadership.since + self.settings.election {
             return true;
         }
-        core::is_quorum(joined.log.members(), |voter| {
+        self.hears_quorum_of(now, joined.log.members())
+    }
+
+    /// Tells whether these members could commit now, by who has answered lately.
+    fn hears_quorum_of(&self, now: clock::Millis, members: &members::Membership) -> bool {
+        core::is_quorum(members, |voter| {
             *voter == self.settings.node || self.is_heard(now, voter)
         })
     }
--- a/src/replica/core/message.rs
+++ b/src/replica/core/message.rs
@@ -309,7 +309,7 @@
         NotLeader,
         /// Another change of the members is under way, or the leader is too new.
         Busy,
-        /// The change would have no effect or would leave no voter.
+        /// The change would have no effect, or leave too few live voters to commit anything.
         Invalid,
     }
 }
--- a/src/replica/group/mod.rs
+++ b/src/replica/group/mod.rs
@@ -118,7 +118,7 @@
         NotLeader(Option<id::InstanceId>),
         /// It was not taken in: another one is under way; try again.
         Busy,
-        /// It was not taken in: it would have no effect or leave no voter.
+        /// It was not taken in: it would have no effect, or leave too few live voters.
         Invalid,
         /// It was not committed in time; it may be committed later.
         Uncertain,
@@ -286,7 +286,7 @@
     /// # Errors
     ///
     /// Fails when this member does not lead, when another change is under way, or when the change
-    /// would have no effect or leave no voter.
+    /// would have no effect or leave too few live voters to commit anything.
     pub async fn change_members(&self, change: members::MemberChange) -> error::Result<()> {
         let Some(events) = &self.events else {
             return Err(unavailable(Outcome::Invalid));
@@ -434,7 +434,7 @@
         Outcome::NotLeader(None) => "no leader is known; ask another member".to_owned(),
         Outcome::Busy => "another change or too many requests are under way".to_owned(),
         Outcome::Invalid => {
-            "the change has no effect, names an instance twice or leaves no voter".to_owned()
+            "the change has no effect, or leaves too few live voters; look at the status".to_owned()
         }
         Outcome::Uncertain => "not committed in time; it may be committed later".to_owned(),
         Outcome::Applied(_) | Outcome::Done => "an answer of another kind".to_owned(),
--- a/src/replica/group/peers.rs
+++ b/src/replica/group/peers.rs
@@ -36,21 +36,20 @@
 
     /// Sends a message, or drops it when the member can't keep up.
     pub fn send(&mut self, address: net::SocketAddr, bytes: Vec<u8>) {
-        let Self {
-            links,
-            timeout,
-            tasks,
-            queues,
-        } = self;
-        let queue = queues.get_or_insert_with(address, || {
-            let (queue, waiting) = mpsc::channel(QUEUE);
-            tasks.spawn(run(sync::Arc::clone(links), address, *timeout, waiting));
-            queue
-        });
+        let queue = self.queues.get(&address).filter(|q| !q.is_closed());
+        let queue = queue.cloned().unwrap_or_else(|| self.start(address));
         // A full queue is a line that is cut or slow.
         let _ = queue.try_send(bytes);
     }
 
+    fn start(&mut self, address: net::SocketAddr) -> mpsc::Sender<Vec<u8>> {
+        let (queue, waiting) = mpsc::channel(QUEUE);
+        let links = sync::Arc::clone(&self.links);
+        self.tasks.spawn(run(links, address, self.timeout, waiting));
+        self.queues.insert(address, queue.clone());
+        queue
+    }
+
     /// Ends all senders and waits for them.
     pub async fn stop(mut self) {
         self.queues.clear();
--- a/tests/control_support/cluster.rs
+++ b/tests/control_support/cluster.rs
@@ -23,7 +23,7 @@
 pub const HANG_GUARD: time::Duration = time::Duration::from_secs(60);
 
 /// The longest wait for one answer.
-pub const TIMEOUT: clock::Millis = clock::Millis::new(1_000);
+pub const TIMEOUT: clock::Millis = clock::Millis::new(500);
 
 pub struct Cluster {
     folder: tempfile::TempDir,
--- a/tests/control_support/writer.rs
+++ b/tests/control_support/writer.rs
@@ -18,7 +18,10 @@
 pub struct Writer {
     links: sync::Arc<link::Links>,
     addresses: Vec<net::SocketAddr>,
+    /// The address that answered last; it is asked first.
+    preferred: usize,
     next: usize,
+    longest: time::Duration,
     acknowledged: Vec<change::Commit>,
 }
 
@@ -27,7 +30,9 @@
         Self {
             links,
             addresses,
+            preferred: 0,
             next: 0,
+            longest: time::Duration::ZERO,
             acknowledged: Vec::new(),
         }
     }
@@ -72,6 +77,11 @@
         for acknowledged in &self.acknowledged {
             assert!(commits.contains(acknowledged), "lost: {acknowledged:?}");
         }
+        let count = self.acknowledged.len();
+        println!(
+            "{count} changes, the slowest acknowledged in {:?}",
+            self.longest
+        );
     }
 
     async fn write_one(&mut self) {
@@ -80,9 +90,11 @@
         let request = self.request(number);
         let start = time::Instant::now();
         loop {
-            for address in &self.addresses {
-                let reply = cluster::ask(&self.links, *address, &request).await;
+            for _ in 0..self.addresses.len() {
+                let address = self.addresses[self.preferred];
+                let reply = cluster::ask(&self.links, address, &request).await;
                 if let Some(message::Reply::Applied(answer)) = reply {
+                    self.longest = self.longest.max(start.elapsed());
                     let command::Answer::Done(revision) = answer else {
                         panic!("unexpected answer {answer:?}");
                     };
@@ -90,6 +102,7 @@
                     self.acknowledged.push(change::Commit { revision, changes });
                     return;
                 }
+                self.preferred = (self.preferred + 1) % self.addresses.len();
             }
             assert!(
                 start.elapsed() < cluster::HANG_GUARD,
--- a/tests/replica_rules.rs
+++ b/tests/replica_rules.rs
@@ -11,6 +11,10 @@
 const ELECTION: clock::Millis = clock::Millis::new(150);
 const STEP: clock::Millis = clock::Millis::new(5);
 
+/// The members of the start, and one more that can be admitted.
+const MEMBERS: usize = 3;
+const SPARE: usize = 3;
+
 /// Three members with instant disks and a network that can be cut around one of them.
 struct Trio {
     now: clock::Millis,
@@ -26,13 +30,16 @@
     fn formed() -> Self {
         let mut trio = Self {
             now: clock::Millis::ZERO,
-            replicas: (0..3).map(|n| Some(replica(n, n as u64 + 1))).collect(),
+            replicas: (0..MEMBERS)
+                .map(|n| Some(replica(n, n as u64 + 1)))
+                .collect(),
             cut: None,
             messages: Vec::new(),
             applied: 0,
             reads: 0,
             refused: 0,
         };
+        trio.replicas.push(None);
         trio.run_until(|t| t.leader().is_some());
         trio
     }
@@ -49,16 +56,17 @@
             }
             self.tick();
         }
-        panic!("it does not come to pass");
+        let members: Vec<_> = (0..=SPARE).map(|n| self.voters(n)).collect();
+        panic!("it does not come to pass: {members:#?}");
     }
 
     fn tick(&mut self) {
         self.now = self.now + STEP;
-        for number in 0..3 {
+        for number in 0..=SPARE {
             self.step(number, Input::Tick);
         }
         for message in std::mem::take(&mut self.messages) {
-            let place = |node: &message::NodeId| (0..3).find(|n| name(*n) == node.instance);
+            let place = |node: &message::NodeId| (0..=SPARE).find(|n| name(*n) == node.instance);
             let (from, to) = (place(&message.from).unwrap(), place(&message.to).unwrap());
             if self.cut != Some(from) && self.cut != Some(to) {
                 self.step(to, Input::Message(message));
@@ -115,7 +123,7 @@
             instance: name(number),
             incarnation: id::Incarnation::new(life),
         },
-        initial: (0..3).map(peer).collect(),
+        initial: (0..MEMBERS).map(peer).collect(),
         election: ELECTION,
         heartbeat: clock::Millis::new(30),
         trailing: 10,
@@ -261,3 +269,44 @@
     assert!(!trio.replicas[other].as_ref().unwrap().is_leader());
     assert!(trio.replicas[lost].as_ref().unwrap().log().is_none());
 }
+
+#[test]
+fn a_planned_replacement_is_admitted_before_the_old_member_is_dismissed() {
+    let mut trio = Trio::formed();
+    let leader = trio.leader().unwrap();
+    trio.propose(leader);
+    trio.run_until(|t| t.applied > 0);
+    let change = |trio: &mut Trio, number: usize, change: members::MemberChange| {
+        trio.step(number, Input::ChangeMembers { request: 2, change });
+    };
+    let admit = members::MemberChange::Admit {
+        instance: name(SPARE),
+        address: ([127, 0, 0, 1], 1_000 + SPARE as u16).into(),
+    };
+    change(&mut trio, leader, admit.clone());
+    change(&mut trio, leader, admit);
+    assert_eq!(trio.refused, 1, "one change at a time");
+    trio.replicas[SPARE] = Some(replica(SPARE, 80));
+    trio.run_until(|t| {
+        t.voters(SPARE)
+            .is_some_and(|m| m.voters.contains(&name(SPARE)))
+    });
+    // The old member is the leader itself: it commits its own end, then another takes over.
+    // A command after the promotion is applied once the promotion is committed.
+    let before = trio.applied;
+    trio.propose(leader);
+    trio.run_until(|t| t.applied > before);
+    change(
+        &mut trio,
+        leader,
+        members::MemberChange::Dismiss(name(leader)),
+    );
+    trio.run_until(|t| t.leader().is_some_and(|l| l != leader));
+    let next = trio.leader().unwrap();
+    trio.replicas[leader] = None;
+    let before = trio.applied;
+    trio.propose(next);
+    trio.run_until(|t| t.applied > before);
+    let voters: Vec<_> = trio.voters(next).unwrap().voters.keys().cloned().collect();
+    assert!(voters.len() == 3 && !voters.contains(&name(leader)));
+}
