--- a/src/replica/core/progress.rs
+++ b/src/replica/core/progress.rs
@@ -7,7 +7,7 @@
 use crate::replica::core::message;
 
 /// The appends that may be under way to one member without an answer.
-pub const WINDOW: u32 = 8;
+pub const WINDOW: u32 = 2;
 
 /// The state of one other member, as its leader sees it.
 #[derive(Debug)]
