--- /dev/null
+++ b/src/controller/scheduler/health.rs
@@ -0,0 +1,123 @@
+//! Whether a server may be tried after failures.
+
+use crate::clock;
+
+/// The pauses between probes.
+#[derive(Clone, Copy, Debug)]
+pub struct Pauses {
+    /// After the first failure.
+    pub first: clock::Millis,
+    /// At most.
+    pub longest: clock::Millis,
+}
+
+impl Pauses {
+    fn after(self, failures: u32) -> clock::Millis {
+        let factor = 1 << (failures - 1).min(20);
+        (self.first * factor).min(self.longest)
+    }
+}
+
+/// The health of one server, as far as requests showed it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Health {
+    /// It answers.
+    #[default]
+    Up,
+    /// It failed; one request at a time tries it from `probe_at` on.
+    Down {
+        /// The failures in a row.
+        failures: u32,
+        /// When it may be tried.
+        probe_at: clock::Millis,
+        /// Whether a request tries it now.
+        probing: bool,
+        /// When it failed last.
+        failed_at: clock::Millis,
+        /// Until when it is left alone unless it reports its load again.
+        silent_until: clock::Millis,
+    },
+}
+
+impl Health {
+    /// Tells whether a request may be placed now.
+    pub fn allows(self, now: clock::Millis) -> bool {
+        let probing = matches!(self, Self::Down { probing: true, .. });
+        now >= self.allows_from() && !probing
+    }
+
+    /// Returns when a request may be placed, if that is known.
+    pub fn allows_from(self) -> clock::Millis {
+        match self {
+            Self::Up => clock::Millis::ZERO,
+            Self::Down {
+                probe_at,
+                silent_until,
+                ..
+            } => probe_at.max(silent_until),
+        }
+    }
+
+    /// Notes that a request is placed.
+    pub fn placed(&mut self) {
+        if let Self::Down { probing, .. } = self {
+            *probing = true;
+        }
+    }
+
+    /// Notes that the server did its work for a request.
+    pub fn succeeded(&mut self) {
+        *self = Self::Up;
+    }
+
+    /// Notes a failure; several in one pause count once. `reports` tells whether the server has
+    /// reported its load before, so that its silence means something.
+    pub fn failed(&mut self, now: clock::Millis, pauses: Pauses, reports: bool) {
+        let failures = match *self {
+            Self::Up => 1,
+            Self::Down {
+                failures, probing, ..
+            } if probing || now >= self.allows_from() => failures + 1,
+            Self::Down { .. } => return,
+        };
+        let silent_until = match reports {
+            true => now + pauses.longest,
+            false => now,
+        };
+        *self = Self::Down {
+            failures,
+            probe_at: now + pauses.after(failures),
+            probing: false,
+            failed_at: now,
+            silent_until,
+        };
+    }
+
+    /// Notes that the server reported its load as it was at a time.
+    pub fn reported(&mut self, at: clock::Millis) {
+        if let Self::Down {
+            failed_at,
+            silent_until,
+            ..
+        } = self
+            && at > *failed_at
+        {
+            *silent_until = *failed_at;
+        }
+    }
+
+    /// Notes that a request left the server without showing how it does.
+    pub fn ended(&mut self, now: clock::Millis, pauses: Pauses) {
+        if let Self::Down {
+            failures,
+            probe_at,
+            probing,
+            ..
+        } = self
+            && *probing
+        {
+            *probing = false;
+            *probe_at = now + pauses.after(*failures);
+        }
+    }
+}
--- a/src/controller/scheduler/message.rs
+++ b/src/controller/scheduler/message.rs
@@ -15,6 +15,8 @@
         Prefilled(Prefilled),
         /// Says that the decode engine holds the KV cache, so that the prefill engine is free.
         Transferred(id::ReservationId),
+        /// Says that a suspect got past the point where it lost a server: others may run now.
+        Cleared(id::ReservationId),
         /// Keeps reservations alive.
         Renew(Vec<id::ReservationId>),
         /// Says that a request has ended and holds nothing any more.
@@ -39,7 +41,7 @@
 macros::data! {
     /// Asks for a place for one request.
     pub struct Place {
-        /// The request.
+        /// The request; each attempt to run it has an id of its own.
         pub request: id::RequestId,
         /// The account that it runs for.
         pub account: id::ClientAccountId,
@@ -143,6 +145,8 @@
             /// When it may find a place.
             retry_after: clock::Millis,
         },
+        /// There is no decision yet; ask again for the same request.
+        Waiting,
         /// The message was taken in.
         Noted,
         /// Of the renewed reservations, these are not held here.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,10 +4,12 @@
 mod macros;
 
 pub mod backend;
+pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod control;
 pub mod controller;
+pub mod daemon;
 pub mod error;
 pub mod event;
 pub mod filter;
--- /dev/null
+++ b/src/state/claim.rs
@@ -0,0 +1,232 @@
+//! The claims of non-idempotent calls.
+//!
+//! A claim is committed before its call is sent, so that another request with the same key never
+//! sends it again. Time does not exist in a replicated state machine; the leader moves the age of
+//! the claims on with [`command::Command::Advance`]. While there is no leader, claims do not age,
+//! so that they live longer than [`CLAIM_AGE`], never shorter.
+
+use crate::clock;
+use crate::id;
+use crate::macros;
+use crate::sorted;
+use crate::state::command;
+
+/// The time after which a claim is dropped, counted from its last change.
+pub const CLAIM_AGE: clock::Millis = clock::Millis::from_secs(24 * 3600);
+
+/// The time before which no claim is dropped for want of room.
+pub const MIN_CLAIM_AGE: clock::Millis = clock::Millis::from_secs(3600);
+
+/// The most time that one [`command::Command::Advance`] adds; more is cut off.
+pub const MAX_ADVANCE: clock::Millis = clock::Millis::from_secs(120);
+
+/// The largest body of an answer that is kept for resends, in bytes.
+pub const STORED_ANSWER_BYTES: usize = 64 << 10;
+
+/// The bytes of bodies that are kept for resends, over all claims.
+pub const STORED_TOTAL_BYTES: usize = 32 << 20;
+
+/// The most claims that are held.
+pub const CLAIMS: usize = 200_000;
+
+/// The sorted vectors that the claims are spread over.
+const SHARDS: usize = 1024;
+
+macros::data! {
+    /// All claims that are held.
+    pub struct Claims {
+        now: clock::Millis,
+        count: usize,
+        stored_bytes: usize,
+        shards: Vec<sorted::Map<command::ClaimKey, Record>>,
+    }
+}
+
+macros::data! {
+    struct Record {
+        claim: command::Claim,
+        changed: clock::Millis,
+        end: End,
+    }
+}
+
+macros::data! {
+    enum End {
+        Running,
+        Ran(command::StoredAnswer),
+        RanNotKept,
+        /// The gateway reported that it can't know, or died.
+        Unknown,
+    }
+}
+
+impl Default for Claims {
+    fn default() -> Self {
+        Self {
+            now: clock::Millis::ZERO,
+            count: 0,
+            stored_bytes: 0,
+            shards: (0..SHARDS).map(|_| sorted::Map::new()).collect(),
+        }
+    }
+}
+
+impl Claims {
+    /// Returns the number of claims held.
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    /// Tells whether no claim is held.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// Claims a call, or tells how the claim that is there stands.
+    pub fn claim(&mut self, claim: &command::Claim) -> command::Answer {
+        if let Some(record) = self.shard(&claim.key).get(&claim.key) {
+            return record.answer_to(claim);
+        }
+        if self.count >= CLAIMS {
+            self.make_room();
+        }
+        if self.count >= CLAIMS {
+            return command::Answer::ClaimsFull;
+        }
+        let record = Record {
+            claim: claim.clone(),
+            changed: self.now,
+            end: End::Running,
+        };
+        let replaced = self.shard(&claim.key).insert(claim.key.clone(), record);
+        assert!(replaced.is_none(), "a call is claimed once");
+        self.count += 1;
+        command::Answer::Claimed
+    }
+
+    /// Records the end of a call; returns `false` when the request does not hold the claim.
+    ///
+    /// The request that holds the claim may still tell the end after its gateway was given up.
+    pub fn settle(&mut self, settlement: &command::Settlement) -> bool {
+        let (now, stored) = (self.now, self.stored_bytes);
+        let shard = self.shard(&settlement.key);
+        let Some(record) = shard.get_mut(&settlement.key) else {
+            return false;
+        };
+        let open = matches!(record.end, End::Running | End::Unknown);
+        if record.claim.request != settlement.request || !open {
+            return false;
+        }
+        if settlement.end == command::ClaimEnd::NotRun {
+            shard.remove(&settlement.key);
+            self.count -= 1;
+            return true;
+        }
+        record.changed = now;
+        record.end = End::from_claim_end(&settlement.end, stored);
+        let size = record.end.stored_bytes();
+        self.stored_bytes += size;
+        true
+    }
+
+    /// Marks the running claims of a gateway as ones of unknown end, but for those of `alive`.
+    pub fn lose(&mut self, gateway: &id::InstanceId, alive: Option<id::Incarnation>) {
+        let now = self.now;
+        for record in self.shards.iter_mut().flat_map(sorted::Map::values_mut) {
+            let dead = record.claim.gateway == *gateway && Some(record.claim.incarnation) != alive;
+            if dead && record.end == End::Running {
+                record.changed = now;
+                record.end = End::Unknown;
+            }
+        }
+    }
+
+    /// Moves the age of all claims on, and drops those older than [`CLAIM_AGE`].
+    pub fn advance(&mut self, time: clock::Millis) {
+        self.now = self.now + time.min(MAX_ADVANCE);
+        let now = self.now;
+        self.keep(|record| now - record.changed < CLAIM_AGE);
+    }
+
+    /// Removes claims, whatever their age.
+    pub fn remove(&mut self, keys: &[command::ClaimKey]) {
+        for key in keys {
+            self.shard(key).remove(key);
+        }
+        self.recount();
+    }
+
+    /// Drops settled claims older than half the oldest one's age, but none before their time.
+    fn make_room(&mut self) {
+        let now = self.now;
+        let settled = self.records().filter(|r| r.end != End::Running);
+        let oldest = settled.map(|r| now - r.changed).max().unwrap_or_default();
+        let limit = MIN_CLAIM_AGE.max(clock::Millis::new(oldest.as_u64() / 2));
+        self.keep(|record| record.end == End::Running || now - record.changed < limit);
+    }
+
+    fn keep(&mut self, keep: impl Fn(&Record) -> bool) {
+        for shard in &mut self.shards {
+            shard.retain(|_, record| keep(record));
+        }
+        self.recount();
+    }
+
+    fn recount(&mut self) {
+        self.count = self.shards.iter().map(sorted::Map::len).sum();
+        self.stored_bytes = self.records().map(|r| r.end.stored_bytes()).sum();
+        assert!(self.count <= CLAIMS);
+        assert!(self.stored_bytes <= STORED_TOTAL_BYTES);
+    }
+
+    fn records(&self) -> impl Iterator<Item = &Record> {
+        self.shards.iter().flat_map(sorted::Map::values)
+    }
+
+    fn shard(&mut self, key: &command::ClaimKey) -> &mut sorted::Map<command::ClaimKey, Record> {
+        let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+        hasher.update(key.owner.as_bytes());
+        hasher.update(&[0]);
+        hasher.update(key.key.as_bytes());
+        &mut self.shards[hasher.digest() as usize % SHARDS]
+    }
+}
+
+impl Record {
+    fn answer_to(&self, claim: &command::Claim) -> command::Answer {
+        if self.claim.digest != claim.digest {
+            return command::Answer::KeyReused;
+        }
+        match &self.end {
+            End::Ran(answer) => command::Answer::Ran(answer.clone()),
+            End::RanNotKept => command::Answer::RanNotKept,
+            End::Unknown => command::Answer::Unknown,
+            End::Running if self.claim.request == claim.request => command::Answer::Claimed,
+            End::Running => command::Answer::Running,
+        }
+    }
+}
+
+impl End {
+    fn from_claim_end(end: &command::ClaimEnd, stored_bytes: usize) -> Self {
+        match end {
+            command::ClaimEnd::Ran(answer) => {
+                let size = answer.body.len();
+                let fits = size <= STORED_ANSWER_BYTES && stored_bytes + size <= STORED_TOTAL_BYTES;
+                if fits {
+                    Self::Ran(answer.clone())
+                } else {
+                    Self::RanNotKept
+                }
+            }
+            command::ClaimEnd::NotRun | command::ClaimEnd::Unknown => Self::Unknown,
+        }
+    }
+
+    fn stored_bytes(&self) -> usize {
+        match self {
+            Self::Ran(answer) => answer.body.len(),
+            Self::Running | Self::RanNotKept | Self::Unknown => 0,
+        }
+    }
+}
--- a/tests/control_support/cluster.rs
+++ b/tests/control_support/cluster.rs
@@ -49,7 +49,11 @@
     pub async fn start(count: usize) -> Self {
         let folder = tempfile::tempdir().unwrap();
         fs::write(folder.path().join("secret"), SECRET).unwrap();
-        fs::write(folder.path().join("operators"), "operator token\n").unwrap();
+        fs::write(
+            folder.path().join("operators"),
+            "operator 0123456789abcdef0123456789abcdef\n",
+        )
+        .unwrap();
         let peers: Vec<settings::ControlPeer> = (0..count).map(control_peer).collect();
         let member = |peer: &settings::ControlPeer| Member {
             settings: member_settings(folder.path(), peer, &peers),
@@ -160,6 +164,12 @@
         }
     }
 
+    /// Returns where operators connect.
+    pub fn admin_addresses(&self) -> Vec<net::SocketAddr> {
+        let addresses = self.members.iter().map(|m| m.settings.admin_address);
+        addresses.collect()
+    }
+
     fn logs(&self) -> String {
         let log = |m: &Member| {
             let name = format!("{}.log", m.settings.instance);
