Judge refusals by a bucket that follows what was really admitted

An account far above its rate keeps its bucket near empty, and there two exact buckets pick different calls when they see them a few milliseconds apart. A refusal now counts when an exact bucket, charged with what was really admitted, had the tokens.

--- a/stand-in/src/load/ideal.rs
+++ b/stand-in/src/load/ideal.rs
@@ -5,14 +5,15 @@
 
 use crate::load::arrival;
 use crate::load::plan;
+use crate::load::record;
 
 /// A token bucket without rounding, full at the start.
 #[derive(Clone, Copy, Debug)]
 pub struct Bucket {
     rate: unit::TokensPerSecond,
     burst: unit::Tokens,
-    /// In thousandths of a token.
-    level: u128,
+    /// In thousandths of a token; below zero when more was admitted than an ideal bucket would.
+    level: i128,
     at: clock::Millis,
 }
 
@@ -29,21 +30,58 @@
 
     /// Takes tokens if all of them are there.
     pub fn take(&mut self, now: clock::Millis, tokens: unit::Tokens) -> bool {
-        let passed = u128::from((now - self.at).as_u64());
-        let refill = u128::from(self.rate.as_u64()) * passed;
-        self.level = (self.level + refill).min(thousandths(self.burst));
-        self.at = now;
-        let charge = thousandths(tokens);
-        let fits = charge <= self.level;
+        let fits = self.fits(now, tokens);
         if fits {
-            self.level -= charge;
+            self.take_anyway(tokens);
         }
         fits
     }
+
+    /// Tells whether so many tokens are there.
+    pub fn fits(&mut self, now: clock::Millis, tokens: unit::Tokens) -> bool {
+        let passed = i128::from((now - self.at).as_u64());
+        let refill = i128::from(self.rate.as_u64()) * passed;
+        self.level = (self.level + refill).min(thousandths(self.burst));
+        self.at = now;
+        thousandths(tokens) <= self.level
+    }
+
+    /// Takes tokens whether they are there or not.
+    pub fn take_anyway(&mut self, tokens: unit::Tokens) {
+        self.level -= thousandths(tokens);
+    }
+}
+
+fn thousandths(tokens: unit::Tokens) -> i128 {
+    i128::from(tokens.as_u64()) * 1000
 }
 
-fn thousandths(tokens: unit::Tokens) -> u128 {
-    u128::from(tokens.as_u64()) * 1000
+/// Tells for each call whether it was within its account's limit, given what really ran.
+///
+/// A call that was not refused for the limit counts as within. One that was is within if an exact
+/// bucket has its tokens, after all calls before it that were admitted; calls refused for other
+/// reasons got their tokens back and take none.
+pub fn within(
+    plan: &plan::Plan,
+    arrivals: &[arrival::Arrival],
+    records: &[record::Record],
+) -> Vec<bool> {
+    let mut buckets = buckets(plan);
+    let judge = |(arrival, record): (&arrival::Arrival, &record::Record)| {
+        let bucket = &mut buckets[arrival.account];
+        let charge = arrival.charge(&plan.traffic);
+        let fits = bucket.fits(arrival.at, charge);
+        if !record.is_refused() {
+            bucket.take_anyway(charge);
+        }
+        fits || !record.is_limited()
+    };
+    arrivals.iter().zip(records).map(judge).collect()
+}
+
+fn buckets(plan: &plan::Plan) -> Vec<Bucket> {
+    let buckets = plan.accounts.iter().map(|a| Bucket::new(a.rate, a.burst));
+    buckets.collect()
 }
 
 /// Tells for each call whether ideal buckets admit it; the calls are in order of time.
@@ -51,8 +89,7 @@
 /// Prompt and whole answer are charged when the call is made. Callers ask for no more tokens than
 /// the answer has, so nothing is returned later.
 pub fn admitted(plan: &plan::Plan, arrivals: &[arrival::Arrival]) -> Vec<bool> {
-    let buckets = plan.accounts.iter().map(|a| Bucket::new(a.rate, a.burst));
-    let mut buckets: Vec<Bucket> = buckets.collect();
+    let mut buckets = buckets(plan);
     let admit = |arrival: &arrival::Arrival| {
         let charge = arrival.charge(&plan.traffic);
         buckets[arrival.account].take(arrival.at, charge)
--- a/stand-in/src/load/report.rs
+++ b/stand-in/src/load/report.rs
@@ -43,9 +43,9 @@
     pub accounts: Vec<AccountFigures>,
     /// The smallest [`AccountFigures::served`].
     pub worst_served: f64,
-    /// Calls within the ideal limits that were refused for the limit, over calls within them.
+    /// Calls within the limits that were refused for the limit, over calls within them.
     pub wrongful_refusals: f64,
-    /// Calls within the ideal limits that were refused for any reason, over calls within them.
+    /// Calls within the limits that were refused for any reason, over calls within them.
     pub refused_within_limits: f64,
     /// The refusals by status and code.
     pub refusals: Vec<Refusals>,
@@ -104,7 +104,7 @@
     pub good: f64,
     /// Its fair share of all good answer tokens, by weight and demand.
     pub fair_share: f64,
-    /// `good` over `fair_share`; 1 when it has no share.
+    /// `good` over `fair_share`; 0 when nothing was good, 1 when it asked for nothing.
     pub served: f64,
 }
 
@@ -163,11 +163,12 @@
     /// If there is not one record for each arrival, by number.
     pub fn new(plan: &plan::Plan, arrivals: &[arrival::Arrival], seen: &Seen) -> Self {
         assert_eq!(arrivals.len(), seen.records.len(), "each call has a record");
-        let within = ideal::admitted(plan, arrivals);
+        let admitted = ideal::admitted(plan, arrivals);
+        let within = ideal::within(plan, arrivals, &seen.records);
         let cold = arrivals.partition_point(|a| a.at < plan.traffic.warm_up_ms);
         let records = &seen.records[cold..];
         let within = &within[cold..];
-        let accounts = account_figures(plan, &arrivals[cold..], records, within);
+        let accounts = account_figures(plan, &arrivals[cold..], records, &admitted[cold..]);
         let ends = |end| records.iter().filter(|r| r.end == end).count() as u64;
         let served = accounts.iter().map(|a| a.served);
         Self {
@@ -278,15 +279,15 @@
     plan: &plan::Plan,
     arrivals: &[arrival::Arrival],
     records: &[record::Record],
-    within: &[bool],
+    admitted: &[bool],
 ) -> Vec<AccountFigures> {
     let mut demand = vec![0.0; plan.accounts.len()];
     let mut good = vec![0.0; plan.accounts.len()];
-    for ((arrival, record), within) in arrivals.iter().zip(records).zip(within) {
+    for ((arrival, record), admitted) in arrivals.iter().zip(records).zip(admitted) {
         let arrival::Work::Chat(chat) = &arrival.work else {
             continue;
         };
-        if *within {
+        if *admitted {
             demand[arrival.account] += chat.answer_tokens as f64;
         }
         if is_good(plan, record) {
@@ -308,15 +309,21 @@
         demand: demand[i],
         good: good[i],
         fair_share: shares[i],
-        served: if shares[i] > 0.0 {
-            good[i] / shares[i]
-        } else {
-            1.0
-        },
+        served: served(good[i], shares[i], demand[i]),
     };
     (0..plan.accounts.len()).map(figures).collect()
 }
 
+fn served(good: f64, share: f64, demand: f64) -> f64 {
+    if demand == 0.0 {
+        return 1.0;
+    }
+    match share > 0.0 {
+        true => good / share,
+        false => 0.0,
+    }
+}
+
 fn refusals(records: &[record::Record]) -> Vec<Refusals> {
     let mut counts = sorted::Map::new();
     for record in records {
--- a/stand-in/tests/load_figures.rs
+++ b/stand-in/tests/load_figures.rs
@@ -177,6 +177,48 @@
     assert!(report.worst_served < 1.0);
 }
 
+#[test]
+fn a_refusal_is_wrongful_only_when_the_bucket_had_the_tokens() {
+    let mut plan = plan(vec![account("a", None)]);
+    plan.accounts[0].rate = unit::TokensPerSecond::new(0);
+    plan.accounts[0].burst = unit::Tokens::new(3);
+    plan.traffic.chats_per_second = 0.0;
+    let calls = &arrival::draw(&plan)[..6];
+    let mut records = records(&plan, calls);
+    let refused = |status| record::End::Refused {
+        status,
+        code: String::new(),
+    };
+    let ends = [
+        (record::End::Whole, true),
+        (refused(503), true),
+        (refused(429), true),
+        (record::End::Broken, true),
+        (record::End::Whole, true),
+        (refused(429), false),
+    ];
+    for (record, (end, _)) in records.iter_mut().zip(&ends) {
+        record.end = end.clone();
+    }
+    let expected: Vec<bool> = ends.iter().map(|(_, within)| *within).collect();
+    assert_eq!(ideal::within(&plan, calls, &records), expected);
+}
+
+#[test]
+fn nothing_good_at_all_serves_nobody() {
+    let plan = plan(vec![account("a", None)]);
+    let calls = arrival::draw(&plan);
+    let mut records = records(&plan, &calls);
+    records.iter_mut().for_each(|r| r.end = record::End::Broken);
+    let seen = report::Seen {
+        records,
+        before: Vec::new(),
+        after: Vec::new(),
+        orders: Vec::new(),
+    };
+    assert_eq!(report::Report::new(&plan, &calls, &seen).worst_served, 0.0);
+}
+
 #[test]
 fn percentiles_cover_long_times() {
     let found = report::Percentiles::new((1..=1_000).map(|i| f64::from(i) * 50.0));
