Pass a bucket on at a planned change of owner

Change: limiter::HandOver carries level, charges and bookings as lengths of time; Owner::hand_over, receive and start_account_since; Ownership::take_passed and since say when it may be used. The wire message is not part of this change.

The ledger test now passes buckets on to processes with other, also younger, clocks; the ownership test asserts that nobody served in between.

--- a/src/controller/limiter/bucket.rs
+++ b/src/controller/limiter/bucket.rs
@@ -53,6 +53,16 @@
         bucket
     }
 
+    /// Goes on with a history.
+    pub fn from_history(now: clock::Millis, history: history::History) -> Self {
+        Self { now, history }
+    }
+
+    /// Returns the history, for the next owner.
+    pub fn into_history(self) -> history::History {
+        self.history
+    }
+
     /// Returns the limit in force.
     pub fn limit(&self) -> level::Limit {
         self.history.limit()
--- a/src/controller/limiter/history.rs
+++ b/src/controller/limiter/history.rs
@@ -160,6 +160,48 @@
         }
     }
 
+    /// Returns the state before the first event.
+    pub fn base(&self) -> Base {
+        self.base
+    }
+
+    /// Closes all events before a time to amendment.
+    pub fn close_before(&mut self, at: clock::Millis) {
+        while self.first().is_some_and(|e| e.at < at) {
+            self.fold_first();
+        }
+        if self.base.at < at {
+            let fill = level::Flow::fill(self.base.limit, at - self.base.at);
+            let base = Base {
+                at,
+                level: fill.apply(self.base.level),
+                ..self.base
+            };
+            *self = Self::rebuild(base, self.events.iter().copied());
+        }
+    }
+
+    /// Returns the same history on a clock that is behind by a length of time.
+    ///
+    /// # Panics
+    ///
+    /// Panics when something happened before that clock's zero.
+    #[must_use]
+    pub fn earlier_by(&self, time: clock::Millis) -> Self {
+        assert!(self.base.at >= time, "a history begins at zero or later");
+        let base = Base {
+            at: self.base.at - time,
+            ..self.base
+        };
+        Self::rebuild(base, self.events.iter().map(|e| e.at_time(e.at - time)))
+    }
+
+    fn rebuild(base: Base, events: impl Iterator<Item = Event>) -> Self {
+        let mut history = Self::new(base);
+        events.for_each(|event| history.push(event));
+        history
+    }
+
     /// Returns the first event.
     pub fn first(&self) -> Option<&Event> {
         self.events.front()
@@ -196,6 +238,12 @@
 }
 
 impl Event {
+    /// Returns the same event at another time.
+    #[must_use]
+    pub fn at_time(self, at: clock::Millis) -> Self {
+        Self { at, ..self }
+    }
+
     fn flow_from(&self, at: clock::Millis, limit: level::Limit) -> level::Flow {
         level::Flow::fill(limit, self.at - at).then(level::Flow::charge(self.tokens))
     }
--- a/src/controller/limiter/mod.rs
+++ b/src/controller/limiter/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod bucket;
 pub mod flows;
+pub mod handover;
 pub mod history;
 pub mod level;
 pub mod message;
@@ -9,6 +10,7 @@
 pub mod places;
 pub mod share;
 
+pub use handover::HandOver;
 pub use message::{Charge, Refund, Reply, Request};
 pub use owner::Owner;
 pub use share::StaticShare;
--- a/src/controller/limiter/owner.rs
+++ b/src/controller/limiter/owner.rs
@@ -2,6 +2,7 @@
 
 use crate::clock;
 use crate::controller::limiter::bucket;
+use crate::controller::limiter::handover;
 use crate::controller::limiter::level;
 use crate::controller::limiter::message;
 use crate::id;
@@ -16,6 +17,13 @@
     now: clock::Millis,
     limits: sorted::Map<id::ClientAccountId, level::Limit>,
     buckets: sorted::Map<id::ClientAccountId, bucket::Bucket>,
+    received: sorted::Map<id::ClientAccountId, Received>,
+}
+
+#[derive(Clone, Debug)]
+struct Received {
+    epoch: id::Epoch,
+    bucket: bucket::Bucket,
 }
 
 impl Owner {
@@ -25,6 +33,7 @@
             now,
             limits: sorted::Map::new(),
             buckets: sorted::Map::new(),
+            received: sorted::Map::new(),
         }
     }
 
@@ -43,6 +52,7 @@
             .collect();
         let limits = &self.limits;
         self.buckets.retain(|id, _| limits.contains(id));
+        self.received.retain(|id, _| limits.contains(id));
         for (id, limit) in self.limits.iter() {
             if let Some(bucket) = self.buckets.get_mut(id) {
                 bucket.set_limit(self.now, *limit);
@@ -63,6 +73,54 @@
         }
     }
 
+    /// Starts an account that this instance owns since an epoch, with the bucket that the owner
+    /// before passed on, or as [`Self::start_account`] does when there is none of that epoch.
+    pub fn start_account_since(
+        &mut self,
+        now: clock::Millis,
+        id: &id::ClientAccountId,
+        since: id::Epoch,
+    ) {
+        self.start_account(now, id);
+        let received = self.received.remove(id).filter(|r| r.epoch == since);
+        let limit = self.limits.get(id);
+        if let (Some(mut received), Some(limit)) = (received, limit) {
+            received.bucket.set_limit(self.now, *limit);
+            self.buckets.insert(id.clone(), received.bucket);
+        }
+    }
+
+    /// Ends an account and returns its bucket for the owner that gains it in `epoch`.
+    ///
+    /// Only for a role that [`take_passed`](crate::controller::ownership::Ownership::take_passed)
+    /// names with that epoch; for any other, drop the account.
+    pub fn hand_over(
+        &mut self,
+        now: clock::Millis,
+        id: &id::ClientAccountId,
+        epoch: id::Epoch,
+    ) -> Option<handover::HandOver> {
+        self.now = self.now.max(now);
+        let history = self.buckets.remove(id)?.into_history();
+        handover::HandOver::new(self.now, id.clone(), epoch, history)
+    }
+
+    /// Keeps a bucket that was passed on until the account is started.
+    ///
+    /// It is of no use any more when the account was started already.
+    pub fn receive(&mut self, now: clock::Millis, passed: &handover::HandOver) {
+        self.now = self.now.max(now);
+        let is_newer = |r: &Received| r.epoch < passed.epoch;
+        let wanted = self.received.get(&passed.account).is_none_or(is_newer);
+        if wanted && self.limits.contains(&passed.account) {
+            let received = Received {
+                epoch: passed.epoch,
+                bucket: passed.to_bucket(self.now),
+            };
+            self.received.insert(passed.account.clone(), received);
+        }
+    }
+
     /// Drops an account that this instance no longer owns.
     pub fn drop_account(&mut self, id: &id::ClientAccountId) {
         self.buckets.remove(id);
--- a/src/controller/ownership.rs
+++ b/src/controller/ownership.rs
@@ -9,6 +9,8 @@
 //! later receipt. With the standard settings, 2,000 ms and 2,500 ms, the lease ends first as long
 //! as the clocks of both run at rates that differ by less than a quarter.
 
+use std::mem;
+
 use crate::clock;
 use crate::id;
 use crate::macros;
@@ -47,6 +49,16 @@
     }
 }
 
+macros::data! {
+    /// A role that another instance gains from this one in the very next epoch.
+    pub struct Passed {
+        /// The role.
+        pub role: Role,
+        /// The epoch in which the other instance gains it.
+        pub epoch: id::Epoch,
+    }
+}
+
 macros::data! {copy
     struct Tenure {
         since: id::Epoch,
@@ -94,6 +106,7 @@
     fresh_until: clock::Millis,
     owned: sorted::Map<Role, Tenure>,
     stopped: Vec<Role>,
+    passed: Vec<Passed>,
 }
 
 impl Ownership {
@@ -108,6 +121,7 @@
             fresh_until: clock::Millis::ZERO,
             owned: sorted::Map::new(),
             stopped: Vec::new(),
+            passed: Vec::new(),
         }
     }
 
@@ -148,10 +162,28 @@
             .cloned()
             .collect();
         for role in lost {
+            if is_next && self.owned.get(&role).is_some_and(|t| t.started) {
+                self.passed.retain(|p| p.role != role);
+                let role = role.clone();
+                self.passed.push(Passed { role, epoch });
+            }
             self.give_up(role);
         }
     }
 
+    /// Returns the roles whose state may be passed on, since the last call.
+    ///
+    /// No one else served between this instance and the one that owns the role since `epoch`,
+    /// which may take the state only if it owns the role [since](Self::since) that very epoch.
+    pub fn take_passed(&mut self) -> Vec<Passed> {
+        mem::take(&mut self.passed)
+    }
+
+    /// Returns the epoch since which this instance has owned a role without a break.
+    pub fn since(&self, role: &Role) -> Option<id::Epoch> {
+        self.owned.get(role).map(|tenure| tenure.since)
+    }
+
     /// Takes in the epoch that every live member has in force.
     pub fn settle(&mut self, settled: id::Epoch) {
         self.settled = self.settled.max(settled);
--- a/tests/limiter_ledger.rs
+++ b/tests/limiter_ledger.rs
@@ -79,6 +79,7 @@
 struct Fleet {
     rng: rand_chacha::ChaCha8Rng,
     now: u64,
+    origin: u64,
     limit: Limit,
     owner: Option<limiter::Owner>,
     granted: sorted::Map<u128, ()>,
@@ -98,6 +99,7 @@
         let mut fleet = Self {
             rng: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
             now: 0,
+            origin: 0,
             limit,
             owner: None,
             granted: sorted::Map::new(),
@@ -121,7 +123,8 @@
             0..50 => self.charge_anew(),
             50..60 => self.charge_again(),
             60..90 => self.end_request(),
-            90..93 => self.reconfigure(),
+            90..92 => self.reconfigure(),
+            92 => self.hand_over(),
             93..95 => self.owner = None,
             95..97 if self.owner.is_some() => self.start_owner(),
             _ if self.owner.is_none() => self.start_owner(),
@@ -131,6 +134,7 @@
 
     /// The owner before stops at the latest now; it may have promised tokens ahead.
     fn start_owner(&mut self) {
+        self.origin = self.rng.random_range(0..=self.now);
         let mut owner = limiter::Owner::new(self.at());
         owner.configure(self.at(), &accounts(self.limit));
         owner.start_account(self.at(), &account());
@@ -138,6 +142,26 @@
         self.granted.clear();
     }
 
+    /// The owner before passes its bucket on, to a process that may be younger than its charges.
+    fn hand_over(&mut self) {
+        let epoch = id::Epoch::new(1);
+        let now = self.at();
+        let Some(mut old) = self.owner.take() else {
+            return;
+        };
+        let Some(passed) = old.hand_over(now, &account(), epoch) else {
+            return;
+        };
+        self.now += self.rng.random_range(0..300);
+        self.origin = self.rng.random_range(0..=self.now);
+        let mut owner = limiter::Owner::new(self.at());
+        owner.configure(self.at(), &accounts(self.limit));
+        owner.receive(self.at(), &passed);
+        self.now += self.rng.random_range(0..300);
+        owner.start_account_since(self.at(), &account(), epoch);
+        self.owner = Some(owner);
+    }
+
     fn reconfigure(&mut self) {
         self.limit = Limit {
             from: self.now,
@@ -222,7 +246,7 @@
     }
 
     fn at(&self) -> clock::Millis {
-        clock::Millis::new(self.now)
+        clock::Millis::new(self.now - self.origin)
     }
 }
 
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -188,6 +188,9 @@
     lives: u64,
     served: u64,
     started: u64,
+    passed: Vec<(ownership::Passed, id::Incarnation)>,
+    last: sorted::Map<ownership::Role, id::Incarnation>,
+    passed_on: u64,
 }
 
 impl Fleet {
@@ -216,6 +219,9 @@
             lives: 0,
             served: 0,
             started: 0,
+            passed: Vec::new(),
+            last: sorted::Map::new(),
+            passed_on: 0,
         };
         for i in 0..count {
             fleet.start(i);
@@ -383,8 +389,24 @@
         let changes = gateway
             .ownership
             .update(gateway.clock.read(now), &self.roles);
-        let is_start = |c: &&ownership::Change| matches!(c, ownership::Change::Started(_));
-        self.started += changes.iter().filter(is_start).count() as u64;
+        let passed = gateway.ownership.take_passed();
+        self.passed.extend(passed.into_iter().map(|p| (p, to)));
+        for change in changes {
+            let ownership::Change::Started(role) = change else {
+                continue;
+            };
+            self.started += 1;
+            let epoch = gateway.ownership.since(&role).unwrap();
+            let of_this = |(p, _): &&(ownership::Passed, _)| p.role == role && p.epoch == epoch;
+            if let Some((_, from)) = self.passed.iter().find(of_this) {
+                self.passed_on += 1;
+                assert_eq!(
+                    self.last.get(&role),
+                    Some(from),
+                    "{role:?} was served in between"
+                );
+            }
+        }
     }
 
     fn check(&mut self) {
@@ -392,17 +414,20 @@
         self.gateways
             .retain(|g| g.loses_serving.is_none_or(|end| now < end));
         for role in &self.roles {
-            let serving: Vec<&id::InstanceId> = self
+            let serving: Vec<&model::Member> = self
                 .gateways
                 .iter()
                 .filter(|g| g.ownership.serves(g.clock.read(now), role) == ownership::Serving::Yes)
-                .map(|g| &g.member.id)
+                .map(|g| &g.member)
                 .collect();
             assert!(
                 serving.len() <= 1,
                 "{role:?} is served by {serving:?} at {now}"
             );
             self.served += serving.len() as u64;
+            if let Some(member) = serving.first() {
+                self.last.insert(role.clone(), member.incarnation);
+            }
             if self.quiet && now > FAULTY_MS + QUIET_MS - 1_000 {
                 assert_eq!(serving.len(), 1, "{role:?} is served again once faults end");
             }
@@ -412,7 +437,7 @@
 
 #[test]
 fn no_role_is_served_twice_at_a_time() {
-    let (mut served, mut started) = (0, 0);
+    let (mut served, mut started, mut passed_on) = (0, 0, 0);
     for seed in 0..SEEDS {
         let mut fleet = Fleet::new(seed, 3 + seed as usize % 5);
         while fleet.now < FAULTY_MS {
@@ -424,7 +449,9 @@
         }
         served += fleet.served;
         started += fleet.started;
+        passed_on += fleet.passed_on;
     }
     assert!(served > SEEDS * 10_000, "served {served}");
+    assert!(passed_on > SEEDS, "passed on {passed_on}");
     assert!(started > SEEDS * 20, "started {started}");
 }
