Share the small shard among tests, bench and trial

Change: benches and the placement trial build their records from tests/support/shard.rs; the trial's world is split by job.

--- a/benches/scheduler.rs
+++ b/benches/scheduler.rs
@@ -1,5 +1,8 @@
 //! The time of one scheduler decision, over the servers of the shard and the waiting requests.
 
+#[path = "../tests/support/shard.rs"]
+mod shard;
+
 use std::hint;
 
 use criterion::BatchSize;
@@ -19,27 +22,16 @@
 const READY: clock::Millis = clock::Millis::new(1_000);
 const NOW: clock::Millis = clock::Millis::new(1_100);
 
-fn name<T: std::str::FromStr<Err = buckthorncleat::Error>>(text: &str) -> T {
-    text.parse().expect("a valid name")
-}
-
 fn server(number: usize) -> model::BackendServer {
     let (kind, role) = match number.is_multiple_of(2) {
         true => ("p", model::Role::Prefill),
         false => ("d", model::Role::Decode),
     };
     model::BackendServer {
-        id: name(&format!("{kind}{number}")),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        data_centre: name("one"),
-        role,
-        models: vec![name("m")],
-        routes: Vec::new(),
-        state: model::ServerState::InService,
         slots: SLOTS,
         memory: unit::Pieces::new(1_000),
         link: unit::BytesPerSecond::new(10_000_000_000),
-        checks_fencing: true,
+        ..shard::server(&format!("{kind}{number}"), role)
     }
 }
 
@@ -47,50 +39,40 @@
     scheduler::Input::Configure {
         servers: (0..servers).map(server).collect(),
         model: model::Model {
-            id: name("m"),
             first_token: clock::Millis::from_secs(60),
-            between_tokens: clock::Millis::new(50),
-            max_output: unit::Tokens::new(1_000),
-            kv_bytes_per_token: unit::Bytes::new(1_000),
+            ..shard::model()
         },
         accounts: sorted::Map::new(),
     }
 }
 
 fn ask(request: message::Request) -> scheduler::Input {
-    scheduler::Input::Request {
-        gateway: name("g"),
-        request,
-    }
+    shard::ask("g", request)
 }
 
 fn place(number: u128) -> scheduler::Input {
     let pieces = (number % 5) as u64;
-    ask(message::Request::Place(Box::new(message::Place {
-        request: id::RequestId::new(number),
-        account: name(&format!("a{}", number % ACCOUNTS)),
-        priority: model::Priority::Normal,
-        model: name("m"),
-        role: message::Role::Both,
+    let place = message::Place {
+        account: shard::name(&format!("a{}", number % ACCOUNTS)),
         prompt: unit::Tokens::new(500 + pieces * unit::PIECE_TOKENS),
         output: unit::Tokens::new(500),
         prefix: (0..pieces)
             .map(|n| n * 1_000 + (number % 50) as u64)
             .collect(),
         first_token: clock::Millis::from_secs(60),
-        exclude: Vec::new(),
-        suspect: false,
-    })))
+        ..shard::place(number)
+    };
+    shard::ask_place("g", place)
 }
 
 /// A shard whose decode slots are all held but `free`, with so many requests waiting.
-fn shard(servers: usize, free: usize, waiting: usize) -> scheduler::Scheduler {
+fn busy_shard(servers: usize, free: usize, waiting: usize) -> scheduler::Scheduler {
     let settings = scheduler::Settings {
         max_waiting: 4_096,
         lease: clock::Millis::from_secs(600),
         ..scheduler::Settings::default()
     };
-    let mut shard = scheduler::Scheduler::new(clock::Millis::ZERO, name("m"), settings, 1);
+    let mut shard = scheduler::Scheduler::new(clock::Millis::ZERO, shard::name("m"), settings, 1);
     shard.step(clock::Millis::ZERO, configuration(servers));
     let held = servers / 2 * SLOTS as usize - free;
     let mut number = 0;
@@ -137,7 +119,7 @@
 ) {
     let mut group = c.benchmark_group(group);
     for (servers, waiting) in cases {
-        let base = shard(*servers, free, *waiting);
+        let base = busy_shard(*servers, free, *waiting);
         let replies = |outputs: &[scheduler::Output]| {
             let is_reply = |o: &&_| matches!(o, scheduler::Output::Reply { .. });
             outputs.iter().filter(is_reply).count()
--- a/examples/placement_trial/main.rs
+++ b/examples/placement_trial/main.rs
@@ -4,6 +4,8 @@
 //! the figures mean.
 
 mod engine;
+#[path = "../../tests/support/shard.rs"]
+mod shard;
 mod work;
 mod world;
 
--- a/examples/placement_trial/world.rs
+++ b/examples/placement_trial/world.rs
@@ -1,21 +1,23 @@
 //! Callers, gateways and engines around one scheduler, in virtual time.
 
+mod faults;
+mod reports;
+mod setup;
+
 use std::collections;
 
-use buckthorncleat::backend::wire;
 use buckthorncleat::clock;
 use buckthorncleat::controller::scheduler;
 use buckthorncleat::controller::scheduler::message;
 use buckthorncleat::id;
-use buckthorncleat::sorted;
 use buckthorncleat::state::model;
 use buckthorncleat::unit;
 
-use rand::Rng as _;
 use rand::SeedableRng as _;
 
-use super::engine;
-use super::work;
+use crate::engine;
+use crate::shard;
+use crate::work;
 
 pub const PREFILLS: usize = 4;
 pub const DECODES: usize = 8;
@@ -96,58 +98,10 @@
     pub steps: u64,
 }
 
-fn name<T: std::str::FromStr<Err = buckthorncleat::Error>>(text: &str) -> T {
-    text.parse().expect("a valid name")
-}
-
 fn number(id: &id::BackendServerId) -> usize {
     id.as_str()[1..].parse().expect("a number after a letter")
 }
 
-fn record(id: &str, role: model::Role) -> model::BackendServer {
-    model::BackendServer {
-        id: name(id),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        data_centre: name("one"),
-        role,
-        models: vec![name("m")],
-        routes: Vec::new(),
-        state: model::ServerState::InService,
-        slots: engine::SLOTS as u32,
-        memory: unit::Pieces::new(engine::MEMORY),
-        link: unit::BytesPerSecond::new(engine::LINK_PER_MILLI as u64 * 1_000),
-        checks_fencing: true,
-    }
-}
-
-fn configuration() -> scheduler::Input {
-    let prefills = (0..PREFILLS).map(|n| record(&format!("p{n}"), model::Role::Prefill));
-    let decodes = (0..DECODES).map(|n| record(&format!("d{n}"), model::Role::Decode));
-    let account = |(n, weight): (usize, &u32)| {
-        let id: id::ClientAccountId = name(&format!("a{n}"));
-        let record = model::ClientAccount {
-            id: id.clone(),
-            rate: unit::TokensPerSecond::new(1_000_000),
-            burst: unit::Tokens::new(1_000_000),
-            priority: model::Priority::Normal,
-            weight: *weight,
-        };
-        (id, record)
-    };
-    let accounts: sorted::Map<_, _> = work::SHARES.iter().enumerate().map(account).collect();
-    scheduler::Input::Configure {
-        servers: prefills.chain(decodes).collect(),
-        model: model::Model {
-            id: name("m"),
-            first_token: clock::Millis::new(FIRST_TOKEN),
-            between_tokens: clock::Millis::new(BETWEEN as u64),
-            max_output: unit::Tokens::new(MOST_OUTPUT),
-            kv_bytes_per_token: unit::Bytes::new(engine::KV_PER_TOKEN),
-        },
-        accounts,
-    }
-}
-
 impl World {
     pub fn new(
         seed: u64,
@@ -171,7 +125,7 @@
         Self {
             now: 0,
             fault,
-            scheduler: scheduler::Scheduler::new(start, name("m"), settings.clone(), 1),
+            scheduler: scheduler::Scheduler::new(start, shard::name("m"), settings.clone(), 1),
             settings,
             down_until: 0,
             runs: works.into_iter().map(run).collect(),
@@ -191,7 +145,7 @@
 
     /// Runs to the end of a time.
     pub fn run(&mut self, millis: u64) {
-        self.step(configuration());
+        self.step(setup::configuration());
         let mut next = 0;
         for now in 0..millis {
             self.now = now;
@@ -221,50 +175,6 @@
         }
     }
 
-    fn break_things(&mut self, millis: u64) {
-        if self.now != millis / 3 {
-            return;
-        }
-        match self.fault {
-            Fault::None => {}
-            Fault::PrefillSlow => self.prefills[0].slow = 4.0,
-            Fault::LinkSlow => self.links[0] /= 10.0,
-            Fault::DecodeLost => {
-                self.decodes[0].dead = true;
-                let streams = std::mem::take(&mut self.decodes[0].streams);
-                for stream in streams {
-                    self.fail(stream.work, true);
-                }
-            }
-            Fault::OwnerKilled => self.replace_owner(),
-        }
-    }
-
-    fn replace_owner(&mut self) {
-        self.down_until = self.now + 1_500;
-        let start = clock::Millis::new(self.down_until);
-        let settings = self.settings.clone();
-        self.scheduler = scheduler::Scheduler::new(start, name("m"), settings, 1 << 32);
-        self.later.clear();
-        self.later(1_500, configuration());
-        for at in self.active.clone() {
-            if self.runs[at].state == State::Asked {
-                let place = self.place_request(at, 1_500);
-                self.send(1_501, at, place);
-            }
-        }
-        for gateway in 0..6 {
-            let request = message::Request::Report(Vec::new());
-            self.later(
-                1_500,
-                scheduler::Input::Request {
-                    gateway: gateway_name(gateway),
-                    request,
-                },
-            );
-        }
-    }
-
     fn later(&mut self, delay: u64, input: scheduler::Input) {
         self.sequence += 1;
         let due = (self.now + delay).max(self.down_until);
@@ -272,7 +182,7 @@
     }
 
     fn send(&mut self, delay: u64, at: usize, request: message::Request) {
-        let gateway = gateway_name(at % 6);
+        let gateway = setup::gateway_name(at % 6);
         self.later(delay, scheduler::Input::Request { gateway, request });
     }
 
@@ -293,26 +203,6 @@
         }
     }
 
-    fn live_of(&self, gateway: &id::InstanceId) -> Vec<message::Live> {
-        let its = self
-            .active
-            .iter()
-            .filter(|at| gateway_name(*at % 6) == *gateway);
-        its.filter_map(|at| {
-            let placement = self.runs[*at].place.clone()?;
-            let message::Request::Place(place) = self.place_request(*at, 0) else {
-                return None;
-            };
-            Some(message::Live {
-                reservation: placement.reservation,
-                place: *place,
-                placement,
-                transferred: self.runs[*at].state == State::Decoding,
-            })
-        })
-        .collect()
-    }
-
     fn step(&mut self, input: scheduler::Input) {
         if self.now < self.down_until {
             return;
@@ -340,9 +230,9 @@
         };
         message::Request::Place(Box::new(message::Place {
             request: self.request_of(at),
-            account: name(&format!("a{}", run.work.account)),
+            account: shard::name(&format!("a{}", run.work.account)),
             priority: model::Priority::Normal,
-            model: name("m"),
+            model: shard::name("m"),
             role,
             prompt: unit::Tokens::new(run.work.prompt + run.delivered as u64),
             output: unit::Tokens::new(MOST_OUTPUT),
@@ -540,120 +430,4 @@
         };
         self.send(HOP, at, message::Request::Finish(finish));
     }
-
-    /// A request lost its place; the gateway tries again while a first token may come in time.
-    fn fail(&mut self, at: usize, server_failed: bool) {
-        if self.runs[at].state != State::Decoding {
-            self.wasted += self.runs[at].computed;
-        }
-        let (_, decode) = self.ends(at);
-        let server: id::BackendServerId = name(&format!("d{decode}"));
-        if server_failed {
-            self.runs[at].exclude.push(server.clone());
-            self.send(HOP, at, message::Request::Failed(server));
-        } else {
-            self.decodes[decode].streams.retain(|s| s.work != at);
-        }
-        self.finish(at, false);
-        if self.now < self.runs[at].work.at + FIRST_TOKEN || self.runs[at].first_token.is_some() {
-            self.ask(at);
-        } else {
-            self.runs[at].state = State::Over;
-        }
-    }
-
-    /// Callers whose first token does not come give up.
-    fn give_up(&mut self) {
-        for at in self.active.clone() {
-            let run = &self.runs[at];
-            let late = self.now > run.work.at + PATIENCE * FIRST_TOKEN;
-            if !late || run.first_token.is_some() || run.state == State::Over {
-                continue;
-            }
-            if let Some(placement) = run.place.clone() {
-                self.wasted += run.computed;
-                let prefill = number(&placement.prefill);
-                let decode = number(&placement.decode);
-                self.prefills[prefill].queue.retain(|p| p.work != at);
-                self.decodes[decode].streams.retain(|s| s.work != at);
-                self.finish(at, true);
-            }
-            self.runs[at].state = State::Over;
-        }
-    }
-
-    fn renew(&mut self) {
-        for gateway in 0..6 {
-            let its = self.active.iter().filter(|at| **at % 6 == gateway);
-            let placements = its.filter_map(|at| self.runs[*at].place.as_ref());
-            let numbers = placements.map(|p| p.reservation).collect();
-            let request = message::Request::Renew(numbers);
-            self.later(
-                HOP,
-                scheduler::Input::Request {
-                    gateway: gateway_name(gateway),
-                    request,
-                },
-            );
-        }
-    }
-
-    fn report(&mut self) {
-        for index in 0..PREFILLS {
-            let queue = &self.prefills[index].queue;
-            let waiting = queue.len().saturating_sub(1) as u32;
-            let tokens = queue.iter().skip(1).map(|p| p.prompt).sum();
-            let load = load(
-                model::Role::Prefill,
-                queue.len() as u32 - waiting,
-                waiting,
-                tokens,
-                0,
-            );
-            let server: id::BackendServerId = name(&format!("p{index}"));
-            self.later(
-                REPORT_LAG,
-                scheduler::Input::Load {
-                    server: server.clone(),
-                    load,
-                },
-            );
-            let events = std::mem::take(&mut self.prefills[index].events);
-            let kept = events.into_iter().filter(|_| self.rng.random_bool(0.9));
-            let event = |(prefix, stored)| wire::CacheEvent {
-                number: 0,
-                prefix,
-                stored,
-            };
-            let events = kept.map(event).collect();
-            self.later(REPORT_LAG, scheduler::Input::Cache { server, events });
-        }
-        for index in 0..DECODES {
-            let streams = &self.decodes[index].streams;
-            let used = streams.iter().map(|s| s.pieces).sum();
-            if self.decodes[index].dead {
-                continue;
-            }
-            let load = load(model::Role::Decode, streams.len() as u32, 0, 0, used);
-            let server = name(&format!("d{index}"));
-            self.later(REPORT_LAG, scheduler::Input::Load { server, load });
-        }
-    }
-}
-
-fn gateway_name(gateway: usize) -> id::InstanceId {
-    name(&format!("g{gateway}"))
-}
-
-fn load(role: model::Role, running: u32, waiting: u32, tokens: u64, used: u64) -> wire::Load {
-    wire::Load {
-        role,
-        models: vec![name("m")],
-        running,
-        waiting,
-        waiting_tokens: unit::Tokens::new(tokens),
-        used: unit::Pieces::new(used),
-        memory: unit::Pieces::new(engine::MEMORY),
-        age_ms: clock::Millis::new(REPORT_LAG),
-    }
 }
--- a/tests/support/shard.rs
+++ b/tests/support/shard.rs
@@ -1,5 +1,7 @@
 //! A small shard for tests of the scheduler.
 
+#![allow(dead_code)]
+
 use buckthorncleat::clock;
 use buckthorncleat::controller::scheduler;
 use buckthorncleat::controller::scheduler::message;
@@ -83,7 +85,6 @@
 }
 
 /// A scheduler that is ready to place at time 1,000.
-#[allow(dead_code)]
 pub fn ready(servers: Vec<model::BackendServer>) -> scheduler::Scheduler {
     let settings = scheduler::Settings::default();
     let mut scheduler = scheduler::Scheduler::new(clock::Millis::ZERO, name("m"), settings, 1);
@@ -92,7 +93,6 @@
 }
 
 /// The placements among outputs.
-#[allow(dead_code)]
 pub fn placements(outputs: &[scheduler::Output]) -> Vec<message::Placement> {
     let placed = outputs.iter().filter_map(|output| match output {
         scheduler::Output::Reply {
