--- a/src/controller/scheduler/admission.rs
+++ b/src/controller/scheduler/admission.rs
@@ -40,7 +40,7 @@
             gateway,
             arrived: self.now,
             deadline,
-            latest_start: deadline,
+            latest_start: deadline - queue::LEAST_STEP,
             cost: place.prompt.as_u64(),
             service: self.service_of(&place),
             place,
--- a/src/controller/scheduler/placing.rs
+++ b/src/controller/scheduler/placing.rs
@@ -68,23 +68,25 @@
 
     /// Returns the requests to try next, in order.
     fn order(&self) -> Vec<queue::Position> {
-        let fair = self.settings.objective == settings::Objective::WorstServedAccount
-            || self.placements.is_multiple_of(FAIR_TURN);
+        let goodput = self.settings.objective == settings::Objective::Goodput;
+        let fair = !goodput || self.placements.is_multiple_of(FAIR_TURN);
         let mut order = Vec::new();
         for class in (0..queue::CLASSES).rev() {
-            let left = TRIES - order.len();
-            if left == 0 {
-                break;
-            }
-            let least = match fair {
-                true => first_by_key(self.queue.heads(class), left, |w| {
+            if fair {
+                let heads = self.queue.heads(class);
+                order.extend(first_by_key(heads, TRIES - order.len(), |w| {
                     (self.accounts.counter(&w.place.account), w.arrived.as_u64())
-                }),
-                false => first_by_key(self.queue.class(class), left, |w| {
+                }));
+            }
+            if goodput {
+                let all = self.queue.class(class);
+                order.extend(first_by_key(all, TRIES - order.len(), |w| {
                     (w.cost, w.latest_start.as_u64())
-                }),
-            };
-            order.extend(least);
+                }));
+            }
+            if order.len() == TRIES {
+                break;
+            }
         }
         order
     }
--- a/src/controller/scheduler/queue.rs
+++ b/src/controller/scheduler/queue.rs
@@ -11,7 +11,7 @@
 pub const CLASSES: usize = 6;
 
 /// The resolution of the clock.
-const LEAST_STEP: clock::Millis = clock::Millis::new(1);
+pub const LEAST_STEP: clock::Millis = clock::Millis::new(1);
 
 /// One waiting request.
 #[derive(Clone, Debug)]
