--- a/examples/replica_bench.rs
+++ b/examples/replica_bench.rs
@@ -17,6 +17,7 @@
 use buckthorncleat::peer::link;
 use buckthorncleat::peer::message;
 use buckthorncleat::state::command;
+use metrics_exporter_prometheus as prometheus;
 use tokio::sync::watch;
 
 const SECRET: &str = "a secret of the measurement";
@@ -31,15 +32,23 @@
     let (writers, seconds) = (argument(1, 16), argument(2, 5));
     let folder = tempfile::tempdir().expect("a folder for temporary files");
     fs::write(folder.path().join("secret"), SECRET).expect("a writable folder");
-    fs::write(folder.path().join("operators"), "operator token\n").expect("a writable folder");
+    fs::write(
+        folder.path().join("operators"),
+        "operator 0123456789abcdef0123456789abcdef\n",
+    )
+    .expect("a writable folder");
     let peers: Vec<settings::ControlPeer> = (0..3).map(peer).collect();
     let stop = watch::Sender::new(false);
+    let metrics = prometheus::PrometheusBuilder::new()
+        .build_recorder()
+        .handle();
     let members: Vec<_> = peers
         .iter()
         .map(|own| {
             tokio::spawn(control::run(
                 member(folder.path(), own, &peers),
-                stop.clone(),
+                metrics.clone(),
+                stop.subscribe(),
             ))
         })
         .collect();
--- a/src/gateway/owner.rs
+++ b/src/gateway/owner.rs
@@ -36,6 +36,10 @@
     async fn handle(&self, from: id::InstanceId, request: message::Request) -> message::Reply {
         match request {
             message::Request::Limiter(owned) => self.cx.limits.serve(&self.cx, &owned.message),
+            message::Request::HandOver(passed) => {
+                self.cx.limits.receive(self.cx.clock.now(), &passed);
+                message::Reply::Accepted
+            }
             message::Request::Scheduler(owned) => self.place(from, owned).await,
             message::Request::Ping => message::Reply::Accepted,
             _ => message::Reply::Unsupported,
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -22,6 +22,8 @@
         Propose(command::Command),
         /// A request to the limiter owner of an account.
         Limiter(Owned<limiter::Request>),
+        /// The bucket of an account for its next owner; answered `Accepted`.
+        HandOver(Box<limiter::HandOver>),
         /// A request to the scheduler owner of a model.
         Scheduler(Owned<Scheduling>),
         /// A question whether the peer is alive; answered `Accepted`.
