Hold the random test to the true bound on held capacity

Change: the bound is 8.5 s, which is what the waits add up to; a cancel of held work is lost at most three times; owners change half as often. It fails again on each of the seven injected faults (among them orphans never cancelled: 'd0 holds .. too long').

--- a/tests/scheduler_random.rs
+++ b/tests/scheduler_random.rs
@@ -21,9 +21,12 @@
 use buckthorncleat::state::model;
 use buckthorncleat::unit;
 
-/// How long work may be held after its gateway is gone and its owner is in place: the lease, a new owner's wait for reports
-/// and renewals, the age of orphans, a listing a second, and cancellations that fail a few times.
-const BOUND: clock::Millis = clock::Millis::new(30_000);
+/// How long work may be held after its gateway is gone and its owner is in place: what an owner
+/// waits before it judges (3.5 s), a listing (1 s) and the pauses after lost cancels (3.5 s).
+const BOUND: clock::Millis = clock::Millis::new(8_500);
+
+/// The most times that the cancel of one request is lost at a server.
+const MOST_LOSSES: u32 = 3;
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Stage {
@@ -45,6 +48,7 @@
     server: id::BackendServerId,
     request: id::RequestId,
     since: clock::Millis,
+    losses: u32,
     /// Since when no gateway has stood for it, and whether the present owner ever knew of it.
     orphan: Option<(clock::Millis, bool)>,
 }
@@ -112,7 +116,7 @@
             900..903 => self.lose_gateway(),
             903..906 => self.change_servers(),
             906..916 => self.fail_server(),
-            916..917 => self.change_owner(),
+            916..917 if self.rng.random_bool(0.5) => self.change_owner(),
             917..950 => self.report_load(),
             _ => self.step(scheduler::Input::Tick),
         }
@@ -432,7 +436,10 @@
             !self.live.iter().any(|l| is_live(&l)),
             "cancelled live work"
         );
-        if self.rng.random_bool(0.2) {
+        let mut its = self.held.iter_mut();
+        let held = its.find(|h| h.server == server && h.request == request);
+        if self.rng.random_bool(0.2) && held.as_ref().is_none_or(|h| h.losses < MOST_LOSSES) {
+            held.into_iter().for_each(|h| h.losses += 1);
             return self.lost_cancels.push((server, request));
         }
         self.free(&server, request);
@@ -449,6 +456,7 @@
             server: server.clone(),
             request,
             since: self.now,
+            losses: 0,
             orphan: None,
         });
     }
