Admit and dismiss control members over the admin interface

Cause: docs/REPLICATION.md tells operators to admit a new instance, and nothing let them. Change: PUT and DELETE /v1/control-members/NAME, `buckthorncleat control admit|dismiss`, and the setting `joins` for an instance that is none of the initial members. The soak reads the voters where the status has them.

--- a/examples/replica_bench.rs
+++ b/examples/replica_bench.rs
@@ -150,6 +150,7 @@
         data_folder: folder.join(own.instance.as_str()),
         secret_file: folder.join("secret"),
         operators_file: folder.join("operators"),
+        joins: false,
         timing: settings::ControlTiming::default(),
     }
 }
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -99,6 +99,9 @@
     /// The planners' sheet.
     #[command(subcommand)]
     Sheet(Sheet),
+    /// Members of the control group.
+    #[command(subcommand)]
+    Control(Control),
     /// Entry instances.
     #[command(subcommand)]
     Member(Member),
@@ -371,6 +374,23 @@
     },
 }
 
+/// What to do with members of the control group.
+#[derive(Debug, Subcommand)]
+pub enum Control {
+    /// Admit a new instance: it catches up first and votes by itself then.
+    Admit {
+        /// The name of the instance, whose settings say `joins`.
+        instance: id::InstanceId,
+        /// Its peer address.
+        peer_address: net::SocketAddr,
+    },
+    /// Take an instance out; `status` must show its replacement among the voters before.
+    Dismiss {
+        /// The name of the instance.
+        instance: id::InstanceId,
+    },
+}
+
 /// What to do with entry instances.
 #[derive(Debug, Subcommand)]
 pub enum Member {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -48,6 +48,7 @@
         Command::Sheet(args::Sheet::Check(file)) => Ok(sheet::check(&file)?),
         Command::Sheet(args::Sheet::Diff(file)) => sheet::diff(&connect()?, &file).await,
         Command::Sheet(args::Sheet::Apply(file)) => sheet::apply(&connect()?, &file).await,
+        Command::Control(command) => resource::control(&connect()?, command).await,
         Command::Member(args::Member::List) => view::members(&connect()?).await,
         Command::Status => view::status(&connect()?).await,
         Command::Audit { since } => view::audit(&connect()?, since).await,
--- a/src/cli/resource.rs
+++ b/src/cli/resource.rs
@@ -1,5 +1,6 @@
 //! Commands on accounts, keys, models, servers, routes and the quarantine.
 
+use hyper::Method;
 use serde_json::json;
 
 use crate::cli::args;
@@ -7,6 +8,7 @@
 use crate::cli::local;
 use crate::cli::output;
 use crate::cli::session;
+use crate::http::admin::member;
 use crate::http::admin::target;
 use crate::http::admin::wire;
 use crate::id;
@@ -312,3 +314,31 @@
     }
     Ok(output::Output::new(table.to_string(), &all)?)
 }
+
+/// Admits or dismisses a member of the control group.
+///
+/// # Errors
+///
+/// Fails when the change is refused or no leader answers.
+pub async fn control(
+    cx: &session::Session,
+    command: args::Control,
+) -> failure::Result<output::Output> {
+    let (method, instance, body, done) = match command {
+        args::Control::Admit {
+            instance,
+            peer_address,
+        } => {
+            let body = session::to_body(&member::Admission { peer_address })?;
+            (Method::PUT, instance, body, "catches up, then votes")
+        }
+        args::Control::Dismiss { instance } => {
+            (Method::DELETE, instance, Vec::new(), "is taken out")
+        }
+    };
+    let path = format!("/v1/control-members/{instance}");
+    let write = cx.change(method, path, body, None);
+    cx.client.write(&write).await?;
+    let text = format!("{instance} {done}");
+    Ok(output::Output::new(text, &instance)?)
+}
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -47,10 +47,16 @@
     check_addresses(&own, &mut faults);
     check_group("members", &cfg.members, &mut faults);
     match cfg.members.iter().find(|m| m.instance == cfg.instance) {
+        None if cfg.joins => {}
         None => {
-            let remedy = "name this instance among `members`, with its peer address";
+            let remedy = "name this instance among `members`, or set `joins` to true for one that \
+                          an operator admits later";
             faults.push(error::Error::bad_value("instance", &cfg.instance, remedy));
         }
+        Some(_) if cfg.joins => {
+            let remedy = "set `joins` to false, or leave this instance out of `members`";
+            faults.push(error::Error::bad_value("joins", cfg.joins, remedy));
+        }
         Some(member) if member.peer_address != cfg.peer_address => {
             let remedy = format!("use {}, as `members` says", member.peer_address);
             faults.push(error::Error::bad_value(
--- a/src/config/file.rs
+++ b/src/config/file.rs
@@ -193,6 +193,7 @@
         data_folder: "run/ctl-a".into(),
         secret_file: "run/secret".into(),
         operators_file: "run/operators".into(),
+        joins: false,
         timing: settings::ControlTiming::default(),
     })
 }
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -144,6 +144,9 @@
         pub admin_address: net::SocketAddr,
         /// The members that the group starts with.
         pub members: Vec<ControlPeer>,
+        /// Whether this instance is none of them, and waits until an operator admits it.
+        #[serde(default)]
+        pub joins: bool,
         /// The folder that holds the log and the snapshots.
         pub data_folder: path::PathBuf,
         /// The file with the secret that all processes of the system share.
--- a/src/http/admin/mod.rs
+++ b/src/http/admin/mod.rs
@@ -1,5 +1,6 @@
 //! The admin interface of a control member: HTTP/1.1 with JSON bodies.
 
+pub mod member;
 pub mod read;
 pub mod reply;
 pub mod sample;
--- a/src/http/admin/service.rs
+++ b/src/http/admin/service.rs
@@ -11,6 +11,7 @@
 use crate::clock;
 use crate::error;
 use crate::event;
+use crate::http::admin::member;
 use crate::http::admin::read;
 use crate::http::admin::reply;
 use crate::http::admin::target;
@@ -18,6 +19,7 @@
 use crate::http::admin::wire;
 use crate::http::admin::write;
 use crate::replica;
+use crate::replica::core::members;
 use crate::state::command;
 
 /// Bounds on requests.
@@ -100,6 +102,13 @@
             Ok(body) => body,
             Err(refusal) => return *refusal,
         };
+        if let target::Target::ControlMember(name) = &target {
+            let change = member::change(&head.method, name, &body);
+            return match change {
+                Ok(change) => self.change_members(operator, change).await,
+                Err(e) => reply::from_error(&e, None),
+            };
+        }
         match write::operation(operator, &head, &target, &body) {
             Ok(operation) => self.write(operation).await,
             Err(e) => reply::from_error(&e, None),
@@ -143,6 +152,15 @@
         self.operators.name_of(token.trim().as_bytes())
     }
 
+    async fn change_members(&self, operator: &str, change: members::MemberChange) -> reply::Reply {
+        log::info!("operator {operator} changes the control group: {change:?}");
+        if let Err(e) = self.group.change_members(change).await {
+            return self.fail(&e);
+        }
+        let revision = self.group.with_state(|s| s.config().revision);
+        ok(&wire::Written { revision })
+    }
+
     async fn write(&self, operation: command::Operation) -> reply::Reply {
         let command = command::Command::Operate(operation);
         match self.group.propose(command).await {
@@ -199,9 +217,9 @@
                 let entries = self.group.with_state(copy);
                 Ok(ok(&wire::Audit { entries }))
             }
-            target::Target::Changes => {
-                Err(error::Error::missing("page", "changes", "send POST here"))
-            }
+            target::Target::Changes | target::Target::ControlMember(_) => Err(
+                error::Error::missing("page", "to read", "send a change here"),
+            ),
         }
     }
 
--- a/src/http/admin/target.rs
+++ b/src/http/admin/target.rs
@@ -23,6 +23,8 @@
     Audit,
     /// The metrics of this process.
     Metrics,
+    /// A member of the control group, to admit or to dismiss.
+    ControlMember(String),
 }
 
 impl Target {
@@ -43,6 +45,7 @@
         match rest.split_once('/') {
             None => Some(Self::Collection(kind(rest)?)),
             Some((_, name)) if name.is_empty() || name.contains('/') => None,
+            Some(("control-members", name)) => Some(Self::ControlMember(name.to_owned())),
             Some((collection, name)) => Some(Self::Item(kind(collection)?, name.to_owned())),
         }
     }
@@ -53,6 +56,7 @@
             Self::Item(subject::Kind::Member, _) => &[Method::GET],
             Self::Item(..) => &[Method::GET, Method::PUT, Method::DELETE],
             Self::Changes => &[Method::POST],
+            Self::ControlMember(_) => &[Method::PUT, Method::DELETE],
             _ => &[Method::GET],
         }
     }
--- a/stand-in/src/load/cluster/mod.rs
+++ b/stand-in/src/load/cluster/mod.rs
@@ -258,6 +258,7 @@
             data_folder: self.folder.join(format!("control-{i}-data")),
             secret_file: self.folder.join("secret"),
             operators_file: self.folder.join("operators"),
+            joins: false,
             timing: settings::ControlTiming::default(),
         }
     }
--- a/stand-in/src/load/cluster/operate.rs
+++ b/stand-in/src/load/cluster/operate.rs
@@ -148,7 +148,7 @@
         for address in &self.admin {
             let status = read(*address, "/v1/status").await;
             let status = status.and_then(|a| a.json::<serde_json::Value>().ok());
-            let voters = status.and_then(|s| s["voters"].as_array().map(Vec::len));
+            let voters = status.and_then(|s| s["group"]["voters"].as_array().map(Vec::len));
             if voters != Some(self.admin.len()) {
                 return false;
             }
--- a/tests/control_support/cluster.rs
+++ b/tests/control_support/cluster.rs
@@ -228,6 +228,7 @@
         data_folder: folder.join(peer.instance.as_str()),
         secret_file: folder.join("secret"),
         operators_file: folder.join("operators"),
+        joins: false,
         timing: settings::ControlTiming {
             snapshot_entries: 50,
             ..settings::ControlTiming::default()
