--- a/stand-in/src/load/ideal.rs
+++ b/stand-in/src/load/ideal.rs
@@ -46,6 +46,11 @@
         thousandths(tokens) <= self.level
     }
 
+    /// Gives tokens back.
+    pub fn give_back(&mut self, tokens: unit::Tokens) {
+        self.level += thousandths(tokens);
+    }
+
     /// Takes tokens whether they are there or not.
     pub fn take_anyway(&mut self, tokens: unit::Tokens) {
         self.level -= thousandths(tokens);
@@ -60,25 +65,43 @@
 ///
 /// A call that was not refused for the limit counts as within. One that was is within if an exact
 /// bucket has its tokens, after all calls before it that were admitted; calls refused for other
-/// reasons got their tokens back and take none.
+/// reasons get their tokens back when they end.
 pub fn within(
     plan: &plan::Plan,
     arrivals: &[arrival::Arrival],
     records: &[record::Record],
 ) -> Vec<bool> {
     let mut buckets = buckets(plan);
+    let mut refunds: Vec<Refund> = Vec::new();
     let judge = |(arrival, record): (&arrival::Arrival, &record::Record)| {
+        for refund in refunds.extract_if(.., |refund| refund.at <= arrival.at) {
+            buckets[refund.account].give_back(refund.tokens);
+        }
         let bucket = &mut buckets[arrival.account];
         let charge = arrival.charge(&plan.traffic);
         let fits = bucket.fits(arrival.at, charge);
-        if !record.is_refused() {
-            bucket.take_anyway(charge);
+        if record.is_limited() {
+            return fits;
+        }
+        bucket.take_anyway(charge);
+        if record.is_refused() {
+            refunds.push(Refund {
+                at: record.ended,
+                account: arrival.account,
+                tokens: charge,
+            });
         }
-        fits || !record.is_limited()
+        true
     };
     arrivals.iter().zip(records).map(judge).collect()
 }
 
+struct Refund {
+    at: clock::Millis,
+    account: usize,
+    tokens: unit::Tokens,
+}
+
 fn buckets(plan: &plan::Plan) -> Vec<Bucket> {
     let buckets = plan.accounts.iter().map(|a| Bucket::new(a.rate, a.burst));
     buckets.collect()
--- a/stand-in/src/load/report.rs
+++ b/stand-in/src/load/report.rs
@@ -106,6 +106,8 @@
     pub fair_share: f64,
     /// `good` over `fair_share`; 0 when nothing was good, 1 when it asked for nothing.
     pub served: f64,
+    /// Its calls within the limits that were refused for the limit.
+    pub wrongful: u64,
 }
 
 /// Refusals with one status and code.
@@ -168,7 +170,7 @@
         let cold = arrivals.partition_point(|a| a.at < plan.traffic.warm_up_ms);
         let records = &seen.records[cold..];
         let within = &within[cold..];
-        let accounts = account_figures(plan, &arrivals[cold..], records, &admitted[cold..]);
+        let accounts = account_figures(plan, &arrivals[cold..], records, &admitted[cold..], within);
         let ends = |end| records.iter().filter(|r| r.end == end).count() as u64;
         let served = accounts.iter().map(|a| a.served);
         Self {
@@ -280,6 +282,7 @@
     arrivals: &[arrival::Arrival],
     records: &[record::Record],
     admitted: &[bool],
+    within: &[bool],
 ) -> Vec<AccountFigures> {
     let mut demand = vec![0.0; plan.accounts.len()];
     let mut good = vec![0.0; plan.accounts.len()];
@@ -304,12 +307,17 @@
         });
     let claims: Vec<_> = claims.collect();
     let shares = fairness::shares(good.iter().sum(), &claims);
+    let wrongful = |i: usize| {
+        let own = records.iter().zip(within).filter(|(r, _)| r.account == i);
+        own.filter(|(r, within)| r.is_limited() && **within).count() as u64
+    };
     let figures = |i: usize| AccountFigures {
         account: plan.accounts[i].id.clone(),
         demand: demand[i],
         good: good[i],
         fair_share: shares[i],
         served: served(good[i], shares[i], demand[i]),
+        wrongful: wrongful(i),
     };
     (0..plan.accounts.len()).map(figures).collect()
 }
--- a/stand-in/tests/load_figures.rs
+++ b/stand-in/tests/load_figures.rs
@@ -189,18 +189,20 @@
         status,
         code: String::new(),
     };
+    let (at_once, late) = (clock::Millis::ZERO, clock::Millis::MAX);
     let ends = [
-        (record::End::Whole, true),
-        (refused(503), true),
-        (refused(429), true),
-        (record::End::Broken, true),
-        (record::End::Whole, true),
-        (refused(429), false),
+        (record::End::Whole, late, true),
+        (refused(503), at_once, true),
+        (refused(429), late, true),
+        (refused(503), late, true),
+        (record::End::Broken, late, true),
+        (refused(429), late, false),
     ];
-    for (record, (end, _)) in records.iter_mut().zip(&ends) {
+    for (record, (end, ended, _)) in records.iter_mut().zip(&ends) {
         record.end = end.clone();
+        record.ended = *ended;
     }
-    let expected: Vec<bool> = ends.iter().map(|(_, within)| *within).collect();
+    let expected: Vec<bool> = ends.iter().map(|(_, _, within)| *within).collect();
     assert_eq!(ideal::within(&plan, calls, &records), expected);
 }
 
