--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -9,6 +9,7 @@
 
 use crate::clock;
 use crate::config::settings;
+use crate::controller::limiter;
 use crate::controller::ownership;
 use crate::error;
 use crate::event;
@@ -24,6 +25,8 @@
 const WATCH_WAIT: clock::Millis = clock::Millis::new(400);
 /// The pause before another member is asked.
 const PAUSE: clock::Millis = clock::Millis::new(40);
+/// How long the next owner of an account may take to accept its bucket.
+const HAND_OVER_TIMEOUT: clock::Millis = clock::Millis::new(300);
 /// How long a command may take from the first attempt to the last.
 const COMMAND_PATIENCE: clock::Millis = clock::Millis::new(3_000);
 
@@ -149,13 +152,17 @@
     });
     let timeout = wait + cx.control.timeout;
     match cx.control.ask(&cx.links, &request, timeout).await? {
-        message::Reply::Watched(watched) => take_in(cx, sent, watched),
+        message::Reply::Watched(watched) => take_in(cx, sent, watched).await,
         message::Reply::NotLeader(_) => Err(error::Error::unavailable("no leader", PAUSE)),
         other => Err(unexpected(&other)),
     }
 }
 
-fn take_in(
+/// Puts an answer in force.
+///
+/// Buckets are passed on before this returns, and so before the next watch acknowledges the epoch:
+/// the next owner has them when the epoch is settled.
+async fn take_in(
     cx: &shared::Shared,
     sent: clock::Millis,
     watched: message::Watched,
@@ -166,10 +173,41 @@
     if own.is_some_and(|m| m.incarnation == cx.links.identity().incarnation) {
         cx.lease().renew(sent);
     }
+    let passed = pass_on(cx);
     update_roles(cx, &config, watched.settled);
+    let sent = passed.iter().map(|passed| send_bucket(cx, passed));
+    futures_util::future::join_all(sent).await;
     Ok(())
 }
 
+/// Takes the buckets of the accounts that another instance gains.
+fn pass_on(cx: &shared::Shared) -> Vec<limiter::HandOver> {
+    let now = cx.clock.now();
+    let passed = cx.ownership().take_passed();
+    passed
+        .iter()
+        .filter_map(|passed| match &passed.role {
+            ownership::Role::Limiter(account) => cx.limits.hand_over(now, account, passed.epoch),
+            ownership::Role::Scheduler(_) => None,
+        })
+        .collect()
+}
+
+/// Sends a bucket to its next owner, who starts from an empty one when it does not arrive.
+async fn send_bucket(cx: &shared::Shared, passed: &limiter::HandOver) {
+    let role = ownership::Role::Limiter(passed.account.clone());
+    let Some(owner) = cx.owner(&role) else {
+        return;
+    };
+    let request = message::Request::HandOver(Box::new(passed.clone()));
+    let sent = cx
+        .links
+        .request(owner.peer_address, &request, HAND_OVER_TIMEOUT);
+    if let Err(e) = sent.await {
+        log::warn!("the bucket of {} was not passed on: {e}", passed.account);
+    }
+}
+
 /// Puts the update in force, commit by commit, so that no epoch is passed over.
 fn apply(cx: &shared::Shared, update: message::Update) -> error::Result<()> {
     let mut config = change::Config::clone(&cx.config());
@@ -215,15 +253,37 @@
     ownership.settle(settled);
     ownership.keep_until(until);
     let changes = ownership.update(now, &roles);
+    let changes: Vec<_> = changes
+        .into_iter()
+        .map(|change| (since(&ownership, &change), change))
+        .collect();
     drop(ownership);
     cx.limits.configure(cx, config);
-    for change in changes {
-        cx.limits.change_owner(now, &change);
+    for (since, change) in changes {
+        change_owner(cx, &change, since);
         let detail = format!("{change:?}");
         cx.recorder.record(event::Kind::OwnerChanged, detail);
     }
 }
 
+fn since(ownership: &ownership::Ownership, change: &ownership::Change) -> id::Epoch {
+    match change {
+        ownership::Change::Started(role) => ownership.since(role).unwrap_or_default(),
+        ownership::Change::Stopped(_) => id::Epoch::default(),
+    }
+}
+
+fn change_owner(cx: &shared::Shared, change: &ownership::Change, since: id::Epoch) {
+    match change {
+        ownership::Change::Started(ownership::Role::Limiter(account)) => {
+            cx.limits.start(cx.clock.now(), account, since);
+        }
+        ownership::Change::Stopped(ownership::Role::Limiter(account)) => cx.limits.stop(account),
+        // Schedulers are started and ended by `placement::supervise`.
+        _ => {}
+    }
+}
+
 fn unexpected(reply: &message::Reply) -> error::Error {
     let remedy = "run one version everywhere, and name control members under `control`";
     error::Error::bad_value("control", format!("{reply:?}"), remedy)
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -51,18 +51,29 @@
         }
     }
 
-    /// Begins or ends to own accounts.
-    pub fn change_owner(&self, now: clock::Millis, change: &ownership::Change) {
-        let mut owner = lock(&self.owned);
-        match change {
-            ownership::Change::Started(ownership::Role::Limiter(account)) => {
-                owner.start_account(now, account);
-            }
-            ownership::Change::Stopped(ownership::Role::Limiter(account)) => {
-                owner.drop_account(account);
-            }
-            _ => {}
-        }
+    /// Begins to own an account since an epoch, with its bucket if the owner before passed it on.
+    pub fn start(&self, now: clock::Millis, account: &id::ClientAccountId, since: id::Epoch) {
+        lock(&self.owned).start_account_since(now, account, since);
+    }
+
+    /// Ends to own an account.
+    pub fn stop(&self, account: &id::ClientAccountId) {
+        lock(&self.owned).drop_account(account);
+    }
+
+    /// Takes the bucket of an account that another instance gains in an epoch.
+    pub fn hand_over(
+        &self,
+        now: clock::Millis,
+        account: &id::ClientAccountId,
+        epoch: id::Epoch,
+    ) -> Option<limiter::HandOver> {
+        lock(&self.owned).hand_over(now, account, epoch)
+    }
+
+    /// Keeps a bucket that the owner before passed on.
+    pub fn receive(&self, now: clock::Millis, passed: &limiter::HandOver) {
+        lock(&self.owned).receive(now, passed);
     }
 
     /// Answers a gateway as the owner of an account.
