--- a/examples/replica_bench.rs
+++ b/examples/replica_bench.rs
@@ -17,6 +17,7 @@
 use buckthorncleat::peer::link;
 use buckthorncleat::peer::message;
 use buckthorncleat::state::command;
+use metrics_exporter_prometheus as prometheus;
 use tokio::sync::watch;
 
 const SECRET: &str = "a secret of the measurement";
@@ -34,15 +35,14 @@
     fs::write(folder.path().join("operators"), "operator token\n").expect("a writable folder");
     let peers: Vec<settings::ControlPeer> = (0..3).map(peer).collect();
     let stop = watch::Sender::new(false);
-    let members: Vec<_> = peers
-        .iter()
-        .map(|own| {
-            tokio::spawn(control::run(
-                member(folder.path(), own, &peers),
-                stop.clone(),
-            ))
-        })
-        .collect();
+    let start = |own: &settings::ControlPeer| {
+        let metrics = prometheus::PrometheusBuilder::new()
+            .build_recorder()
+            .handle();
+        let settings = member(folder.path(), own, &peers);
+        tokio::spawn(control::run(settings, metrics, stop.subscribe()))
+    };
+    let members: Vec<_> = peers.iter().map(start).collect();
     buckthorncleat::logging::init();
     let links = links();
     let leader = find_leader(&links, &peers).await;
--- /dev/null
+++ b/src/replica/core/care.rs
@@ -0,0 +1,126 @@
+//! The leader's care for the members: changes by operators, and lost members that come back.
+
+use crate::clock;
+use crate::id;
+use crate::replica::core;
+use crate::replica::core::members;
+use crate::replica::core::message;
+
+use message::{Output, Refusal};
+
+impl core::Replica {
+    /// Takes a change of the members.
+    pub(super) fn change_members(
+        &mut self,
+        now: clock::Millis,
+        request: u64,
+        change: &members::MemberChange,
+    ) {
+        if !self.is_leader() {
+            self.refuse(request, Refusal::NotLeader);
+            return;
+        }
+        if !self.may_change_members() {
+            self.refuse(request, Refusal::Busy);
+            return;
+        }
+        let next = self.members().and_then(|m| m.after(change));
+        let next = next.filter(|next| self.hears_quorum_of(now, next));
+        let Some(next) = next else {
+            self.refuse(request, Refusal::Invalid);
+            return;
+        };
+        let at = self.append_own(message::Payload::Members(next));
+        self.outputs.push(Output::Proposed { request, at });
+        self.send_entries(now);
+    }
+
+    /// Admits a new life of a member that lost its disk, or of one that an operator announced.
+    pub(super) fn consider_newcomer(&mut self, now: clock::Millis, node: &message::NodeId) {
+        if !self.is_leader() || !self.may_change_members() {
+            return;
+        }
+        let Some(members) = self.members() else {
+            return;
+        };
+        if members.is_voter(node) || members.is_learner(node) {
+            return;
+        }
+        let Some(address) = members.address_of(&node.instance) else {
+            return;
+        };
+        if self.old_life_is_heard(now, members, &node.instance) {
+            return;
+        }
+        let next = members.with_learner(node, address);
+        self.append_own(message::Payload::Members(next));
+        self.send_entries(now);
+    }
+
+    pub(super) fn old_life_is_heard(
+        &self,
+        now: clock::Millis,
+        members: &members::Membership,
+        instance: &id::InstanceId,
+    ) -> bool {
+        let lives = members.nodes().filter(|n| n.instance == *instance);
+        lives
+            .into_iter()
+            .any(|node| node == self.settings.node || self.is_heard(now, &node))
+    }
+
+    /// Turns a learner that has caught up into a voter; a lost life of it leaves first.
+    ///
+    /// The lost life gives no vote any more, so the majority needs the same live members before
+    /// and after it leaves. Only then does the learner, which has all entries, add to them.
+    pub(super) fn care_for_members(&mut self, now: clock::Millis) {
+        if !self.may_change_members() {
+            return;
+        }
+        let Some((joined, leadership)) = self.leading() else {
+            return;
+        };
+        let members = joined.log.members();
+        let ready = members.learners.iter().find(|(instance, seat)| {
+            let node = message::NodeId {
+                instance: (*instance).clone(),
+                incarnation: seat.incarnation,
+            };
+            let progress = leadership.others.get(&node);
+            let caught_up = progress.is_some_and(|p| p.matched >= joined.committed);
+            caught_up && self.is_heard(now, &node)
+        });
+        let Some((instance, _)) = ready else {
+            return;
+        };
+        let next = if members.voters.contains(instance) {
+            members.without_voter(instance)
+        } else {
+            members.with_promoted(instance)
+        };
+        if !self.hears_quorum_of(now, &next) {
+            return;
+        }
+        self.append_own(message::Payload::Members(next));
+        self.send_entries(now);
+    }
+
+    /// One change at a time, and only after this leader has committed in its own term.
+    pub(super) fn may_change_members(&self) -> bool {
+        let Some((joined, leadership)) = self.leading() else {
+            return false;
+        };
+        let settled = joined.log.members_index() <= joined.committed;
+        settled && leadership.first <= joined.committed
+    }
+
+    pub(super) fn step_down_if_dismissed(&mut self, now: clock::Millis) {
+        let Some((joined, _)) = self.leading() else {
+            return;
+        };
+        let settled = joined.log.members_index() <= joined.committed;
+        if settled && !joined.log.members().is_voter(&self.settings.node) {
+            self.follow(now);
+        }
+    }
+}
--- a/src/replica/core/mod.rs
+++ b/src/replica/core/mod.rs
@@ -7,6 +7,7 @@
 //! the life of its data folder; after its disk was lost it is another member, which has no vote
 //! until it has caught up.
 
+mod care;
 mod election;
 mod follower;
 mod formation;
@@ -15,8 +16,11 @@
 pub mod members;
 pub mod message;
 mod progress;
+mod reads;
+mod receive;
+mod sending;
+mod writes;
 
-use std::collections;
 use std::mem;
 use std::net;
 use std::sync;
@@ -29,7 +33,7 @@
 use crate::macros;
 use crate::sorted;
 
-use message::{Body, Input, Output};
+use message::{Input, Output};
 
 macros::data! {
     /// One member that a new group starts with.
@@ -82,7 +86,7 @@
     election_at: clock::Millis,
     incoming: Option<follower::Incoming>,
     hello: formation::Hello,
-    disk: Disk,
+    disk: writes::Disk,
     outputs: Vec<Output>,
     guarded: Vec<message::Message>,
 }
@@ -114,31 +118,6 @@
     leader: Option<message::NodeId>,
 }
 
-/// What is being written to disk.
-#[derive(Debug, Default)]
-struct Disk {
-    batch: message::Batch,
-    hard_changed: bool,
-    persisted: u64,
-    /// The batch that holds the present term and vote.
-    hard_number: u64,
-    durable: id::LogIndex,
-    pending: collections::VecDeque<PendingWrite>,
-    held: collections::VecDeque<HeldMessage>,
-}
-
-#[derive(Debug)]
-struct PendingWrite {
-    number: u64,
-    last: id::LogIndex,
-}
-
-#[derive(Debug)]
-struct HeldMessage {
-    number: u64,
-    message: message::Message,
-}
-
 impl Replica {
     /// Makes a replica from what its data folder holds.
     ///
@@ -149,7 +128,7 @@
     ///
     /// Panics when the entries do not follow the snapshot.
     pub fn new(settings: Settings, stored: Stored, now: clock::Millis) -> Self {
-        let mut disk = Disk::default();
+        let mut disk = writes::Disk::default();
         let mut hard = stored.hard;
         let snapshot_term = stored.snapshot.as_ref().map(|s| s.head.at.term);
         if let Some(term) = snapshot_term.filter(|t| *t > hard.term) {
@@ -280,87 +259,6 @@
         }
     }
 
-    fn receive(&mut self, now: clock::Millis, message: message::Message) {
-        let me = &self.settings.node;
-        if message.to.instance != me.instance || message.from == *me {
-            return;
-        }
-        if matches!(message.body, Body::Hello) {
-            if self.may_share_group(message.group) {
-                self.answer_hello(now, &message.from);
-            }
-            return;
-        }
-        if message.to != *me {
-            return;
-        }
-        let group = self.joined.as_ref().map(|j| j.group);
-        match group {
-            None => self.receive_blank(now, message),
-            Some(group) if group == message.group => self.receive_joined(now, message),
-            Some(_) => (),
-        }
-    }
-
-    fn receive_joined(&mut self, now: clock::Millis, message: message::Message) {
-        let message::Message {
-            from, term, body, ..
-        } = message;
-        match body {
-            Body::PreVote { last } => {
-                self.answer_pre_vote(now, &from, term, last);
-                return;
-            }
-            Body::PreVoted { granted: true } => {
-                self.count_pre_vote(now, from, term);
-                return;
-            }
-            Body::Vote { .. } if term > self.hard.term && self.hears_leader(now) => return,
-            _ => (),
-        }
-        if term > self.hard.term {
-            self.enter_term(now, term);
-        }
-        let current = term == self.hard.term;
-        match body {
-            Body::Vote { last } => self.answer_vote(now, &from, current, last),
-            Body::Voted { granted } if current => self.count_vote(now, from, granted),
-            Body::Append { .. } | Body::Piece { .. } if !current => self.reject_old_leader(&from),
-            Body::Append {
-                previous,
-                entries,
-                committed,
-                round,
-            } => {
-                self.hear_leader(now, &from);
-                self.append(&from, previous, entries, committed, round);
-            }
-            Body::Piece {
-                head,
-                offset,
-                total,
-                data,
-                round,
-            } => {
-                self.hear_leader(now, &from);
-                let piece = follower::Piece {
-                    head,
-                    offset,
-                    total,
-                    data,
-                };
-                self.take_piece(&from, piece, round);
-            }
-            Body::Appended { round, outcome } if current => {
-                self.take_appended(now, &from, round, outcome);
-            }
-            Body::Received { at, offset, round } if current => {
-                self.take_received(now, &from, at, offset, round);
-            }
-            _ => (),
-        }
-    }
-
     /// Enters a newer term as follower; the vote of the old one is void.
     fn enter_term(&mut self, now: clock::Millis, term: id::Term) {
         assert!(term > self.hard.term, "terms never go down");
@@ -391,142 +289,6 @@
         self.outputs.push(Output::Refused { request, reason });
     }
 
-    /// Sends a message as soon as all that was decided so far is on disk.
-    fn send_after_sync(&mut self, to: &message::NodeId, body: Body) {
-        let message = self.message(to, body);
-        self.guarded.push(message);
-    }
-
-    /// Sends a message at once: it says nothing about this member's disk.
-    fn send_now(&mut self, to: &message::NodeId, body: Body) {
-        let message = self.message(to, body);
-        self.outputs.push(Output::Send(message));
-    }
-
-    fn message(&self, to: &message::NodeId, body: Body) -> message::Message {
-        message::Message {
-            group: self
-                .joined
-                .as_ref()
-                .map_or_else(Default::default, |j| j.group),
-            from: self.settings.node.clone(),
-            to: to.clone(),
-            term: self.hard.term,
-            body,
-        }
-    }
-
-    /// Adds an entry to the log and to the batch for the disk.
-    fn append_entry(&mut self, entry: message::Entry) {
-        let joined = self
-            .joined
-            .as_mut()
-            .expect("only a joined member has a log");
-        self.disk.batch.entries.push(entry.clone());
-        joined.log.append(entry);
-    }
-
-    /// Closes the step: hands out the batch and the messages that wait for it.
-    fn finish(&mut self) -> Vec<Output> {
-        let mut batch = mem::take(&mut self.disk.batch);
-        if mem::take(&mut self.disk.hard_changed) {
-            batch.hard = Some(self.hard.clone());
-        }
-        let dirty = batch.hard.is_some() || batch.snapshot.is_some() || !batch.entries.is_empty();
-        let number = self.disk.batch_number(dirty);
-        self.disk.batch.number = number;
-        if dirty {
-            batch.number = number;
-            if batch.hard.is_some() {
-                self.disk.hard_number = number;
-            }
-            let last = self.joined.as_ref().map(|j| j.log.last().index);
-            let last = last.unwrap_or_default();
-            self.disk.pending.push_back(PendingWrite { number, last });
-            self.outputs.push(Output::Persist(batch));
-        }
-        for message in mem::take(&mut self.guarded) {
-            self.disk.held.push_back(HeldMessage { number, message });
-        }
-        self.release();
-        self.check();
-        mem::take(&mut self.outputs)
-    }
-
-    /// Sends the messages whose batches are on disk; an older term's say nothing any more.
-    fn release(&mut self) {
-        let persisted = self.disk.persisted;
-        while self
-            .disk
-            .held
-            .front()
-            .is_some_and(|h| h.number <= persisted)
-        {
-            let Some(held) = self.disk.held.pop_front() else {
-                return;
-            };
-            let asks_ahead = matches!(
-                held.message.body,
-                Body::PreVoted { .. } | Body::PreVote { .. }
-            );
-            if held.message.term >= self.hard.term || asks_ahead {
-                self.outputs.push(Output::Send(held.message));
-            }
-        }
-    }
-
-    fn persisted(&mut self, now: clock::Millis, number: u64) {
-        assert!(
-            number <= self.disk.batch.number,
-            "only batches that were handed out are written"
-        );
-        self.disk.persisted = self.disk.persisted.max(number);
-        while self
-            .disk
-            .pending
-            .front()
-            .is_some_and(|p| p.number <= number)
-        {
-            if let Some(write) = self.disk.pending.pop_front() {
-                self.disk.durable = write.last;
-            }
-        }
-        if matches!(self.role, Role::Candidate(_)) && number >= self.disk.hard_number {
-            let me = self.settings.node.clone();
-            self.count_vote(now, me, true);
-        }
-        if self.is_leader() {
-            self.advance_commit(now);
-        }
-    }
-
-    fn compact(&mut self, index: id::LogIndex, data: Vec<u8>) {
-        let trailing = self.settings.trailing;
-        let Some(joined) = self.joined.as_mut() else {
-            return;
-        };
-        if index <= joined.snapshot.head.at.index {
-            return;
-        }
-        assert!(
-            index <= joined.applied,
-            "a snapshot covers applied entries only"
-        );
-        let term = joined.log.term_at(index);
-        let head = message::SnapshotHead {
-            group: joined.group,
-            at: message::Position {
-                index,
-                term: term.expect("an applied entry after the snapshot is in the log"),
-            },
-            members: joined.log.members_at(index).clone(),
-        };
-        joined.snapshot = sync::Arc::new(message::Snapshot { head, data });
-        let keep_from = index.as_u64().saturating_sub(trailing);
-        joined.log.compact_to(id::LogIndex::new(keep_from));
-        self.disk.batch.snapshot = Some(sync::Arc::clone(&joined.snapshot));
-    }
-
     /// Raises the commit index and hands out what may be applied.
     fn commit_to(&mut self, index: id::LogIndex) {
         let Some(joined) = self.joined.as_mut() else {
@@ -600,23 +362,6 @@
     }
 }
 
-impl Disk {
-    /// Returns the number of the newest batch, counting one that is handed out now.
-    fn batch_number(&mut self, dirty: bool) -> u64 {
-        let newest = self.pending.back().map_or(self.persisted, |p| p.number);
-        newest + u64::from(dirty)
-    }
-
-    /// Forgets the promise of entries from an index on, since others replace them.
-    fn forget_from(&mut self, index: id::LogIndex) {
-        let last = id::LogIndex::new(index.as_u64() - 1);
-        self.durable = self.durable.min(last);
-        for write in &mut self.pending {
-            write.last = write.last.min(last);
-        }
-    }
-}
-
 impl LeaderOfTerm {
     /// Remembers the leader of a term.
     ///
--- /dev/null
+++ b/src/replica/core/sending.rs
@@ -0,0 +1,156 @@
+//! What a leader sends: heartbeat rounds, entries and pieces of a snapshot.
+
+use std::sync;
+
+use crate::clock;
+use crate::id;
+use crate::replica::core;
+use crate::replica::core::message;
+use crate::replica::core::progress;
+
+use message::Body;
+
+/// The bytes of commands in one append.
+const APPEND_BYTES: usize = 256 << 10;
+
+/// The bytes in one piece of a snapshot.
+const PIECE_BYTES: usize = 256 << 10;
+
+impl core::Replica {
+    pub(super) fn append_own(&mut self, payload: message::Payload) -> message::Position {
+        let last = self
+            .log()
+            .map_or_else(Default::default, core::log::Log::last);
+        let at = message::Position {
+            index: last.index.next(),
+            term: self.hard.term,
+        };
+        self.append_entry(message::Entry { at, payload });
+        at
+    }
+
+    pub(super) fn start_round(&mut self, now: clock::Millis) {
+        self.refresh_others(now);
+        let heartbeat = self.settings.heartbeat;
+        let Some(leadership) = self.leadership_mut() else {
+            return;
+        };
+        leadership.round += 1;
+        leadership.heartbeat_at = now + heartbeat;
+        for progress in leadership.others.values_mut() {
+            progress.in_flight = 0;
+        }
+        self.send_to_all(true);
+    }
+
+    pub(super) fn send_entries(&mut self, now: clock::Millis) {
+        self.refresh_others(now);
+        self.send_to_all(false);
+    }
+
+    pub(super) fn send_to_all(&mut self, also_empty: bool) {
+        let Some(leadership) = self.leadership() else {
+            return;
+        };
+        let others: Vec<message::NodeId> = leadership.others.keys().cloned().collect();
+        for node in others {
+            self.send_to(&node, also_empty);
+        }
+    }
+
+    /// Keeps one progress for each other member.
+    pub(super) fn refresh_others(&mut self, now: clock::Millis) {
+        let Some(joined) = &self.joined else {
+            return;
+        };
+        let last = joined.log.last().index;
+        let me = &self.settings.node;
+        let nodes: Vec<message::NodeId> =
+            joined.log.members().nodes().filter(|n| n != me).collect();
+        let Some(leadership) = self.leadership_mut() else {
+            return;
+        };
+        leadership.others.retain(|node, _| nodes.contains(node));
+        for node in nodes {
+            leadership
+                .others
+                .get_or_insert_with(node, || progress::Progress::new(now, last));
+        }
+    }
+
+    pub(super) fn send_to(&mut self, node: &message::NodeId, also_empty: bool) {
+        let Some((joined, leadership)) = self.leading() else {
+            return;
+        };
+        let Some(progress) = leadership.others.get(node) else {
+            return;
+        };
+        let round = leadership.round;
+        let previous = id::LogIndex::new(progress.next.as_u64() - 1);
+        let body = match (&progress.transfer, joined.log.term_at(previous)) {
+            (Some(transfer), _) if also_empty || transfer.offset == 0 => piece(transfer, round),
+            (Some(_), _) => return,
+            (None, None) => {
+                self.start_transfer(node);
+                self.send_to(node, true);
+                return;
+            }
+            (None, Some(term)) => {
+                let entries = if progress.may_send() {
+                    joined.log.entries_after(previous, APPEND_BYTES).to_vec()
+                } else {
+                    Vec::new()
+                };
+                if entries.is_empty() && !also_empty {
+                    return;
+                }
+                Body::Append {
+                    previous: message::Position {
+                        index: previous,
+                        term,
+                    },
+                    entries,
+                    committed: joined.committed,
+                    round,
+                }
+            }
+        };
+        self.note_sent(node, &body);
+        self.send_now(node, body);
+    }
+
+    pub(super) fn note_sent(&mut self, node: &message::NodeId, body: &Body) {
+        let Body::Append { entries, .. } = body else {
+            return;
+        };
+        let Some(last) = entries.last().map(|e| e.at.index) else {
+            return;
+        };
+        if let Some(progress) = self.progress_mut(node) {
+            progress.note_sent(last);
+        }
+    }
+
+    pub(super) fn start_transfer(&mut self, node: &message::NodeId) {
+        let snapshot = self.joined.as_ref().map(|j| sync::Arc::clone(&j.snapshot));
+        if let Some(progress) = self.progress_mut(node) {
+            progress.transfer = snapshot.map(|snapshot| progress::Transfer {
+                snapshot,
+                offset: 0,
+            });
+        }
+    }
+}
+
+fn piece(transfer: &progress::Transfer, round: u64) -> Body {
+    let snapshot = &transfer.snapshot;
+    let start = (transfer.offset as usize).min(snapshot.data.len());
+    let end = (start + PIECE_BYTES).min(snapshot.data.len());
+    Body::Piece {
+        head: snapshot.head.clone(),
+        offset: transfer.offset,
+        total: snapshot.data.len() as u64,
+        data: snapshot.data[start..end].to_vec(),
+        round,
+    }
+}
--- a/src/replica/group/mod.rs
+++ b/src/replica/group/mod.rs
@@ -3,6 +3,7 @@
 mod disk;
 mod driver;
 mod peers;
+mod view;
 
 use std::path;
 use std::sync;
@@ -18,7 +19,6 @@
 use crate::error;
 use crate::event;
 use crate::id;
-use crate::macros;
 use crate::peer::link;
 use crate::replica::core;
 use crate::replica::core::members;
@@ -26,6 +26,10 @@
 use crate::replica::storage;
 use crate::state::command;
 
+pub use view::{Outcome, Status, View};
+
+use view::Shared;
+
 /// The messages and requests that wait for the member.
 const EVENTS: usize = 4_096;
 
@@ -46,15 +50,6 @@
     commit_wait: clock::Millis,
 }
 
-/// What the handles and the driver share.
-#[derive(Debug)]
-struct Shared {
-    instance: id::InstanceId,
-    state: sync::RwLock<command::State>,
-    status: sync::RwLock<Status>,
-    view: watch::Sender<View>,
-}
-
 /// What happens to the driver.
 #[derive(Debug)]
 enum Event {
@@ -74,57 +69,6 @@
     },
 }
 
-macros::data! {
-    /// What a member knows of the group.
-    pub struct Status {
-        /// This member.
-        pub instance: id::InstanceId,
-        /// The leader, if one is known.
-        pub leader: Option<id::InstanceId>,
-        /// The present term.
-        pub term: id::Term,
-        /// The last log entry known to be committed.
-        pub committed: id::LogIndex,
-        /// The last log entry that was applied here.
-        pub applied: id::LogIndex,
-        /// The members that vote.
-        pub voters: Vec<id::InstanceId>,
-        /// The members that catch up before they vote.
-        pub learners: Vec<id::InstanceId>,
-    }
-}
-
-macros::data! {
-    /// What those wait for who follow the group.
-    #[derive(Default)]
-    pub struct View {
-        /// The revision that was applied here.
-        pub revision: id::Revision,
-        /// The leader, if one is known.
-        pub leader: Option<id::InstanceId>,
-        /// The term in which this member leads, if it does.
-        pub leads: Option<id::Term>,
-    }
-}
-
-macros::data! {
-    /// How a request to the group went.
-    pub enum Outcome {
-        /// It was committed; the state machine gave this answer.
-        Applied(command::Answer),
-        /// It was committed; it has no answer.
-        Done,
-        /// It was not taken in: this member does not lead, perhaps the named one does.
-        NotLeader(Option<id::InstanceId>),
-        /// It was not taken in: another one is under way; try again.
-        Busy,
-        /// It was not taken in: it would have no effect, or leave too few live voters.
-        Invalid,
-        /// It was not committed in time; it may be committed later.
-        Uncertain,
-    }
-}
-
 /// The settings of one member.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -354,55 +298,6 @@
     }
 }
 
-impl Shared {
-    fn new(instance: id::InstanceId, state: command::State) -> Self {
-        let status = Status {
-            instance: instance.clone(),
-            leader: Some(instance.clone()),
-            term: id::Term::new(1),
-            committed: id::LogIndex::default(),
-            applied: id::LogIndex::default(),
-            voters: vec![instance.clone()],
-            learners: Vec::new(),
-        };
-        Self {
-            instance,
-            state: sync::RwLock::new(state),
-            status: sync::RwLock::new(status),
-            view: watch::Sender::new(View::default()),
-        }
-    }
-
-    fn apply(&self, command: &command::Command) -> command::Answer {
-        let state = self.state.write();
-        let mut state = state.unwrap_or_else(sync::PoisonError::into_inner);
-        let before = state.config().revision;
-        let answer = state.apply(command);
-        let revision = state.config().revision;
-        assert!(revision >= before, "the revision never goes down");
-        drop(state);
-        self.view.send_if_modified(|view| {
-            let newer = revision != view.revision;
-            view.revision = revision;
-            newer
-        });
-        answer
-    }
-
-    fn replace_state(&self, next: command::State) {
-        let state = self.state.write();
-        let mut state = state.unwrap_or_else(sync::PoisonError::into_inner);
-        let revision = next.config().revision;
-        assert!(
-            revision >= state.config().revision,
-            "the revision never goes down"
-        );
-        *state = next;
-        drop(state);
-        self.view.send_modify(|view| view.revision = revision);
-    }
-}
-
 fn encode(command: &command::Command) -> error::Result<Vec<u8>> {
     let bytes = postcard::to_stdvec(command)
         .map_err(|e| error::Error::damaged(format!("command: {e}"), "report this fault"))?;
