--- a/examples/replica_bench.rs
+++ b/examples/replica_bench.rs
@@ -39,19 +39,14 @@
     .expect("a writable folder");
     let peers: Vec<settings::ControlPeer> = (0..3).map(peer).collect();
     let stop = watch::Sender::new(false);
-    let metrics = prometheus::PrometheusBuilder::new()
-        .build_recorder()
-        .handle();
-    let members: Vec<_> = peers
-        .iter()
-        .map(|own| {
-            tokio::spawn(control::run(
-                member(folder.path(), own, &peers),
-                metrics.clone(),
-                stop.subscribe(),
-            ))
-        })
-        .collect();
+    let start = |own: &settings::ControlPeer| {
+        let metrics = prometheus::PrometheusBuilder::new()
+            .build_recorder()
+            .handle();
+        let settings = member(folder.path(), own, &peers);
+        tokio::spawn(control::run(settings, metrics, stop.subscribe()))
+    };
+    let members: Vec<_> = peers.iter().map(start).collect();
     buckthorncleat::logging::init();
     let links = links();
     let leader = find_leader(&links, &peers).await;
