--- /dev/null
+++ b/examples/slopes/placing.rs
@@ -0,0 +1,113 @@
+//! The scheduler: time of a placement and of a renewal.
+
+use buckthorncleat::clock;
+use buckthorncleat::controller::scheduler;
+use buckthorncleat::controller::scheduler::message;
+use buckthorncleat::id;
+use buckthorncleat::sorted;
+use buckthorncleat::state::model;
+use buckthorncleat::unit;
+
+use crate::fit;
+use crate::fleet;
+
+const NOW: clock::Millis = clock::Millis::new(1_000);
+
+pub fn run() {
+    let title = "scheduler: one arrival that is placed, none waiting";
+    let points = [8, 16, 32, 64, 128, 256].map(|n| point(n, arrival(n, 0)));
+    fit::print(title, "workers", "microseconds", &points);
+    let title = "scheduler: one arrival that waits, 64 workers all full";
+    let points = [50, 100, 250, 500].map(|n| point(n, arrival(64, n)));
+    fit::print(title, "waiting", "microseconds", &points);
+    let title = "scheduler: one renewal, 64 workers";
+    let points = [10, 50, 100, 250, 500].map(|n| point(n, renewal(n)));
+    fit::print(title, "reservations", "microseconds", &points);
+}
+
+fn point(n: usize, y: f64) -> fit::Point {
+    fit::Point { x: n as f64, y }
+}
+
+fn arrival(workers: usize, waiting: usize) -> f64 {
+    let mut shard = shard(workers);
+    let mut number = 0;
+    if waiting > 0 {
+        while shard.summary().waiting < waiting {
+            place(&mut shard, number);
+            number += 1;
+        }
+    }
+    fit::micros(20, || shard.clone(), |s, call| place(s, number + call))
+}
+
+fn renewal(count: usize) -> f64 {
+    let mut shard = shard(64);
+    let held: Vec<id::ReservationId> = (0..count)
+        .filter_map(|n| placed(&place(&mut shard, n)))
+        .collect();
+    assert_eq!(held.len(), count, "all are placed");
+    let renew = message::Request::Renew(held);
+    fit::micros(50, || shard.clone(), |s, _| s.step(NOW, ask(renew.clone())))
+}
+
+fn placed(outputs: &[scheduler::Output]) -> Option<id::ReservationId> {
+    outputs.iter().find_map(|output| match output {
+        scheduler::Output::Reply {
+            reply: message::Reply::Placed(placement),
+            ..
+        } => Some(placement.reservation),
+        _ => None,
+    })
+}
+
+fn shard(workers: usize) -> scheduler::Scheduler {
+    let settings = scheduler::Settings {
+        max_waiting: 4_096,
+        lease: clock::Millis::from_secs(600),
+        ..scheduler::Settings::default()
+    };
+    let mut shard =
+        scheduler::Scheduler::new(clock::Millis::ZERO, fleet::name("model"), settings, 1);
+    let servers = (0..workers).map(server).collect();
+    shard.step(
+        clock::Millis::ZERO,
+        scheduler::Input::Configure {
+            servers,
+            model: fleet::model(),
+            accounts: sorted::Map::new(),
+        },
+    );
+    shard
+}
+
+fn server(number: usize) -> model::BackendServer {
+    model::BackendServer {
+        data_centre: fleet::name("centre"),
+        ..fleet::server(number)
+    }
+}
+
+fn place(shard: &mut scheduler::Scheduler, number: usize) -> Vec<scheduler::Output> {
+    let place = message::Place {
+        request: id::RequestId::new(number as u128),
+        account: fleet::name(&format!("account-{:04}", number % 20)),
+        priority: model::Priority::Normal,
+        model: fleet::name("model"),
+        role: message::Role::Both,
+        prompt: unit::Tokens::new(500),
+        output: unit::Tokens::new(500),
+        prefix: Vec::new(),
+        first_token: clock::Millis::from_secs(60),
+        exclude: Vec::new(),
+        suspect: false,
+    };
+    shard.step(NOW, ask(message::Request::Place(Box::new(place))))
+}
+
+fn ask(request: message::Request) -> scheduler::Input {
+    scheduler::Input::Request {
+        gateway: fleet::name("gateway"),
+        request,
+    }
+}
