--- a/examples/slopes/limiter.rs
+++ b/examples/slopes/limiter.rs
@@ -18,7 +18,7 @@
 const NOW: clock::Millis = clock::Millis::new(10_000);
 
 pub fn run() {
-    let kept = [100, 1_000, 4_000, 8_000, 15_000].map(|n| point(n, time(1, n)));
+    let kept = [520, 1_100, 2_100, 4_200, 8_300, 15_000].map(|n| point(n, time(1, n)));
     let title = "limiter owner: one charge and its refund";
     fit::print(title, "charges kept", "microseconds", &kept);
     let owned = [1, 20, 100, 290].map(|n| point(n, time(n, 100)));
@@ -41,6 +41,8 @@
     let ids: Vec<id::ClientAccountId> = all.keys().cloned().collect();
     for account in &ids {
         owner.start_account(clock::Millis::ZERO, account);
+    }
+    for account in &ids {
         for n in 0..kept {
             charge(&mut owner, account, n);
         }
--- a/examples/slopes/placing.rs
+++ b/examples/slopes/placing.rs
@@ -11,6 +11,8 @@
 use crate::fit;
 use crate::fleet;
 
+/// As many as eight workers can prefill at once.
+const CALLS: usize = 8;
 const NOW: clock::Millis = clock::Millis::new(1_000);
 
 pub fn run() {
@@ -38,19 +40,37 @@
             number += 1;
         }
     }
-    fit::micros(20, || shard.clone(), |s, call| place(s, number + call))
+    fit::micros(
+        CALLS,
+        || shard.clone(),
+        |s, call| {
+            let outputs = place(s, number + call);
+            assert_eq!(placed(&outputs).is_some(), waiting == 0);
+            outputs
+        },
+    )
 }
 
 fn renewal(count: usize) -> f64 {
     let mut shard = shard(64);
-    let held: Vec<id::ReservationId> = (0..count)
-        .filter_map(|n| placed(&place(&mut shard, n)))
-        .collect();
+    let held: Vec<id::ReservationId> = (0..count).filter_map(|n| decoding(&mut shard, n)).collect();
     assert_eq!(held.len(), count, "all are placed");
     let renew = message::Request::Renew(held);
     fit::micros(50, || shard.clone(), |s, _| s.step(NOW, ask(renew.clone())))
 }
 
+fn decoding(shard: &mut scheduler::Scheduler, number: usize) -> Option<id::ReservationId> {
+    let reservation = placed(&place(shard, number))?;
+    let prefilled = message::Prefilled {
+        reservation,
+        cached: unit::Tokens::new(0),
+        kv: unit::Bytes::new(1_000_000),
+    };
+    shard.step(NOW, ask(message::Request::Prefilled(prefilled)));
+    shard.step(NOW, ask(message::Request::Transferred(reservation)));
+    Some(reservation)
+}
+
 fn placed(outputs: &[scheduler::Output]) -> Option<id::ReservationId> {
     outputs.iter().find_map(|output| match output {
         scheduler::Output::Reply {
--- a/examples/slopes/state.rs
+++ b/examples/slopes/state.rs
@@ -14,6 +14,7 @@
 
 const MEMBERS: [usize; 5] = [10, 50, 150, 300, 630];
 const ACCOUNTS: usize = 290;
+const ROLES: usize = 315;
 
 pub fn run() {
     let servers = [100, 500, 1_000, 2_000, 3_000];
@@ -37,6 +38,9 @@
     );
     let points = MEMBERS.map(|n| point(n, owner(n)));
     fit::print("ownership: one role", "members", "microseconds", &points);
+    let title = "ownership: all of 315 roles, at each answer to a watch";
+    let points = MEMBERS.map(|n| point(n, roles(n)));
+    fit::print(title, "members", "microseconds", &points);
 }
 
 fn point(n: usize, y: f64) -> fit::Point {
@@ -117,3 +121,20 @@
         |(), _| ownership::owner_of(&role, &config.members).cloned(),
     )
 }
+
+fn roles(members: usize) -> f64 {
+    let config = fleet::config(0, 0, members);
+    let me = fleet::member(0);
+    let roles: Vec<ownership::Role> = (0..ROLES)
+        .map(|n| ownership::Role::Limiter(fleet::account(n).id))
+        .collect();
+    let now = clock::Millis::new(1_000);
+    let make = || {
+        let mut ownership = ownership::Ownership::new(me.id.clone(), me.incarnation);
+        ownership.configure(config.epoch, &config.members);
+        ownership.keep_until(clock::Millis::from_secs(60));
+        ownership.settle(config.epoch);
+        ownership
+    };
+    fit::micros(10, make, |ownership, _| ownership.update(now, &roles))
+}
--- a/examples/slopes/wire.rs
+++ b/examples/slopes/wire.rs
@@ -1,6 +1,8 @@
 //! Bytes on the wire and the time of frames.
 
 use buckthorncleat::clock;
+use buckthorncleat::controller::limiter;
+use buckthorncleat::controller::scheduler;
 use buckthorncleat::event;
 use buckthorncleat::id;
 use buckthorncleat::peer::frame;
@@ -8,6 +10,7 @@
 use buckthorncleat::peer::message;
 use buckthorncleat::replica::core::message as replica;
 use buckthorncleat::state::change;
+use buckthorncleat::unit;
 
 use crate::fit;
 use crate::fleet;
@@ -36,6 +39,14 @@
     let ping = framed(&message::Request::Ping);
     let accepted = framed(&answer(message::Reply::Accepted));
     println!("one Ping, framed: {ping} bytes; its answer: {accepted} bytes");
+    println!(
+        "one Charge, framed: {} bytes; its answer: {}",
+        framed(&charge()),
+        framed(&granted())
+    );
+    for n in [10, 100, 500] {
+        println!("one Renew of {n}, framed: {} bytes", framed(&renew(n)));
+    }
     let entry = append(size(&put) as usize);
     let beat = append(0);
     println!("one Append with that commit, framed: {entry} bytes; empty: {beat} bytes");
@@ -112,6 +123,36 @@
     link::Envelope::Answer(Box::new(reply))
 }
 
+fn charge() -> message::Request {
+    let charge = limiter::Charge {
+        request: id::RequestId::new(u128::MAX),
+        account: fleet::account(1).id,
+        tokens: unit::Tokens::new(10_000),
+        patience: clock::Millis::new(900),
+    };
+    message::Request::Limiter(message::Owned {
+        epoch: id::Epoch::new(100_000),
+        message: limiter::Request::Charge(charge),
+    })
+}
+
+fn granted() -> link::Envelope {
+    let delay = clock::Millis::ZERO;
+    answer(message::Reply::Limiter(limiter::Reply::Granted { delay }))
+}
+
+fn renew(count: u64) -> message::Request {
+    let held = (0..count).map(|n| id::ReservationId::new(10_000_000 + n));
+    let scheduling = message::Scheduling {
+        model: fleet::model().id,
+        request: scheduler::Request::Renew(held.collect()),
+    };
+    message::Request::Scheduler(message::Owned {
+        epoch: id::Epoch::new(100_000),
+        message: scheduling,
+    })
+}
+
 fn append(payload: usize) -> usize {
     let at = replica::Position {
         index: id::LogIndex::new(1_000_000),
