Wait for promised tokens; keep roles locked while buckets change hands

Cause: a charge between the change of an owner's roles and of its buckets could be answered as of an unknown account, which callers see as a withdrawn key; a request refused with tokens due well within its patience was given up; each watch answer copied the configuration and went through all roles. Change: the ownership stays locked until the buckets follow and while a charge is made; a request sleeps until the tokens are due and asks again under its id; answers without news only renew the lease.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -174,7 +174,10 @@
         cx.lease().renew(sent);
     }
     let passed = pass_on(cx);
-    update_roles(cx, &config, watched.settled);
+    cx.ownership().keep_until(cx.lease().until());
+    if cx.has_news(config.revision, watched.settled) {
+        update_roles(cx, &config, watched.settled);
+    }
     let sent = passed.iter().map(|passed| send_bucket(cx, passed));
     futures_util::future::join_all(sent).await;
     Ok(())
@@ -210,6 +213,10 @@
 
 /// Puts the update in force, commit by commit, so that no epoch is passed over.
 fn apply(cx: &shared::Shared, update: message::Update) -> error::Result<()> {
+    // Most answers bring nothing new; the configuration is not copied for those.
+    if matches!(&update, message::Update::Commits(commits) if commits.is_empty()) {
+        return Ok(());
+    }
     let mut config = change::Config::clone(&cx.config());
     let before = config.revision;
     match update {
@@ -235,6 +242,10 @@
     Ok(())
 }
 
+/// Takes up and gives up roles.
+///
+/// The ownership stays locked until the buckets follow, so that no charge meets a role without its
+/// bucket.
 fn update_roles(cx: &shared::Shared, config: &change::Config, settled: id::Epoch) {
     let now = cx.clock.now();
     let limiters = config
@@ -248,19 +259,19 @@
         .cloned()
         .map(ownership::Role::Scheduler);
     let roles: Vec<_> = limiters.chain(schedulers).collect();
-    let until = cx.lease().until();
     let mut ownership = cx.ownership();
     ownership.settle(settled);
-    ownership.keep_until(until);
     let changes = ownership.update(now, &roles);
     let changes: Vec<_> = changes
         .into_iter()
         .map(|change| (since(&ownership, &change), change))
         .collect();
-    drop(ownership);
     cx.limits.configure(cx, config);
-    for (since, change) in changes {
-        change_owner(cx, &change, since);
+    for (since, change) in &changes {
+        change_owner(cx, change, *since);
+    }
+    drop(ownership);
+    for (_, change) in changes {
         let detail = format!("{change:?}");
         cx.recorder.record(event::Kind::OwnerChanged, detail);
     }
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -79,10 +79,13 @@
     /// Answers a gateway as the owner of an account.
     pub fn serve(&self, cx: &shared::Shared, request: &limiter::Request) -> message::Reply {
         let role = ownership::Role::Limiter(request.account().clone());
-        if !cx.serves(&role) {
-            return message::Reply::NotOwner(cx.config().epoch);
+        // Held until the charge is done: the role must not change hands in between.
+        let ownership = cx.ownership();
+        let now = cx.clock.now();
+        if ownership.serves(now, &role) != ownership::Serving::Yes {
+            return message::Reply::NotOwner(ownership.epoch());
         }
-        let reply = lock(&self.owned).handle(cx.clock.now(), request);
+        let reply = lock(&self.owned).handle(now, request);
         message::Reply::Limiter(reply)
     }
 
@@ -100,15 +103,26 @@
         if self.mode == settings::Limits::StaticShare {
             return Some(lock(&self.local).handle(cx.clock.now(), &request));
         }
-        let work = async {
-            loop {
-                if let Some(reply) = ask_owner(cx, &account, &request).await {
-                    return reply;
-                }
-                time::sleep(PAUSE.as_duration()).await;
-            }
-        };
-        time::timeout(patience.as_duration(), work).await.ok()
+        let until = cx.clock.now() + patience;
+        let mut last = None;
+        while cx.clock.now() < until {
+            let left = until - cx.clock.now();
+            let asked = ask_owner(cx, &account, &request);
+            let reply = time::timeout(left.as_duration(), asked)
+                .await
+                .ok()
+                .flatten();
+            let pause = match reply {
+                // An owner promises tokens only a little ahead; a request that can wait longer
+                // asks again when they will be there.
+                Some(limiter::Reply::Refused { retry_after }) if retry_after < left => retry_after,
+                Some(reply) => return Some(reply),
+                None => PAUSE,
+            };
+            last = reply;
+            time::sleep(pause.as_duration()).await;
+        }
+        last
     }
 
     /// Gives back what a request did not use.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -54,6 +54,15 @@
     draining: watch::Sender<bool>,
     lease: sync::Mutex<freshness::Lease>,
     ownership: sync::Mutex<ownership::Ownership>,
+    seen: sync::Mutex<Seen>,
+}
+
+/// What the roles were last brought up to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Seen {
+    revision: id::Revision,
+    settled: id::Epoch,
+    was_fresh: bool,
 }
 
 impl Shared {
@@ -79,6 +88,7 @@
             draining: watch::Sender::new(false),
             lease: sync::Mutex::new(lease),
             ownership: sync::Mutex::new(ownership),
+            seen: sync::Mutex::default(),
             settings,
             clock,
             recorder,
@@ -137,6 +147,20 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Tells whether the roles must be gone through again, and notes that they are.
+    pub fn has_news(&self, revision: id::Revision, settled: id::Epoch) -> bool {
+        let now = Seen {
+            revision,
+            settled,
+            was_fresh: self.is_fresh(),
+        };
+        let mut seen = self
+            .seen
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        std::mem::replace(&mut *seen, now) != now
+    }
+
     /// Tells whether this gateway may serve a role now.
     pub fn serves(&self, role: &ownership::Role) -> bool {
         self.ownership().serves(self.clock.now(), role) == ownership::Serving::Yes
