Never make a request wait for a scheduler owner that does not answer

Cause: the import of KV cache waited until the owner had been told of the prefill, up to 0.8 s of the under one second that the cache is kept, and the end of an answer waited until the owner knew of it. Change: gateways queue what owners are told (src/gateway/notes.rs) and send it in order; a caller that reads nothing for 30 s counts as gone. The effect on waste with a dead owner was not measured.

--- a/src/filter/exchange.rs
+++ b/src/filter/exchange.rs
@@ -7,6 +7,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::time;
 
 use crate::clock;
 use crate::gateway::shared;
@@ -18,6 +19,9 @@
 use crate::state::model;
 use crate::unit;
 
+/// The longest time that a caller may read nothing of a streamed answer.
+pub const CALLER_PATIENCE: clock::Millis = clock::Millis::from_secs(30);
+
 /// One caller request.
 #[derive(Debug)]
 pub struct Exchange {
@@ -113,11 +117,15 @@
     }
 
     /// Sends a piece of a streamed answer; `false` when the caller is gone.
+    ///
+    /// A caller that reads nothing for [`CALLER_PATIENCE`] counts as gone: its connection may have
+    /// gone silent, and its request must not hold an engine for ever.
     pub async fn send(&self, piece: Bytes) -> bool {
-        match &self.body {
-            Some(tx) => tx.send(piece).await.is_ok(),
-            None => false,
-        }
+        let Some(tx) = &self.body else {
+            return false;
+        };
+        let sent = time::timeout(CALLER_PATIENCE.as_duration(), tx.send(piece));
+        matches!(sent.await, Ok(Ok(())))
     }
 
     /// Returns when the caller is gone.
--- a/src/filter/stage.rs
+++ b/src/filter/stage.rs
@@ -12,7 +12,6 @@
 use crate::event;
 use crate::filter::exchange;
 use crate::filter::forward_model;
-use crate::gateway::placement;
 use crate::gateway::shared;
 use crate::id;
 use crate::state::model;
@@ -24,8 +23,6 @@
 const MAX_TAKE_UPS: u32 = 3;
 /// The times that an engine is asked to free a request, before that is left to the owner.
 const CANCEL_ATTEMPTS: u32 = 2;
-/// The times that the owner is told of the end, before that is left to the lease.
-const FINISH_ATTEMPTS: u32 = 3;
 /// The tokens by which a suspect must get past the point where it lost a server.
 const CLEAR_TOKENS: usize = 16;
 /// The pause between two such messages.
@@ -118,14 +115,12 @@
             reservation: self.placement.reservation,
             cached: prefilled.cached,
             kv: prefilled.kv_bytes,
-        }))
-        .await;
+        }));
         self.import(prefilled.export).await?;
         self.record(event::Kind::Transferred, "");
         self.cx.reservations.mark_transferred(self.place.request);
         let reservation = self.placement.reservation;
-        self.tell(scheduler::Request::Transferred(reservation))
-            .await;
+        self.tell(scheduler::Request::Transferred(reservation));
         Ok(())
     }
 
@@ -232,7 +227,7 @@
     ) -> forward_model::Interruption {
         self.record(event::Kind::ServerFailed, format!("{server}: {e}"));
         if matches!(e, engine::EngineError::Call(_)) {
-            self.tell(scheduler::Request::Failed(server.clone())).await;
+            self.tell(scheduler::Request::Failed(server.clone()));
             self.note_loss(server, e).await;
         }
         match e {
@@ -331,7 +326,7 @@
                         self.record(event::Kind::FirstToken, "");
                     }
                     run.deliver(token, self.request, caller).await?;
-                    self.clear(run).await;
+                    self.clear(run);
                 }
                 Ok(engine::StreamEvent::Done(done)) => return Ok(self.whole(done, run)),
                 Err(_) => return Ok(None),
@@ -340,13 +335,13 @@
     }
 
     /// Lets other suspects run once this one is well past the point where it lost a server.
-    async fn clear(&mut self, run: &forward_model::Run) {
+    fn clear(&mut self, run: &forward_model::Run) {
         if !self.place.suspect || self.cleared || run.tokens.len() < run.lost_at + CLEAR_TOKENS {
             return;
         }
         self.cleared = true;
         let reservation = self.placement.reservation;
-        self.tell(scheduler::Request::Cleared(reservation)).await;
+        self.tell(scheduler::Request::Cleared(reservation));
     }
 
     /// Accepts the end only when every token came.
@@ -372,12 +367,7 @@
             output: unit::Tokens::new(run.tokens.len() as u64),
             confirmed,
         });
-        for _ in 0..FINISH_ATTEMPTS {
-            if self.tell(finish.clone()).await {
-                break;
-            }
-            time::sleep(PAUSE.as_duration()).await;
-        }
+        self.tell(finish);
         let passed = !self.lost && (done || self.cleared);
         let request = self.place.request;
         let screens = &self.cx.screens;
@@ -386,10 +376,8 @@
             .await;
     }
 
-    async fn tell(&self, request: scheduler::Request) -> bool {
-        placement::ask_owner(&self.cx, &self.place.model, request)
-            .await
-            .is_some()
+    fn tell(&self, request: scheduler::Request) {
+        self.cx.notes.send(&self.place.model, request);
     }
 
     fn record(&self, kind: event::Kind, detail: impl Into<String>) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 pub mod callers;
 pub mod control;
 pub mod limits;
+pub mod notes;
 pub mod owner;
 pub mod placement;
 pub mod platform;
@@ -90,6 +91,8 @@
         tasks.spawn(always_ok(renewed));
         let listed = platform::watch(sync::Arc::clone(&cx), stop_rest.subscribe());
         tasks.spawn(always_ok(listed));
+        let noted = notes::run(sync::Arc::clone(&cx), stop_rest.subscribe());
+        tasks.spawn(always_ok(noted));
         let supervised = placement::supervise(sync::Arc::clone(&cx), stop_rest.subscribe());
         tasks.spawn(always_ok(supervised));
         let callers = callers::serve(sync::Arc::clone(&cx), stop_callers.subscribe());
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -12,6 +12,7 @@
 use crate::event;
 use crate::gateway::control;
 use crate::gateway::limits;
+use crate::gateway::notes;
 use crate::gateway::placement;
 use crate::gateway::platform;
 use crate::gateway::reservations;
@@ -48,6 +49,8 @@
     pub services: services::Services,
     /// The scheduler roles.
     pub placement: placement::Placement,
+    /// What scheduler owners are told.
+    pub notes: notes::Notes,
     /// The reservations of requests that run here.
     pub reservations: reservations::Reservations,
     config: watch::Sender<sync::Arc<change::Config>>,
@@ -82,6 +85,7 @@
             screens: screens::Screens::default(),
             services: services::Services::default(),
             placement: placement::Placement::default(),
+            notes: notes::Notes::default(),
             reservations: reservations::Reservations::default(),
             links: link::Links::new(identity),
             config: watch::Sender::default(),
