Say unknown when a lookup was sent and broke off

Cause: found in the read-through: a lookup whose servers all broke off, or whose key was withdrawn while it ran, was refused as not run though a server may have read it. Change: such refusals say unknown; end-to-end tests for stalled and killed services and for a leaving engine.

--- a/src/filter/forward_plain.rs
+++ b/src/filter/forward_plain.rs
@@ -81,7 +81,10 @@
     tokio::select! {
         sent = work => sent,
         () = time::sleep(left.as_duration()) => Sent::Refused(too_late(route)),
-        () = withdrawn => Sent::Refused(exchange::withdrawn()),
+        () = withdrawn => Sent::Refused(answer::Refusal {
+            outcome: answer::Outcome::Unknown,
+            ..exchange::withdrawn()
+        }),
     }
 }
 
@@ -91,13 +94,14 @@
     let mut calls = futures_util::stream::FuturesUnordered::new();
     let mut tried: Vec<id::BackendServerId> = Vec::new();
     let mut may_ask = true;
+    let mut may_have_run = false;
     loop {
         let server = services.pick(&exchange.cx, route, &tried);
         if let Some(server) = server.filter(|_| may_ask) {
             tried.push(server.id.clone());
             calls.push(attempt(exchange, route, server));
         } else if calls.is_empty() {
-            return Sent::Refused(no_server(route));
+            return Sent::Refused(failed(route, may_have_run));
         }
         let next = futures_util::StreamExt::next(&mut calls);
         // A call that fails, or is silent for a while, lets the next server be asked.
@@ -105,6 +109,10 @@
         may_ask = match next {
             Ok(Some(Ok(answer))) => return Sent::Answered(answer),
             Ok(Some(Err(client::Failure::NotSent(_)))) => true,
+            Ok(Some(Err(_))) => {
+                may_have_run = true;
+                services.try_retry()
+            }
             _ => services.try_retry(),
         };
     }
@@ -251,6 +259,15 @@
     answer::Refusal::unknown(504, "deadline", message).retry_after(NO_SERVER_RETRY)
 }
 
+/// Says "not run" only when no server read the call.
+fn failed(route: &model::Route, may_have_run: bool) -> answer::Refusal {
+    if !may_have_run {
+        return no_server(route);
+    }
+    let message = format!("the servers of `{}` broke off", route.id);
+    answer::Refusal::unknown(502, "servers_failed", message).retry_after(NO_SERVER_RETRY)
+}
+
 fn no_server(route: &model::Route) -> answer::Refusal {
     let message = format!("no server of `{}` takes work now", route.id);
     answer::Refusal::not_run(503, "no_server", message).retry_after(NO_SERVER_RETRY)
--- a/stand-in/tests/e2e/failure.rs
+++ b/stand-in/tests/e2e/failure.rs
@@ -13,6 +13,9 @@
 /// The users' bound on a withdrawn key.
 const WITHDRAWN: time::Duration = time::Duration::from_secs(3);
 
+/// The users' bound on new work at a leaving server.
+const LEAVES_WITHIN: time::Duration = time::Duration::from_secs(3);
+
 /// Returns the promised bound when `BUCKTHORNCLEAT_TIMED` is set, or a guard against hanging: CI
 /// gives the same verdict on a busy machine.
 fn withdrawn_within() -> time::Duration {
@@ -190,6 +193,67 @@
     assert_eq!(world.runs_of("cut-off").await, 1);
 }
 
+#[tokio::test]
+async fn lookups_end_by_their_deadline_and_tell_the_truth() {
+    let mut world = support::World::start().await;
+    let services = world.cluster.servers_of(model::Role::Plain);
+    let stall = stand_in::fault::Faults {
+        stall: Some(true),
+        ..stand_in::fault::Faults::default()
+    };
+    for service in &services {
+        let req = client::post("/_stand-in/faults", &stall);
+        client::ask(world.server(*service), req).await.unwrap();
+    }
+    let late = support::lookup(world.entry(0)).await.unwrap();
+    assert_eq!(late.status.as_u16(), 504, "{late:?}");
+    assert_eq!(support::outcome(&late), "unknown");
+    let pending = tokio::spawn(support::lookup(world.entry(1)));
+    tokio::time::sleep(time::Duration::from_millis(300)).await;
+    for service in &services {
+        world.cluster.child(Which::Server(*service)).kill().unwrap();
+    }
+    let broken = pending.await.unwrap().unwrap();
+    assert_eq!(support::outcome(&broken), "unknown", "{broken:?}");
+    let refused = support::lookup(world.entry(2)).await.unwrap();
+    assert_eq!(support::outcome(&refused), "not-run", "{refused:?}");
+}
+
+#[tokio::test]
+async fn a_leaving_engine_gets_no_new_work() {
+    let world = support::World::start().await;
+    let leaving = world.cluster.servers_of(model::Role::Decode)[0];
+    let config = world.cluster.config().await.unwrap();
+    let address = world.server(leaving);
+    let server = config
+        .servers
+        .iter()
+        .find(|s| s.address == address)
+        .unwrap();
+    let mut changed = server.clone();
+    changed.state = model::ServerState::Leaving;
+    let changes = vec![change::Change::PutServer(changed)];
+    let answer = world.cluster.change("leave", changes).await.unwrap();
+    assert!(answer.status.is_success(), "{answer:?}");
+    tokio::time::sleep(LEAVES_WITHIN).await;
+    let before = answers_of(&world, leaving).await;
+    for i in 0..9 {
+        let prompt = format!("after {i} [len=8]");
+        let mut chat = support::Chat::open(world.entry(i % 3), &prompt)
+            .await
+            .unwrap();
+        assert_eq!(chat.read_end().await, support::End::Whole);
+    }
+    assert_eq!(answers_of(&world, leaving).await, before);
+}
+
+async fn answers_of(world: &support::World, server: usize) -> u64 {
+    let req = client::request(hyper::Method::GET, "/_stand-in/totals");
+    let answer = client::ask(world.server(server), req).await.unwrap();
+    let totals: stand_in::engine::totals::Totals = answer.json().unwrap();
+    totals.answers
+}
+
 /// Returns the number of the decode engine that generates.
 async fn decoding(world: &support::World) -> usize {
     for i in world.cluster.servers_of(model::Role::Decode) {
--- a/stand-in/tests/e2e/support.rs
+++ b/stand-in/tests/e2e/support.rs
@@ -273,6 +273,17 @@
         .expect("an answer comes")
 }
 
+/// Sends a lookup.
+pub async fn lookup(entry: net::SocketAddr) -> buckthorncleat::Result<client::Answer> {
+    let path = plan::Traffic::default().lookup_path;
+    let mut req = client::request(hyper::Method::GET, &path);
+    let key = format!("Bearer {KEY}").parse().unwrap();
+    req.headers_mut().insert(hyper::header::AUTHORIZATION, key);
+    tokio::time::timeout(HANG_GUARD, client::ask(entry, req))
+        .await
+        .expect("an answer comes")
+}
+
 /// Returns the outcome that an answer tells.
 pub fn outcome(answer: &client::Answer) -> &str {
     let value = answer.headers.get("buckthorncleat-outcome");
