Let gateways find a leader that was admitted after their settings were written

Cause: a control member that replaced another may lead, and gateways knew only the members in their settings; keyed service would have ended at the next election. Found while writing the test. Change: the answer of a member that does not lead names the leader with its address, and gateways remember it. An end-to-end test replaces a member and then kills another one.

--- a/src/bin/gateway.rs
+++ b/src/bin/gateway.rs
@@ -1,6 +1,5 @@
-//! The gateway daemon.
+//! The daemon `buckthorncleat-gateway`.
 
-use std::path;
 use std::process;
 
 use buckthorncleat::config::settings;
@@ -11,17 +10,13 @@
 /// Answers callers and routes their requests to backend servers.
 #[derive(clap::Parser, Debug)]
 #[command(version)]
-struct Args {
-    /// The settings file, in JSON.
-    #[arg(long)]
-    config: path::PathBuf,
-    /// Checks the settings and ends.
-    #[arg(long)]
-    check: bool,
+struct Cli {
+    #[command(flatten)]
+    args: daemon::Args,
 }
 
 fn main() -> process::ExitCode {
-    let args = Args::parse();
+    let Cli { args } = Cli::parse();
     let settings = settings::Gateway::from_file(&args.config);
     daemon::main(settings, args.check, gateway::run)
 }
--- a/src/control/handler.rs
+++ b/src/control/handler.rs
@@ -4,6 +4,7 @@
 
 use tokio::time;
 
+use crate::config::settings;
 use crate::control::proposer;
 use crate::control::sessions;
 use crate::controller::membership;
@@ -54,7 +55,7 @@
 
     async fn propose(&self, command: &command::Command) -> message::Reply {
         match self.group.submit(command).await {
-            Ok(outcome) => reply_to_proposal(outcome),
+            Ok(outcome) => self.reply_to(outcome),
             Err(e) => {
                 log::warn!("proposal refused: {e}");
                 message::Reply::Unsupported
@@ -76,7 +77,7 @@
         }
         match proposer::propose(&self.sessions, changes).await {
             group::Outcome::Applied(_) => message::Reply::Accepted,
-            other => reply_to_proposal(other),
+            other => self.reply_to(other),
         }
     }
 
@@ -132,16 +133,23 @@
     }
 
     fn not_leader(&self) -> message::Reply {
-        message::Reply::NotLeader(self.group.status().leader)
+        let status = self.group.status();
+        let leader = status.leader.zip(status.leader_address);
+        message::Reply::NotLeader(
+            leader.map(|(instance, peer_address)| settings::ControlPeer {
+                instance,
+                peer_address,
+            }),
+        )
     }
-}
 
-fn reply_to_proposal(outcome: group::Outcome) -> message::Reply {
-    match outcome {
-        group::Outcome::Applied(answer) => message::Reply::Applied(answer),
-        group::Outcome::NotLeader(leader) => message::Reply::NotLeader(leader),
-        group::Outcome::Uncertain => message::Reply::Uncertain,
-        group::Outcome::Busy => message::Reply::NotLeader(None),
-        group::Outcome::Done | group::Outcome::Invalid => message::Reply::Unsupported,
+    fn reply_to(&self, outcome: group::Outcome) -> message::Reply {
+        match outcome {
+            group::Outcome::Applied(answer) => message::Reply::Applied(answer),
+            group::Outcome::NotLeader(_) => self.not_leader(),
+            group::Outcome::Uncertain => message::Reply::Uncertain,
+            group::Outcome::Busy => message::Reply::NotLeader(None),
+            group::Outcome::Done | group::Outcome::Invalid => message::Reply::Unsupported,
+        }
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,5 +1,6 @@
 //! What the daemons' programs have in common: settings, logs, metrics, signals, exit codes.
 
+use std::path;
 use std::process;
 
 use metrics_exporter_prometheus as prometheus;
@@ -9,6 +10,17 @@
 use crate::error;
 use crate::logging;
 
+/// The arguments of a daemon.
+#[derive(clap::Args, Clone, Debug)]
+pub struct Args {
+    /// The settings file, in JSON.
+    #[arg(long)]
+    pub config: path::PathBuf,
+    /// Checks the settings and ends.
+    #[arg(long)]
+    pub check: bool,
+}
+
 /// The exit code for settings that are not usable.
 const BAD_SETTINGS: u8 = 2;
 
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -33,7 +33,7 @@
 /// The control group as a gateway reaches it.
 #[derive(Debug)]
 pub struct Control {
-    peers: Vec<settings::ControlPeer>,
+    peers: sync::RwLock<Vec<settings::ControlPeer>>,
     timeout: clock::Millis,
     hint: atomic::AtomicUsize,
 }
@@ -42,7 +42,7 @@
     /// Makes the client of the group that the settings name.
     pub fn new(settings: &settings::Gateway) -> Self {
         Self {
-            peers: settings.control.clone(),
+            peers: sync::RwLock::new(settings.control.clone()),
             timeout: settings.timing.peer_timeout_ms,
             hint: atomic::AtomicUsize::new(0),
         }
@@ -81,7 +81,7 @@
         request: &message::Request,
         timeout: clock::Millis,
     ) -> error::Result<message::Reply> {
-        let at = self.hint.load(atomic::Ordering::Relaxed) % self.peers.len();
+        let at = self.hint.load(atomic::Ordering::Relaxed);
         let reply = links.request(self.address(at), request, timeout).await;
         match &reply {
             Ok(message::Reply::NotLeader(leader)) => self.follow(at, leader.as_ref()),
@@ -92,12 +92,35 @@
     }
 
     fn address(&self, at: usize) -> net::SocketAddr {
-        self.peers[at].peer_address
+        self.peers()[at].peer_address
     }
 
-    fn follow(&self, from: usize, leader: Option<&id::InstanceId>) {
-        let named = leader.and_then(|l| self.peers.iter().position(|p| p.instance == *l));
-        let next = named.unwrap_or((from + 1) % self.peers.len());
+    fn peers(&self) -> sync::RwLockReadGuard<'_, Vec<settings::ControlPeer>> {
+        self.peers
+            .read()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Finds a member, and remembers one that was admitted after the settings were written.
+    fn position_of(&self, leader: &settings::ControlPeer) -> usize {
+        let mut peers = self
+            .peers
+            .write()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        match peers.iter().position(|p| p == leader) {
+            Some(at) => at,
+            None => {
+                peers.push(leader.clone());
+                peers.len() - 1
+            }
+        }
+    }
+
+    fn follow(&self, from: usize, leader: Option<&settings::ControlPeer>) {
+        let next = match leader {
+            Some(leader) => self.position_of(leader),
+            None => (from + 1) % self.peers().len(),
+        };
         // Another task may have moved on already; only the member that failed is left.
         let _ = self.hint.compare_exchange(
             from,
@@ -127,7 +150,8 @@
 /// Tells the control group that this life has ended, so that its roles pass on at once.
 pub async fn leave(cx: &shared::Shared) {
     let request = message::Request::Leave(cx.links.identity().incarnation);
-    for _ in 0..cx.control.peers.len() * 2 {
+    let attempts = cx.control.peers().len() * 2;
+    for _ in 0..attempts {
         let reply = cx
             .control
             .ask(&cx.links, &request, cx.control.timeout)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,53 @@
-//! A router between callers and separate prefill and decode pools, and the plain services beside
-//! them.
+//! A router between callers and separate prefill and decode pools of language-model engines, and
+//! the plain services beside them.
+//!
+//! The crate is a library with thin daemons. Its decisions are state machines without I/O: they
+//! take the time and a message, and return what is to be done. [`gateway::run`] and
+//! [`control::run`] put them to work over sockets and disks.
+//!
+//! # Example
+//!
+//! A client account may use 100 tokens a second and 1,000 at once. Its limiter owner charges
+//! requests, and promises tokens that will be there soon enough:
+//!
+//! ```
+//! use buckthorncleat::clock;
+//! use buckthorncleat::controller::limiter;
+//! use buckthorncleat::id;
+//! use buckthorncleat::sorted;
+//! use buckthorncleat::state::model;
+//! use buckthorncleat::unit;
+//!
+//! # fn main() -> buckthorncleat::Result<()> {
+//! let account = model::ClientAccount {
+//!     id: "chefs".parse()?,
+//!     rate: unit::TokensPerSecond::new(100),
+//!     burst: unit::Tokens::new(1_000),
+//!     priority: model::Priority::Normal,
+//!     weight: 1,
+//! };
+//! let id = account.id.clone();
+//! let accounts: sorted::Map<_, _> = [(id.clone(), account)].into_iter().collect();
+//!
+//! let start = clock::Millis::ZERO;
+//! let mut owner = limiter::Owner::new(start);
+//! owner.configure(start, &accounts);
+//! owner.start_account(start, &id);
+//!
+//! let charge = limiter::Request::Charge(limiter::Charge {
+//!     request: id::RequestId::new(1),
+//!     account: id,
+//!     tokens: unit::Tokens::new(500),
+//!     patience: clock::Millis::from_secs(1),
+//! });
+//! let later = clock::Millis::from_secs(60);
+//! let granted = limiter::Reply::Granted { delay: clock::Millis::ZERO };
+//! assert_eq!(owner.handle(later, &charge), granted);
+//! # Ok(())
+//! # }
+//! ```
+//!
+//! docs/DESIGN.md says why things are as they are, and docs/INVARIANTS.md what must always hold.
 
 mod macros;
 
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -1,6 +1,7 @@
 //! The typed messages between processes.
 
 use crate::clock;
+use crate::config::settings;
 use crate::controller::limiter;
 use crate::controller::scheduler;
 use crate::id;
@@ -41,7 +42,7 @@
         /// The answer to a command that was committed and applied.
         Applied(command::Answer),
         /// This member does not lead the control group; perhaps the named one does.
-        NotLeader(Option<id::InstanceId>),
+        NotLeader(Option<settings::ControlPeer>),
         /// The command was not committed in time; it may be committed later.
         Uncertain,
         /// The answer of a limiter owner.
--- a/src/replica/group/driver.rs
+++ b/src/replica/group/driver.rs
@@ -344,8 +344,10 @@
 
     fn status(&self, leader: Option<id::InstanceId>) -> Status {
         let members = self.replica.members();
+        let address_of = |leader| self.replica.address_of(leader);
         Status {
             instance: self.shared.instance.clone(),
+            leader_address: leader.as_ref().and_then(address_of),
             leader,
             term: self.replica.term(),
             committed: self.replica.committed(),
--- a/src/replica/group/view.rs
+++ b/src/replica/group/view.rs
@@ -1,5 +1,7 @@
 //! What a member shows of the group, and how requests to it went.
 
+use std::net;
+
 use std::sync;
 
 use tokio::sync::watch;
@@ -15,6 +17,8 @@
         pub instance: id::InstanceId,
         /// The leader, if one is known.
         pub leader: Option<id::InstanceId>,
+        /// Where the leader listens for other processes, if it is known.
+        pub leader_address: Option<net::SocketAddr>,
         /// The present term.
         pub term: id::Term,
         /// The last log entry known to be committed.
@@ -78,6 +82,7 @@
         let status = Status {
             instance: instance.clone(),
             leader: Some(instance.clone()),
+            leader_address: None,
             term: id::Term::new(1),
             committed: id::LogIndex::default(),
             applied: id::LogIndex::default(),
--- a/stand-in/src/load/cluster/operate.rs
+++ b/stand-in/src/load/cluster/operate.rs
@@ -145,17 +145,72 @@
 
     /// Tells whether all control members vote and have applied about the same entries.
     pub async fn is_repaired(&self) -> bool {
-        for address in &self.admin {
-            let status = read(*address, "/v1/status").await;
-            let status = status.and_then(|a| a.json::<serde_json::Value>().ok());
-            let voters = status.and_then(|s| s["group"]["voters"].as_array().map(Vec::len));
-            if voters != Some(self.admin.len()) {
+        for i in 0..self.admin.len() {
+            if self.voters(i).await.len() != self.admin.len() {
                 return false;
             }
         }
         true
     }
 
+    /// Starts one more control member, which waits until it is admitted.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be started.
+    pub fn start_joining_control(&mut self) -> buckthorncleat::Result<net::SocketAddr> {
+        let addresses = process::free_addresses(2)?;
+        let name = format!("control-{}", self.control.len());
+        let mut settings = self.control_settings(0);
+        settings.instance = cluster::name(&name);
+        settings.peer_address = addresses[0];
+        settings.admin_address = addresses[1];
+        settings.data_folder = self.folder.join(format!("{name}-data"));
+        settings.joins = true;
+        let child = self.start_daemon("buckthorncleat-control", &name, &settings)?;
+        self.control.push(child);
+        self.admin.push(addresses[1]);
+        Ok(addresses[0])
+    }
+
+    /// Changes the members of the control group, asking all until the leader does it.
+    ///
+    /// # Errors
+    ///
+    /// If it is not done in time.
+    pub async fn change_control(
+        &self,
+        method: hyper::Method,
+        name: &str,
+        body: &serde_json::Value,
+    ) -> buckthorncleat::Result<()> {
+        let end = time::Instant::now() + cluster::START_TIMEOUT;
+        let mut last = String::new();
+        while time::Instant::now() < end {
+            for address in &self.admin {
+                let path = format!("/v1/control-members/{name}");
+                let mut req = as_operator(client::post(&path, body));
+                *req.method_mut() = method.clone();
+                match time::timeout(cluster::ASK_TIMEOUT, client::ask(*address, req)).await {
+                    Ok(Ok(answer)) if answer.status.is_success() => return Ok(()),
+                    other => last = format!("{other:?}"),
+                }
+            }
+            time::sleep(cluster::RETRY_PAUSE).await;
+        }
+        Err(cluster::late("the group's members do not change", &last))
+    }
+
+    /// Returns the voters as a control member knows them.
+    pub async fn voters(&self, control: usize) -> Vec<String> {
+        let status = read(self.admin[control], "/v1/status").await;
+        let status = status.and_then(|a| a.json::<serde_json::Value>().ok());
+        let voters = status.and_then(|s| s["group"]["voters"].as_array().cloned());
+        let voters = voters.unwrap_or_default();
+        let names = voters.iter().filter_map(|v| v.as_str());
+        names.map(str::to_owned).collect()
+    }
+
     fn restart(&self, program: &str, name: &str) -> buckthorncleat::Result<process::Child> {
         let path = self.folder.join(format!("{name}.json"));
         let path = path.display().to_string();
--- a/stand-in/tests/e2e/main.rs
+++ b/stand-in/tests/e2e/main.rs
@@ -3,4 +3,5 @@
 
 mod contract;
 mod failure;
+mod members;
 mod support;
--- /dev/null
+++ b/stand-in/tests/e2e/members.rs
@@ -0,0 +1,54 @@
+//! Replacing a member of the control group by one of another name.
+
+use std::time;
+
+use stand_in::load::cluster::operate::Which;
+
+use crate::support;
+
+#[tokio::test]
+async fn a_control_member_is_replaced_by_a_new_instance() {
+    let mut world = support::World::start().await;
+    let peer_address = world.cluster.start_joining_control().unwrap();
+    let admission = serde_json::json!({ "peer_address": peer_address });
+    let admitted = world
+        .cluster
+        .change_control(hyper::Method::PUT, "control-3", &admission);
+    admitted.await.unwrap();
+    wait_for_voters(
+        &world,
+        &["control-0", "control-1", "control-2", "control-3"],
+    )
+    .await;
+    world.cluster.child(Which::Control(0)).kill().unwrap();
+    let nothing = serde_json::Value::Null;
+    let dismissed = world
+        .cluster
+        .change_control(hyper::Method::DELETE, "control-0", &nothing);
+    dismissed.await.unwrap();
+    wait_for_voters(&world, &["control-1", "control-2", "control-3"]).await;
+    world.cluster.child(Which::Control(1)).kill().unwrap();
+    let answer = support::order(world.entry(0), "after-replacement").await;
+    let mut answer = answer.unwrap();
+    while matches!(answer.status.as_u16(), 429 | 503) {
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+        answer = support::order(world.entry(0), "after-replacement")
+            .await
+            .unwrap();
+    }
+    assert!(answer.status.is_success(), "{answer:?}");
+    assert_eq!(world.runs_of("after-replacement").await, 1);
+}
+
+async fn wait_for_voters(world: &support::World, expected: &[&str]) {
+    let end = time::Instant::now() + support::HANG_GUARD;
+    loop {
+        let mut voters = world.cluster.voters(2).await;
+        voters.sort();
+        if voters == expected {
+            return;
+        }
+        assert!(time::Instant::now() < end, "{voters:?}");
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+}
