--- a/stand-in/tests/e2e/failure.rs
+++ b/stand-in/tests/e2e/failure.rs
@@ -47,16 +47,7 @@
         assert_eq!(chat.read_end().await, support::End::Whole);
     }
     for entry in [0, 1, 0] {
-        let mut answer = support::order(world.entry(entry), "after-kill")
-            .await
-            .unwrap();
-        while matches!(answer.status.as_u16(), 429 | 503) {
-            assert_eq!(support::outcome(&answer), "not-run");
-            tokio::time::sleep(time::Duration::from_millis(200)).await;
-            answer = support::order(world.entry(entry), "after-kill")
-                .await
-                .unwrap();
-        }
+        let answer = support::order_until_taken(world.entry(entry), "after-kill").await;
         assert!(answer.status.is_success(), "{answer:?}");
     }
     assert_eq!(world.runs_of("after-kill").await, 1);
@@ -181,15 +172,8 @@
         let control = world.cluster.child(Which::Control(i));
         control.signal(process::Signal::Cont).unwrap();
     }
-    let deadline = time::Instant::now() + support::HANG_GUARD;
-    loop {
-        let answer = support::order(world.entry(0), "cut-off").await.unwrap();
-        if answer.status.is_success() {
-            break;
-        }
-        assert!(time::Instant::now() < deadline, "{answer:?}");
-        tokio::time::sleep(time::Duration::from_millis(100)).await;
-    }
+    let answer = support::order_until_taken(world.entry(0), "cut-off").await;
+    assert!(answer.status.is_success(), "{answer:?}");
     assert_eq!(world.runs_of("cut-off").await, 1);
 }
 
--- a/stand-in/tests/e2e/members.rs
+++ b/stand-in/tests/e2e/members.rs
@@ -28,14 +28,7 @@
     dismissed.await.unwrap();
     wait_for_voters(&world, &["control-1", "control-2", "control-3"]).await;
     world.cluster.child(Which::Control(1)).kill().unwrap();
-    let answer = support::order(world.entry(0), "after-replacement").await;
-    let mut answer = answer.unwrap();
-    while matches!(answer.status.as_u16(), 429 | 503) {
-        tokio::time::sleep(time::Duration::from_millis(100)).await;
-        answer = support::order(world.entry(0), "after-replacement")
-            .await
-            .unwrap();
-    }
+    let answer = support::order_until_taken(world.entry(0), "after-replacement").await;
     assert!(answer.status.is_success(), "{answer:?}");
     assert_eq!(world.runs_of("after-replacement").await, 1);
 }
--- a/stand-in/tests/e2e/support.rs
+++ b/stand-in/tests/e2e/support.rs
@@ -273,6 +273,21 @@
         .expect("an answer comes")
 }
 
+/// Sends an order again for as long as it is refused as not run, or an earlier sending runs.
+pub async fn order_until_taken(entry: net::SocketAddr, name: &str) -> client::Answer {
+    let end = time::Instant::now() + HANG_GUARD;
+    loop {
+        let answer = order(entry, name).await.unwrap();
+        match answer.status.as_u16() {
+            429 | 503 => assert_eq!(outcome(&answer), "not-run"),
+            409 => assert_eq!(outcome(&answer), "unknown"),
+            _ => return answer,
+        }
+        assert!(time::Instant::now() < end, "{answer:?}");
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+}
+
 /// Sends a lookup.
 pub async fn lookup(entry: net::SocketAddr) -> buckthorncleat::Result<client::Answer> {
     let path = plan::Traffic::default().lookup_path;
