Try servers again that failed a request once, when no other is left

Cause: found in the read-through: each failure excludes its server for the rest of the request, so three refused imports at three decode engines ended it though all three were well again; and a broken stream whose next place came while the lease was over ended at once. Before: the new test got 503; after: the whole answer.

--- a/src/filter/authorise.rs
+++ b/src/filter/authorise.rs
@@ -18,7 +18,7 @@
 
 /// How long a request waits for the configuration to be confirmed again, as after a pause of the
 /// whole process, before it is sent to another entry.
-const FRESH_PATIENCE: clock::Millis = clock::Millis::new(300);
+pub const FRESH_PATIENCE: clock::Millis = clock::Millis::new(300);
 
 /// Sets the key of the request, or lets it pass without one where that is allowed.
 ///
--- a/src/filter/forward_model.rs
+++ b/src/filter/forward_model.rs
@@ -11,6 +11,7 @@
 use crate::controller::scheduler;
 use crate::event;
 use crate::filter;
+use crate::filter::authorise;
 use crate::filter::exchange;
 use crate::filter::limit;
 use crate::filter::stage;
@@ -75,6 +76,8 @@
 pub enum Interruption {
     /// Another place may do better; the named server did badly.
     Retry(Option<id::BackendServerId>),
+    /// No server is left but those that did badly; one of them may do better now.
+    RetryAnywhere,
     /// The request ends here.
     End(answer::Refusal),
 }
@@ -108,6 +111,7 @@
                 Ok(done) => return End::Done(done),
                 Err(Interruption::End(refusal)) => return End::Refused(refusal),
                 Err(Interruption::Retry(server)) => self.exclude.extend(server),
+                Err(Interruption::RetryAnywhere) => self.exclude.clear(),
             }
             self.attempt += 1;
         }
@@ -127,6 +131,7 @@
             () = exchange.caller.gone() => return Err(cancelled()),
         };
         let mut stage = stage::Stage::begin(&cx, exchange.id, place, placement, self.fingerprint);
+        cx.wait_fresh(self.fresh_patience()).await;
         if let Err(refusal) = exchange.check_allowed() {
             stage.end(false, self).await;
             return Err(Interruption::End(refusal));
@@ -171,6 +176,15 @@
         }
     }
 
+    /// Returns how long a place may wait for a confirmed configuration: a broken stream waits
+    /// longer, so that it ends whole.
+    fn fresh_patience(&self) -> clock::Millis {
+        match self.tokens.is_empty() {
+            true => authorise::FRESH_PATIENCE,
+            false => RESUME_PATIENCE,
+        }
+    }
+
     /// Asks for a place, but never for a request that crashed two servers.
     async fn screen_and_place(
         &self,
@@ -214,6 +228,9 @@
     }
 
     fn refused(&self, reason: scheduler::Refusal, retry_after: clock::Millis) -> Interruption {
+        if reason == scheduler::Refusal::NoServer && !self.exclude.is_empty() {
+            return Interruption::RetryAnywhere;
+        }
         let (status, code, message) = match reason {
             scheduler::Refusal::TooLate => (
                 503,
--- a/stand-in/tests/e2e/failure.rs
+++ b/stand-in/tests/e2e/failure.rs
@@ -82,6 +82,24 @@
     assert_eq!(chat.read_end().await, support::End::Whole);
 }
 
+#[tokio::test]
+async fn a_request_is_answered_though_every_decode_engine_fails_it_once() {
+    let world = support::World::start().await;
+    let fail = stand_in::fault::Faults {
+        fail_imports: Some(1),
+        ..stand_in::fault::Faults::default()
+    };
+    for server in world.cluster.servers_of(model::Role::Decode) {
+        let req = client::post("/_stand-in/faults", &fail);
+        client::ask(world.server(server), req).await.unwrap();
+    }
+    let mut chat = support::Chat::open(world.entry(0), "unlucky [len=40]")
+        .await
+        .unwrap();
+    assert_eq!(chat.status(), 200);
+    assert_eq!(chat.read_end().await, support::End::Whole);
+}
+
 #[tokio::test]
 async fn a_withdrawn_key_ends_its_streams() {
     let world = support::World::start().await;
