--- a/src/filter/forward_plain.rs
+++ b/src/filter/forward_plain.rs
@@ -101,7 +101,7 @@
             tried.push(server.id.clone());
             calls.push(attempt(exchange, route, server));
         } else if calls.is_empty() {
-            return Sent::Refused(failed(route, may_have_run));
+            return Sent::Refused(failed(exchange, route, may_have_run));
         }
         let next = futures_util::StreamExt::next(&mut calls);
         // A call that fails, or is silent for a while, lets the next server be asked.
@@ -260,10 +260,18 @@
 }
 
 /// Says "not run" only when no server read the call.
-fn failed(route: &model::Route, may_have_run: bool) -> answer::Refusal {
+fn failed(
+    exchange: &exchange::Exchange,
+    route: &model::Route,
+    may_have_run: bool,
+) -> answer::Refusal {
     if !may_have_run {
         return no_server(route);
     }
+    // The calls end at the same moment as the request's own deadline; either may be seen first.
+    if exchange.age() >= route.deadline {
+        return too_late(route);
+    }
     let message = format!("the servers of `{}` broke off", route.id);
     answer::Refusal::unknown(502, "servers_failed", message).retry_after(NO_SERVER_RETRY)
 }
