Give daemons in tests ports that no connection can take

Cause: 3 of 13 end-to-end tests failed once at their start: a port that was free a moment ago was probably taken by a connection of another deployment before its daemon listened. Change: stand_in::process takes ports below the range of outgoing connections, one after the other.

--- a/stand-in/src/process.rs
+++ b/stand-in/src/process.rs
@@ -5,12 +5,19 @@
 use std::net;
 use std::path;
 use std::process;
+use std::sync::atomic;
 use std::thread;
 use std::time;
 
 /// How long [`Child::wait_listening`] and [`Child::end`] wait.
 pub const PATIENCE: time::Duration = time::Duration::from_secs(30);
 
+/// The first port that is given to daemons, and how many there are.
+const FIRST_PORT: u16 = 11_000;
+const PORTS: u16 = 20_000;
+
+static NEXT_PORT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+
 const POLL: time::Duration = time::Duration::from_millis(5);
 
 /// Returns loopback addresses with ports that were free a moment ago, all different.
@@ -19,11 +26,28 @@
 ///
 /// If the operating system gives no port.
 pub fn free_addresses(count: usize) -> buckthorncleat::Result<Vec<net::SocketAddr>> {
-    let bind = |_| net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0));
-    let listeners: io::Result<Vec<_>> = (0..count).map(bind).collect();
-    let listeners = listeners.map_err(failed("bind a loopback port"))?;
-    let addresses: io::Result<Vec<_>> = listeners.iter().map(|l| l.local_addr()).collect();
-    addresses.map_err(failed("read a loopback port"))
+    (0..count).map(|_| next_free_address()).collect()
+}
+
+/// Takes the next port that can be bound, below those that the system gives to connections: a port
+/// from there could be taken by a connection before its daemon listens.
+fn next_free_address() -> buckthorncleat::Result<net::SocketAddr> {
+    for _ in 0..PORTS {
+        let step = NEXT_PORT.fetch_add(1, atomic::Ordering::Relaxed);
+        let start = process::id() % u32::from(PORTS);
+        let port = FIRST_PORT + ((start + step) % u32::from(PORTS)) as u16;
+        if let Ok(listener) = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, port)) {
+            return listener
+                .local_addr()
+                .map_err(failed("read a loopback port"));
+        }
+    }
+    let remedy = "end processes that listen on loopback";
+    Err(buckthorncleat::Error::missing(
+        "free port",
+        FIRST_PORT,
+        remedy,
+    ))
 }
 
 /// Returns a loopback address with a port that was free a moment ago.
