Check the ranges of times in one place

Cause: the same loop stood twice in the settings' checks. Change: check_times serves gateways and control members; fields, bounds and remedies are as before.

--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -203,15 +203,7 @@
         ("silence_bound_ms", timing.silence_bound_ms, 100, 60_000),
         ("drain_ms", timing.drain_ms, 0, 3_600_000),
     ];
-    for (field, time, least, most) in ranges {
-        check_range(
-            &format!("timing.{field}"),
-            time.as_u64(),
-            least,
-            most,
-            faults,
-        );
-    }
+    check_times(&ranges, faults);
     let body = timing.max_body_bytes as u64;
     check_range("timing.max_body_bytes", body, 1 << 10, 64 << 20, faults);
     let requests = timing.max_requests as u64;
@@ -223,21 +215,20 @@
     );
 }
 
+fn check_times(ranges: &[(&str, clock::Millis, u64, u64)], faults: &mut Vec<error::Error>) {
+    for (field, time, least, most) in ranges {
+        let field = format!("timing.{field}");
+        check_range(&field, time.as_u64(), *least, *most, faults);
+    }
+}
+
 fn control_timing(timing: &settings::ControlTiming, faults: &mut Vec<error::Error>) {
     let ranges = [
         ("election_ms", timing.election_ms, 20, 60_000),
         ("heartbeat_ms", timing.heartbeat_ms, 5, 10_000),
         ("session_ms", timing.session_ms, 100, 120_000),
     ];
-    for (field, time, least, most) in ranges {
-        check_range(
-            &format!("timing.{field}"),
-            time.as_u64(),
-            least,
-            most,
-            faults,
-        );
-    }
+    check_times(&ranges, faults);
     let entries = timing.snapshot_entries;
     check_range("timing.snapshot_entries", entries, 16, 10_000_000, faults);
     check_shorter(
