Reserve room at the decode server before a prompt is read elsewhere

Change: a reservation call before the prefill; a KV cache that was not fetched serves the next server.

--- a/src/document.rs
+++ b/src/document.rs
@@ -168,6 +168,8 @@
         pub memory: unit::Tokens,
         /// How long an exported KV cache is kept.
         pub export_life: clock::Millis,
+        /// How long room may be reserved ahead of a request; zero where it can't be.
+        pub longest_hold: clock::Millis,
     }
 }
 
--- a/src/router/edge.rs
+++ b/src/router/edge.rs
@@ -38,6 +38,22 @@
     /// Fails when the answer can't be read.
     fn read_export(&self, body: &[u8]) -> error::Result<Export>;
 
+    /// Makes the call that reserves room at a server.
+    fn write_hold(&self, tokens: unit::Tokens, life: clock::Millis) -> ServerCall;
+
+    /// Reads the answer to a call that reserves room.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the answer can't be read.
+    fn read_hold(&self, body: &[u8]) -> error::Result<Hold>;
+
+    /// Makes the call that gives reserved room back.
+    fn write_hold_drop(&self, hold: &Hold) -> ServerCall;
+
+    /// Marks a call as meant for one life of a server.
+    fn write_expected_server(&self, headers: &mut header::HeaderMap, server: &id::BackendServerId);
+
     /// Writes when a caller should come back.
     fn write_retry_after(&self, headers: &mut header::HeaderMap, after: clock::Millis);
 
@@ -121,6 +137,26 @@
     pub work: Work<'a>,
     /// The rank of the request; 0 goes first.
     pub rank: Option<u8>,
+    /// The room that was reserved for it.
+    pub hold: Option<&'a Hold>,
+}
+
+/// A call to a server beside callers' requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerCall {
+    /// The method.
+    pub method: hyper::Method,
+    /// The path.
+    pub path: String,
+    /// The body, in JSON.
+    pub body: Bytes,
+}
+
+/// Room that a server keeps for one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Hold {
+    /// The server's name of it.
+    pub handle: String,
 }
 
 /// What a server is to do with a request.
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -1,5 +1,6 @@
 //! Requests that are answered by a stream of events, placed on prefill and decode servers.
 
+use std::net;
 use std::sync;
 
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 use crate::router::places;
 use crate::router::relay;
 use crate::router::request;
+use crate::router::reserve;
 use crate::router::upstream;
 use crate::unit;
 
@@ -49,6 +51,10 @@
 /// the prompt itself.
 const LONGEST_PREFILL: clock::Millis = clock::Millis::new(700);
 
+/// The part of the time that an exported KV cache is kept in which it is fetched; the rest covers
+/// the way there.
+const EXPORT_USE: (u64, u64) = (4, 5);
+
 /// The output that is expected when neither the caller nor the request says anything, in tokens.
 const DEFAULT_OUTPUT: u64 = 256;
 
@@ -63,10 +69,20 @@
     unreached: u32,
     /// Whether some attempt may have run.
     ran: bool,
+    /// The KV cache of the prompt, while it is there for another decode server.
+    export: Option<Exported>,
     /// The last event that the caller has.
     pub resume_after: Option<u64>,
 }
 
+/// A prompt that was read ahead.
+#[derive(Clone, Debug)]
+struct Exported {
+    from: net::SocketAddr,
+    export: edge::Export,
+    until: clock::Millis,
+}
+
 /// An answer that has begun.
 pub struct Opened {
     /// The answer.
@@ -79,6 +95,14 @@
     pub server: id::BackendServerId,
 }
 
+/// A decode server that was picked, with the room there.
+struct Place {
+    pick: places::Pick,
+    held: held::Held,
+    /// The room that the server keeps for the request.
+    hold: Option<reserve::Taken>,
+}
+
 /// How an attempt went.
 enum Attempt {
     Opened(Box<Opened>),
@@ -120,6 +144,7 @@
             sent: 0,
             unreached: 0,
             ran: false,
+            export: None,
             resume_after: req.caller.resume_after,
             req,
         }
@@ -136,19 +161,22 @@
     ///
     /// Tells whether the request may have run.
     pub async fn open(&mut self) -> Result<Result<Box<Opened>, request::Response>, Refusal> {
+        let until = self.place_until();
         loop {
             if let Err(refusal) = self.may_try() {
                 return Err(self.give_up(refusal));
             }
-            let (pick, held) = match self.place().await {
-                Ok(place) => place,
+            let place = match self.place_and_reserve(until).await {
+                Ok(Some(place)) => place,
+                Ok(None) => continue,
                 Err(refusal) => return Err(self.give_up(refusal)),
             };
+            let pick = place.pick.clone();
             if self.sent > 0 && !self.req.may_repeat() {
                 return Err(self.give_up(Refusal::NotRun("no retry budget", self.retry_after())));
             }
             self.tried.push(pick.id.clone());
-            match self.attempt(&pick, held).await {
+            match self.attempt(place).await {
                 Attempt::Opened(opened) => return Ok(Ok(opened)),
                 Attempt::Failed(response) => {
                     self.ran = true;
@@ -175,6 +203,14 @@
         Ok(())
     }
 
+    /// Returns until when to wait for a place: as long as the answer can still begin in time.
+    fn place_until(&self) -> clock::Millis {
+        let now = self.req.core.clock.now();
+        let wait = self.req.route.target.as_u64() * WAIT_SHARE.1 / WAIT_SHARE.0;
+        let until = (self.req.came + clock::Millis::new(wait)).max(now + MIN_WAIT);
+        until.min(self.req.due)
+    }
+
     fn give_up(&self, refusal: Refusal) -> Refusal {
         if !self.ran {
             refusal
@@ -189,13 +225,39 @@
         FULL_RETRY + clock::Millis::new(rand::random_range(0..RETRY_SPREAD))
     }
 
+    /// Finds a decode server and reserves room there; `None` means that another look is needed.
+    async fn place_and_reserve(&mut self, until: clock::Millis) -> Result<Option<Place>, Refusal> {
+        let (pick, held) = self.place(until).await?;
+        let req = &self.req;
+        let reserved = reserve::take(&req.core, &req.service, &pick, held.load().memory).await;
+        let hold = match reserved {
+            reserve::Reserved::Taken(hold) => Some(hold),
+            reserve::Reserved::NotOffered => None,
+            reserve::Reserved::Full => {
+                held.end(places::End::Neutral);
+                let now = req.core.clock.now();
+                req.core.places().note_full(now, &pick.id);
+                return Ok(None);
+            }
+            reserve::Reserved::Elsewhere => {
+                held.end(places::End::Neutral);
+                let now = req.core.clock.now();
+                req.core.places().misplaced(now, &pick.id);
+                return Ok(None);
+            }
+            reserve::Reserved::Lost => {
+                held.end(places::End::Lost);
+                self.unreached += 1;
+                self.tried.push(pick.id);
+                return Ok(None);
+            }
+        };
+        Ok(Some(Place { pick, held, hold }))
+    }
+
     /// Waits for a decode server with room, for as long as the answer can still begin in time.
-    async fn place(&self) -> Result<(places::Pick, held::Held), Refusal> {
+    async fn place(&self, until: clock::Millis) -> Result<(places::Pick, held::Held), Refusal> {
         let req = &self.req;
-        let now = req.core.clock.now();
-        let target = req.route.target.as_u64() * WAIT_SHARE.1 / WAIT_SHARE.0;
-        let until = (req.came + clock::Millis::new(target)).max(now + MIN_WAIT);
-        let until = until.min(req.due);
         let load = self.decode_load();
         let queued = req.core.queue(&req.service.id, req.rank);
         loop {
@@ -248,20 +310,29 @@
         }
     }
 
-    async fn attempt(&mut self, pick: &places::Pick, held: held::Held) -> Attempt {
-        let export = if self.resume_after.is_none() && self.sent == 0 {
-            self.prefill().await
-        } else {
-            None
-        };
+    async fn attempt(&mut self, place: Place) -> Attempt {
+        let Place {
+            pick,
+            held,
+            mut hold,
+        } = place;
+        let pick = &pick;
+        if self.resume_after.is_none() && self.sent == 0 && self.export.is_none() {
+            self.export = self.prefill().await;
+        }
+        let now = self.req.core.clock.now();
+        let export = self.export.clone().filter(|e| now < e.until);
         let work = match &export {
-            Some((from, export)) => edge::Work::Decode {
-                from: *from,
-                export,
+            Some(exported) => edge::Work::Decode {
+                from: exported.from,
+                export: &exported.export,
             },
             None => edge::Work::Run,
         };
-        let sent = self.req.for_server(pick, work, self.resume_after);
+        let name = hold.as_mut().map(reserve::Taken::spend);
+        let sent = self
+            .req
+            .for_server(pick, work, self.resume_after, name.as_ref());
         let limit = self.first_event_limit();
         let until = self.req.core.clock.now() + limit;
         let answer = upstream::send(pick.address, sent, limit).await;
@@ -269,6 +340,7 @@
         match answer {
             Ok((edge::Ran::Yes, answer)) => {
                 self.sent += 1;
+                self.export = None;
                 self.begin_answer(pick, held, answer, until).await
             }
             Ok((ran, _)) => {
@@ -288,6 +360,7 @@
             }
             Err(failure) => {
                 self.sent += 1;
+                self.export = None;
                 self.lost(pick, held, failure);
                 Attempt::Lost
             }
@@ -378,7 +451,7 @@
     }
 
     /// Has the prompt read at a prefill server; without one, the decode server reads it itself.
-    async fn prefill(&self) -> Option<(std::net::SocketAddr, edge::Export)> {
+    async fn prefill(&self) -> Option<Exported> {
         let req = &self.req;
         let prompt = req.caller.generation?.prompt;
         let now = req.core.clock.now();
@@ -404,7 +477,13 @@
         if let Ok(Some(export)) = export {
             let id = &picked.pick.id;
             req.core.places().note_read(id, picked.tokens, took);
-            return Some((picked.pick.address, export));
+            let life = req.service.engine.as_ref().map(|e| e.export_life);
+            let life = life.unwrap_or_default().as_u64() * EXPORT_USE.0 / EXPORT_USE.1;
+            return Some(Exported {
+                from: picked.pick.address,
+                export,
+                until: req.core.clock.now() + clock::Millis::new(life),
+            });
         }
         log::info!(
             event = "prefill_failed",
@@ -423,7 +502,7 @@
         pick: &places::Pick,
         limit: clock::Millis,
     ) -> Result<Option<edge::Export>, upstream::Failure> {
-        let sent = self.req.for_server(pick, edge::Work::Prefill, None);
+        let sent = self.req.for_server(pick, edge::Work::Prefill, None, None);
         let mut answer = upstream::send(pick.address, sent, limit).await?;
         if self.req.ran(&answer)? != edge::Ran::Yes || !answer.status.is_success() {
             return Ok(None);
--- a/src/router/held.rs
+++ b/src/router/held.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// Returns the load.
+    pub fn load(&self) -> message::Load {
+        self.load
+    }
+
     /// Notes how the work ended.
     pub fn end(mut self, end: places::End) {
         self.note(end);
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -16,6 +16,7 @@
 pub mod plain;
 pub mod relay;
 pub mod request;
+pub mod reserve;
 pub mod run;
 pub mod scrape;
 pub mod sharing;
--- a/src/router/places.rs
+++ b/src/router/places.rs
@@ -25,6 +25,9 @@
 /// The longest time without work; crashed servers are back after some seconds.
 const LONGEST_PAUSE: clock::Millis = clock::Millis::new(4_000);
 
+/// The time without new streams for a server that had no room for one; some streams end meanwhile.
+const FULL_PAUSE: clock::Millis = clock::Millis::new(120);
+
 /// The time without work for a server that is not what the list says; the list lags about as long.
 const MISPLACED_PAUSE: clock::Millis = clock::Millis::new(1_000);
 
@@ -55,6 +58,7 @@
     own: message::Load,
     failures_in_row: u32,
     paused_until: clock::Millis,
+    full_until: clock::Millis,
     failure_share: f64,
     read_rate: f64,
 }
@@ -186,7 +190,9 @@
         };
         let score = |place: &&Place| fullness(place) + self.penalty(place);
         let any = !usable.is_empty();
-        let fitting = usable.into_iter().filter(|p| fullness(p) <= 1.0);
+        let fitting = usable
+            .into_iter()
+            .filter(|p| now >= p.full_until && fullness(p) <= 1.0);
         match best_of(fitting, draw, score) {
             Some(best) => Ok(best.pick()),
             None if any => Err(NoPlace::Full),
@@ -254,6 +260,13 @@
         }
     }
 
+    /// Gives a server no work for a moment, as it has less room than it seems to have.
+    pub fn note_full(&mut self, now: clock::Millis, id: &id::BackendServerId) {
+        if let Some(place) = self.servers.get_mut(id) {
+            place.full_until = now + FULL_PAUSE;
+        }
+    }
+
     /// Gives a server no work for a while, as another one has its address now, or it does other
     /// work than the list says.
     pub fn misplaced(&mut self, now: clock::Millis, id: &id::BackendServerId) {
@@ -317,6 +330,7 @@
             own: message::Load::default(),
             failures_in_row: 0,
             paused_until: clock::Millis::ZERO,
+            full_until: clock::Millis::ZERO,
             failure_share: 0.0,
             read_rate: FIRST_READ_RATE,
         }
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -151,7 +151,7 @@
     limit: clock::Millis,
 ) -> Result<(edge::Ran, request::Response), upstream::Failure> {
     let until = req.core.clock.now() + limit;
-    let sent = req.for_server(pick, edge::Work::Run, req.caller.resume_after);
+    let sent = req.for_server(pick, edge::Work::Run, req.caller.resume_after, None);
     let mut answer = upstream::send(pick.address, sent, limit).await?;
     let ran = req.ran(&answer)?;
     let left = until - req.core.clock.now();
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -294,6 +294,7 @@
         pick: &places::Pick,
         work: edge::Work<'_>,
         resume_after: Option<u64>,
+        hold: Option<&edge::Hold>,
     ) -> hyper::Request<http_body_util::Full<Bytes>> {
         let body = http_body_util::Full::new(self.body.clone());
         let mut req = hyper::Request::new(body);
@@ -308,6 +309,7 @@
             resume_after,
             work,
             rank: None,
+            hold,
         };
         self.core
             .dialect
