Log pauses, pieces and expected memory of each stream

Change: the last line of a stream carries its longest pause, its pieces and the memory it was expected to need.

--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -150,6 +150,11 @@
         }
     }
 
+    /// Returns the memory that the request is expected to need.
+    pub fn expected_memory(&self) -> unit::Tokens {
+        self.decode_load().memory
+    }
+
     /// Returns the servers that the request was sent to so far.
     pub fn sent(&self) -> u32 {
         self.sent
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -20,6 +20,27 @@
 
 type Sender = mpsc::Sender<Result<Bytes, body::Cut>>;
 
+/// What was seen of a stream, for its last line in the log.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    /// The pieces that were relayed.
+    pieces: u64,
+    /// When the last one came.
+    last_at: Option<clock::Millis>,
+    /// The longest time between two.
+    longest_pause: clock::Millis,
+}
+
+impl Seen {
+    fn note(&mut self, now: clock::Millis) {
+        if let Some(last_at) = self.last_at {
+            self.longest_pause = self.longest_pause.max(now - last_at);
+        }
+        self.last_at = Some(now);
+        self.pieces += 1;
+    }
+}
+
 /// How the relay of one server's answer ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Relayed {
@@ -43,11 +64,12 @@
     let mut opened = opened;
     let resumes = generate::can_resume(&run.req.route);
     let mut splitter = events::Splitter::default();
+    let mut seen = Seen::default();
     let outcome = loop {
         let relayed = if resumes {
-            relay_events(&mut run, &mut opened, &tx, &mut splitter).await
+            relay_events(&mut run, &mut opened, &tx, &mut splitter, &mut seen).await
         } else {
-            relay_pieces(&run, &mut opened, &tx).await
+            relay_pieces(&run, &mut opened, &tx, &mut seen).await
         };
         let server = opened.server.clone();
         let failure = match relayed {
@@ -82,6 +104,9 @@
         outcome = outcome,
         tries = run.sent(),
         first_event_ms = first_event.as_u64(),
+        longest_pause_ms = seen.longest_pause.as_u64(),
+        pieces = seen.pieces,
+        expected_memory = run.expected_memory().as_u64(),
         age_ms = run.req.age().as_u64();
         "stream ended"
     );
@@ -118,9 +143,15 @@
     }
 }
 
-async fn relay_pieces(run: &generate::Run, opened: &mut generate::Opened, tx: &Sender) -> Relayed {
+async fn relay_pieces(
+    run: &generate::Run,
+    opened: &mut generate::Opened,
+    tx: &Sender,
+    seen: &mut Seen,
+) -> Relayed {
     let mut piece = opened.first.take();
     while let Some(bytes) = piece {
+        seen.note(run.req.core.clock.now());
         if tx.send(Ok(bytes)).await.is_err() {
             return Relayed::CallerGone;
         }
@@ -137,6 +168,7 @@
     opened: &mut generate::Opened,
     tx: &Sender,
     splitter: &mut events::Splitter,
+    seen: &mut Seen,
 ) -> Relayed {
     let silence = MIN_SILENCE.max(run.req.route.longest_pause * SILENT_PAUSES);
     let mut piece = opened.first.take();
@@ -150,6 +182,7 @@
                 continue;
             }
             run.resume_after = event.id.or(run.resume_after);
+            seen.note(run.req.core.clock.now());
             if tx.send(Ok(event.bytes)).await.is_err() {
                 return Relayed::CallerGone;
             }
