Care for members also while reads keep rounds going; serve callers that return

A member that had lost its disk never voted again, and the next lost disk took the majority away. Change: care for members at every tick. A caller that was refused before waits longer, behind fresh ones. A member that has just started asks for votes sooner, and a new leader reads the list at once. Test: tests/replica_open.rs failed in two cases before.

--- a/src/keeper/hub.rs
+++ b/src/keeper/hub.rs
@@ -19,7 +19,7 @@
 use crate::router::edge;
 
 /// The time between two proofs that this member still leads.
-const PROOF_PAUSE: clock::Millis = clock::Millis::new(150);
+const PROOF_PAUSE: clock::Millis = clock::Millis::new(100);
 
 /// The age of a proof after which reports are no longer answered; with the pause above and the
 /// routers' own limits it keeps an old leader's answers under the time in which a document must
@@ -29,6 +29,9 @@
 /// The time between two readings of the platform's list; it lags by more than that itself.
 const LIST_PAUSE: clock::Millis = clock::Millis::new(500);
 
+/// The time between two looks whether this member has begun to lead and must read the list.
+const LEAD_PAUSE: clock::Millis = clock::Millis::new(40);
+
 /// The part of the allowed calls to the list that one leader uses.
 const LIST_SHARE: f64 = 0.5;
 
@@ -100,17 +103,18 @@
 
     /// Reads the platform's list while this member leads, until `stop` turns true.
     pub async fn read_lists(&self, mut stop: watch::Receiver<bool>) {
-        let mut pause = LIST_PAUSE;
+        let mut pause = LEAD_PAUSE;
         let mut reachable = true;
         loop {
             tokio::select! {
                 () = time::sleep(pause.as_duration()) => {}
                 () = server::stopped(&mut stop) => return,
             }
-            pause = LIST_PAUSE;
             if !self.is_proven() {
+                pause = LEAD_PAUSE;
                 continue;
             }
+            pause = LIST_PAUSE;
             match discovery::read(&*self.dialect, &self.list_settings).await {
                 Ok(listed) => {
                     if !reachable {
--- a/src/replica/core/election.rs
+++ b/src/replica/core/election.rs
@@ -1,5 +1,7 @@
 //! Elections: pre-vote, vote and the restriction to up-to-date candidates.
 
+use rand::Rng as _;
+
 use crate::clock;
 use crate::id;
 use crate::replica::core;
@@ -7,7 +9,18 @@
 
 use message::Body;
 
+/// The part of the election timeout after which a member that has just started asks for votes: while
+/// a leader lives, the others refuse.
+const FIRST_ELECTION_SHARE: u64 = 3;
+
 impl core::Replica {
+    /// Sets the first election after a start, which waits for no leader's silence.
+    pub(super) fn hasten_election(&mut self, now: clock::Millis) {
+        let shortest = (self.settings.election.as_u64() / FIRST_ELECTION_SHARE).max(1);
+        let wait = self.random.random_range(shortest..shortest * 2 + 1);
+        self.election_at = now + clock::Millis::new(wait);
+    }
+
     /// Asks whether an election could be won; the term stays, so a lone member disturbs nobody.
     pub(super) fn start_pre_vote(&mut self, now: clock::Millis) {
         self.delay_election(now);
--- a/src/replica/core/leader.rs
+++ b/src/replica/core/leader.rs
@@ -66,8 +66,9 @@
         let due = self.leadership().is_some_and(|l| now >= l.heartbeat_at);
         if due {
             self.start_round(now);
-            self.care_for_members(now);
         }
+        // Reads start rounds too, so a round that is due says nothing of when this was last done.
+        self.care_for_members(now);
     }
 
     /// Takes a command into the log.
--- a/src/replica/core/mod.rs
+++ b/src/replica/core/mod.rs
@@ -175,7 +175,7 @@
             outputs: Vec::new(),
             guarded: Vec::new(),
         };
-        replica.delay_election(now);
+        replica.hasten_election(now);
         replica
     }
 
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -29,6 +29,10 @@
 /// The shortest wait for a place, for a request that is sent again late.
 const MIN_WAIT: clock::Millis = clock::Millis::new(100);
 
+/// How long a request waits whose caller was refused before: less than the time after which callers
+/// take a silent stream for lost.
+const LATE_WAIT: clock::Millis = clock::Millis::new(2_500);
+
 /// The longest pause between two looks for a place; places also become free at other routers.
 const LOOK_PAUSE: clock::Millis = clock::Millis::new(40);
 
@@ -208,11 +212,17 @@
         Ok(())
     }
 
-    /// Returns until when to wait for a place: as long as the answer can still begin in time.
+    /// Returns until when to wait for a place: as long as the answer can still begin in time. A
+    /// caller that has waited before is late anyway; it waits for what the others leave.
     fn place_until(&self) -> clock::Millis {
         let now = self.req.core.clock.now();
-        let wait = self.req.route.target.as_u64() * WAIT_SHARE.1 / WAIT_SHARE.0;
-        let until = (self.req.came + clock::Millis::new(wait)).max(now + MIN_WAIT);
+        let wait = if self.req.is_returning() {
+            LATE_WAIT
+        } else {
+            let target = self.req.route.target.as_u64();
+            clock::Millis::new(target * WAIT_SHARE.1 / WAIT_SHARE.0)
+        };
+        let until = (self.req.came + wait).max(now + MIN_WAIT);
         until.min(self.req.due)
     }
 
@@ -264,7 +274,8 @@
     async fn place(&self, until: clock::Millis) -> Result<(places::Pick, held::Held), Refusal> {
         let req = &self.req;
         let load = self.decode_load();
-        let queued = req.core.queue(&req.service.id, req.rank);
+        let late = u16::from(req.is_returning());
+        let queued = req.core.queue(&req.service.id, req.rank * 2 + late);
         loop {
             let now = req.core.clock.now();
             // The waiter registers before the look, so that no change in between is missed.
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -27,6 +27,9 @@
 /// When to come back to a router that has no document yet, or no server.
 const SOON: clock::Millis = clock::Millis::new(400);
 
+/// The part of a route's time limit that a caller has left at its first attempt.
+const FRESH_SHARE: (u64, u64) = (19, 20);
+
 /// A request that was admitted.
 pub struct Request {
     /// The shared state.
@@ -212,7 +215,7 @@
     }
     let cost = charge(core, account, caller.generation.as_ref())?;
     let patience = caller.patience.unwrap_or(route.time_limit);
-    let rank = account.map_or(0, |a| u16::from(a.rank)) << 8 | u16::from(route.rank);
+    let rank = account.map_or(0, |a| u16::from(a.rank.min(63))) << 8 | u16::from(route.rank);
     let request = Request {
         core: sync::Arc::clone(core),
         body,
@@ -283,6 +286,14 @@
         self.due - self.core.clock.now()
     }
 
+    /// Tells whether the caller waits for less than the route allows, as one does that was refused
+    /// before.
+    pub fn is_returning(&self) -> bool {
+        let limit = self.route.time_limit.as_u64();
+        let patience = self.caller.patience.map_or(limit, clock::Millis::as_u64);
+        patience * FRESH_SHARE.1 < limit * FRESH_SHARE.0
+    }
+
     /// Returns the time since the request came.
     pub fn age(&self) -> clock::Millis {
         self.core.clock.now() - self.came
--- /dev/null
+++ b/tests/replica_open.rs
@@ -0,0 +1,190 @@
+//! Groups that any instance may join: forming, taking newcomers in, replacing silent voters.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use buckthorncleat::clock::Millis;
+use buckthorncleat::id::{Incarnation, InstanceId};
+use buckthorncleat::replica::core::message::{Input, Message, NodeId, Output};
+use buckthorncleat::replica::core::{Admission, Peer, Replica, Settings, Stored};
+
+const ELECTION: Millis = Millis::new(500);
+const HEARTBEAT: Millis = Millis::new(120);
+const SILENCE: Millis = Millis::new(2_500);
+const STEP: u64 = 10;
+
+/// Replicas with a network without losses and disks without delay.
+#[derive(Default)]
+struct Group {
+    now: u64,
+    nodes: BTreeMap<u8, Replica>,
+    mail: Vec<Message>,
+    reads_every: Option<u64>,
+}
+
+fn name(number: u8) -> InstanceId {
+    format!("10.0.0.{number}").parse().unwrap()
+}
+
+fn address(number: u8) -> SocketAddr {
+    ([10, 0, 0, number], 7600).into()
+}
+
+impl Group {
+    fn start(&mut self, number: u8, life: u64, seeds: &[u8], forms: bool) {
+        let peer = |n: &u8| Peer {
+            instance: name(*n),
+            address: address(*n),
+        };
+        let settings = Settings {
+            node: NodeId {
+                instance: name(number),
+                incarnation: Incarnation::new(life),
+            },
+            initial: seeds.iter().map(peer).collect(),
+            address: address(number),
+            admission: Admission::Open {
+                forms,
+                voters: 3,
+                silence: SILENCE,
+            },
+            election: ELECTION,
+            heartbeat: HEARTBEAT,
+            trailing: 10,
+            seed: u64::from(number) * 1_000 + life,
+        };
+        let replica = Replica::new(settings, Stored::default(), Millis::new(self.now));
+        self.nodes.insert(number, replica);
+    }
+
+    fn input(&mut self, number: u8, input: Input) {
+        let Some(replica) = self.nodes.get_mut(&number) else {
+            return;
+        };
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            for output in replica.step(Millis::new(self.now), input) {
+                match output {
+                    Output::Send(message) => {
+                        assert!(replica.address_of(&message.to.instance).is_some());
+                        self.mail.push(message);
+                    }
+                    Output::Persist(batch) => inputs.push(Input::Persisted(batch.number)),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn run(&mut self, length: u64) {
+        let end = self.now + length;
+        while self.now < end {
+            self.now += STEP;
+            for message in std::mem::take(&mut self.mail) {
+                let to = (1..=9).find(|n| name(*n) == message.to.instance);
+                self.input(to.unwrap(), Input::Message(message));
+            }
+            let numbers: Vec<u8> = self.nodes.keys().copied().collect();
+            let reads = self.reads_every.is_some_and(|every| self.now % every == 0);
+            for number in numbers {
+                self.input(number, Input::Tick);
+                if reads {
+                    self.input(number, Input::Read { request: self.now });
+                }
+            }
+        }
+    }
+
+    fn leader(&self) -> Option<u8> {
+        let leads = |(n, r): (&u8, &Replica)| r.is_leader().then_some(*n);
+        self.nodes.iter().find_map(leads)
+    }
+
+    fn voters(&self) -> Vec<String> {
+        let leader = self.leader().expect("a leader");
+        let members = self.nodes[&leader].members().unwrap();
+        members.voters.keys().map(ToString::to_string).collect()
+    }
+
+    fn votes(&self, number: u8) -> bool {
+        let node = self.nodes[&number].node().clone();
+        let leader = self.leader().expect("a leader");
+        self.nodes[&leader].members().unwrap().is_voter(&node)
+    }
+}
+
+fn formed() -> Group {
+    let mut group = Group::default();
+    for number in 1..=3 {
+        group.start(number, 1, &[1, 2, 3], true);
+    }
+    group.run(2_000);
+    assert_eq!(group.voters().len(), 3);
+    group
+}
+
+#[test]
+fn seeds_form_a_group() {
+    formed();
+}
+
+#[test]
+fn a_member_that_may_not_form_waits() {
+    let mut group = Group::default();
+    for number in 1..=3 {
+        group.start(number, 1, &[1, 2, 3], false);
+    }
+    group.run(5_000);
+    assert_eq!(group.leader(), None);
+}
+
+/// Regression: rounds for reads put off the leader's care for members, so a member that had lost
+/// its disk got no vote back, and the next lost disk took the majority away.
+#[test]
+fn a_lost_disk_is_repaired_under_constant_reads() {
+    for every in [50, 100, 120, 150] {
+        let mut group = formed();
+        group.reads_every = Some(every);
+        let lost = (1..=3).find(|n| Some(*n) != group.leader()).unwrap();
+        group.start(lost, 2, &[1, 2, 3], false);
+        group.run(2_000);
+        assert!(group.votes(lost), "reads every {every} ms");
+        assert_eq!(group.voters().len(), 3);
+    }
+}
+
+#[test]
+fn a_newcomer_takes_the_place_of_a_silent_voter() {
+    for gone in 1..=3 {
+        let mut group = formed();
+        group.reads_every = Some(100);
+        group.nodes.remove(&gone);
+        let seed = if gone == 1 { 2 } else { 1 };
+        group.start(4, 1, &[seed], false);
+        group.run(8_000);
+        assert!(group.votes(4));
+        assert!(!group.voters().contains(&name(gone).to_string()));
+        assert_eq!(group.voters().len(), 3);
+    }
+}
+
+#[test]
+fn a_newcomer_waits_while_all_voters_live() {
+    let mut group = formed();
+    group.start(4, 1, &[1, 2, 3], false);
+    group.run(8_000);
+    assert!(!group.votes(4));
+    assert_eq!(group.voters().len(), 3);
+}
+
+#[test]
+fn a_newcomer_finds_a_leader_that_its_settings_do_not_name() {
+    let mut group = formed();
+    let leader = group.leader().unwrap();
+    let other = (1..=3).find(|n| *n != leader).unwrap();
+    let last = (1..=3).find(|n| *n != leader && *n != other).unwrap();
+    group.nodes.remove(&last);
+    group.start(4, 1, &[other], false);
+    group.run(8_000);
+    assert!(group.votes(4));
+}
