Late callers wait behind fresh ones and leave them a part of each server

Cause: callers that return after a refusal took places of fresh ones. Change: returning means that a fifth of the time limit is gone; such requests wait behind all fresh ones and are placed only up to 85 % of a server's room.

--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -33,6 +33,9 @@
 /// take a silent stream for lost.
 const LATE_WAIT: clock::Millis = clock::Millis::new(2_500);
 
+/// Put before the rank of requests that are late already, so that they hold no other request up.
+const LATE_RANK: u16 = 1 << 15;
+
 /// The longest pause between two looks for a place; places also become free at other routers.
 const LOOK_PAUSE: clock::Millis = clock::Millis::new(40);
 
@@ -274,15 +277,19 @@
     async fn place(&self, until: clock::Millis) -> Result<(places::Pick, held::Held), Refusal> {
         let req = &self.req;
         let load = self.decode_load();
-        let late = u16::from(req.is_returning());
-        let queued = req.core.queue(&req.service.id, req.rank * 2 + late);
+        let late = if req.is_returning() { LATE_RANK } else { 0 };
+        let need = places::Need {
+            memory: load.memory,
+            late: req.is_returning(),
+        };
+        let queued = req.core.queue(&req.service.id, req.rank | late);
         loop {
             let now = req.core.clock.now();
             // The waiter registers before the look, so that no change in between is missed.
             let freed = req.core.freed.notified();
             let picked = if queued.is_first() {
                 let places = req.core.places();
-                places.pick_decode(now, &req.service, load.memory, &self.tried, rand::random())
+                places.pick_decode(now, &req.service, need, &self.tried, rand::random())
             } else {
                 Err(places::NoPlace::Full)
             };
--- a/src/router/places.rs
+++ b/src/router/places.rs
@@ -40,6 +40,10 @@
 /// What a server of another data centre costs, as a share of its places.
 const DISTANCE_WEIGHT: f64 = 0.02;
 
+/// The share of a server's room up to which requests are placed whose answers are late already; the
+/// rest is kept for those that can still be in time, wherever they arrive.
+const FULLEST_FOR_LATE: f64 = 0.85;
+
 /// The requests that may wait at a server of a plain service, for each that it runs at once.
 const QUEUE_PER_SLOT: u32 = 2;
 
@@ -81,6 +85,22 @@
     None,
 }
 
+/// What a request needs of a model server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Need {
+    /// The memory.
+    pub memory: unit::Tokens,
+    /// Whether its answer is late already.
+    pub late: bool,
+}
+
+impl Need {
+    /// Returns the share of a server's room up to which the request may fill it.
+    fn fullest(self) -> f64 {
+        if self.late { FULLEST_FOR_LATE } else { 1.0 }
+    }
+}
+
 /// How work at a server ended, as far as it tells of the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -175,7 +195,7 @@
         &self,
         now: clock::Millis,
         service: &document::Service,
-        need: unit::Tokens,
+        need: Need,
         tried: &[id::BackendServerId],
         draw: u64,
     ) -> Result<Pick, NoPlace> {
@@ -184,7 +204,7 @@
         let (slots, memory) = room_of(service);
         let fullness = |place: &&Place| {
             let load = self.load(place);
-            let memory_share = (load.memory + need).as_u64() as f64 / memory.max(1) as f64;
+            let memory_share = (load.memory + need.memory).as_u64() as f64 / memory.max(1) as f64;
             let slot_share = f64::from(load.requests + 1) / f64::from(slots.max(1));
             memory_share.max(slot_share)
         };
@@ -192,7 +212,7 @@
         let any = !usable.is_empty();
         let fitting = usable
             .into_iter()
-            .filter(|p| now >= p.full_until && fullness(p) <= 1.0);
+            .filter(|p| now >= p.full_until && fullness(p) <= need.fullest());
         match best_of(fitting, draw, score) {
             Some(best) => Ok(best.pick()),
             None if any => Err(NoPlace::Full),
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -107,6 +107,9 @@
         longest_pause_ms = seen.longest_pause.as_u64(),
         pieces = seen.pieces,
         expected_memory = run.expected_memory().as_u64(),
+        returning = run.req.is_returning(),
+        patience_ms = run.req.caller.patience.unwrap_or_default().as_u64(),
+        limit_ms = run.req.route.time_limit.as_u64(),
         age_ms = run.req.age().as_u64();
         "stream ended"
     );
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -27,8 +27,9 @@
 /// When to come back to a router that has no document yet, or no server.
 const SOON: clock::Millis = clock::Millis::new(400);
 
-/// The part of a route's time limit that a caller has left at its first attempt.
-const FRESH_SHARE: (u64, u64) = (19, 20);
+/// The part of a route's time limit that callers have left at their first attempt, at least; some
+/// wait for a little less than the route allows.
+const FRESH_SHARE: (u64, u64) = (4, 5);
 
 /// A request that was admitted.
 pub struct Request {
