Count quotas over the sliding window in which they are bounded

Change: router and leader add up what was spent in the window; a new leader starts from what routers report of it. One sliding sum serves quotas and the retry budget.

--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -1,16 +1,12 @@
 //! The retry budget of one gateway: attempts beyond the first, bounded over the whole fleet.
 
-use std::collections;
-
 use crate::clock;
 use crate::document;
 use crate::fleet::message;
 use crate::fleet::quota;
+use crate::fleet::window;
 use crate::sorted;
 
-/// The length of the slots in which attempts are counted.
-const SLOT: clock::Millis = clock::Millis::new(250);
-
 /// The part of the budget that is used; the rest covers attempts that others make unseen between
 /// two summaries.
 const USED_PERCENT: u64 = 70;
@@ -30,16 +26,17 @@
 #[derive(Debug)]
 pub struct Budget {
     settings: Settings,
-    services: sorted::Map<document::ServiceId, Window>,
+    services: sorted::Map<document::ServiceId, Counts>,
     others: sorted::Map<document::ServiceId, message::Attempts>,
     gateways: u32,
     summary_at: Option<clock::Millis>,
 }
 
-#[derive(Debug, Default)]
-struct Window {
-    slots: collections::VecDeque<(clock::Millis, message::Attempts)>,
-    sum: message::Attempts,
+/// The attempts for one service in the window.
+#[derive(Debug)]
+struct Counts {
+    requests: window::Window,
+    repeats: window::Window,
 }
 
 impl Budget {
@@ -56,12 +53,12 @@
 
     /// Notes the first attempt of a request.
     pub fn note_request(&mut self, now: clock::Millis, service: &document::ServiceId) {
-        self.window(now, service).add(now, 1, 0);
+        self.counts(service).requests.add(now, 1);
     }
 
     /// Takes one attempt beyond the first, if the budget has one.
     pub fn try_repeat(&mut self, now: clock::Millis, service: &document::ServiceId) -> bool {
-        let own = self.window(now, service).sum;
+        let own = self.counts(service).sums(now);
         let stale = self
             .summary_at
             .is_none_or(|at| now >= at + quota::STALE_AFTER);
@@ -76,7 +73,7 @@
         let allowed = (earned as u64 + spare) * USED_PERCENT / 100;
         let fits = own.repeats + others.repeats < allowed;
         if fits {
-            self.window(now, service).add(now, 0, 1);
+            self.counts(service).repeats.add(now, 1);
         }
         fits
     }
@@ -86,11 +83,10 @@
         &mut self,
         now: clock::Millis,
     ) -> sorted::Map<document::ServiceId, message::Attempts> {
-        let window = self.settings.window;
-        let services = &mut self.services;
-        services.values_mut().for_each(|w| w.expire(now, window));
-        services.retain(|_, w| !w.slots.is_empty());
-        services.iter().map(|(id, w)| (id.clone(), w.sum)).collect()
+        let counts = self.services.values_mut().map(|c| c.sums(now));
+        let sums: Vec<message::Attempts> = counts.collect();
+        let ids = self.services.keys().cloned();
+        ids.zip(sums).collect()
     }
 
     /// Takes in the attempts of the other gateways.
@@ -105,38 +101,21 @@
         self.summary_at = Some(now);
     }
 
-    fn window(&mut self, now: clock::Millis, service: &document::ServiceId) -> &mut Window {
+    fn counts(&mut self, service: &document::ServiceId) -> &mut Counts {
         let length = self.settings.window;
-        let window = self
-            .services
-            .get_or_insert_with(service.clone(), Window::default);
-        window.expire(now, length);
-        window
+        let fresh = || Counts {
+            requests: window::Window::new(length),
+            repeats: window::Window::new(length),
+        };
+        self.services.get_or_insert_with(service.clone(), fresh)
     }
 }
 
-impl Window {
-    fn add(&mut self, now: clock::Millis, requests: u64, repeats: u64) {
-        let fresh = self.slots.back().is_none_or(|(at, _)| now >= *at + SLOT);
-        if fresh {
-            self.slots.push_back((now, message::Attempts::default()));
-        }
-        if let Some((_, slot)) = self.slots.back_mut() {
-            slot.requests += requests;
-            slot.repeats += repeats;
-        }
-        self.sum.requests += requests;
-        self.sum.repeats += repeats;
-    }
-
-    fn expire(&mut self, now: clock::Millis, length: clock::Millis) {
-        while let Some((at, slot)) = self.slots.front() {
-            if now < *at + length + SLOT {
-                return;
-            }
-            self.sum.requests -= slot.requests;
-            self.sum.repeats -= slot.repeats;
-            self.slots.pop_front();
+impl Counts {
+    fn sums(&mut self, now: clock::Millis) -> message::Attempts {
+        message::Attempts {
+            requests: self.requests.sum(now).max(0) as u64,
+            repeats: self.repeats.sum(now).max(0) as u64,
         }
     }
 }
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::document;
 use crate::fleet::message;
+use crate::fleet::window;
 use crate::id;
 use crate::sorted;
 
@@ -41,7 +42,8 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     gateways: sorted::Map<id::InstanceId, Gateway>,
-    accounts: sorted::Map<id::ClientAccountId, Bucket>,
+    quota_window: clock::Millis,
+    accounts: sorted::Map<id::ClientAccountId, Account>,
     suspects: sorted::Map<message::Fingerprint, Suspect>,
 }
 
@@ -52,10 +54,9 @@
 }
 
 #[derive(Debug)]
-struct Bucket {
+struct Account {
     quota: document::Quota,
-    level: f64,
-    at: clock::Millis,
+    used: window::Window,
 }
 
 #[derive(Debug)]
@@ -74,7 +75,7 @@
     /// The gateways that count for shares.
     pub gateways: u32,
     /// What is left of each quota.
-    pub levels: sorted::Map<id::ClientAccountId, i64>,
+    pub left: sorted::Map<id::ClientAccountId, i64>,
     /// The attempts of the others.
     pub attempts: sorted::Map<document::ServiceId, message::Attempts>,
     /// The loads by the others.
@@ -84,23 +85,27 @@
 }
 
 impl Ledger {
-    /// Takes in the accounts of a document; new accounts start with a full bucket.
-    pub fn configure(&mut self, now: clock::Millis, accounts: &[document::Account]) {
+    /// Starts without reports.
+    pub fn new(quota_window: clock::Millis) -> Self {
+        Self {
+            quota_window,
+            ..Self::default()
+        }
+    }
+
+    /// Takes in the accounts of a document.
+    pub fn configure(&mut self, accounts: &[document::Account]) {
         self.accounts
             .retain(|id, _| accounts.iter().any(|a| a.id == *id && a.quota.is_some()));
+        let window = self.quota_window;
         for account in accounts {
             let Some(quota) = account.quota else { continue };
-            let level = quota.burst as f64;
-            let fresh = Bucket {
+            let fresh = || Account {
                 quota,
-                level,
-                at: now,
+                used: window::Window::new(window),
             };
-            let bucket = self
-                .accounts
-                .get_or_insert_with(account.id.clone(), || fresh);
-            bucket.quota = quota;
-            bucket.level = bucket.level.min(level);
+            let known = self.accounts.get_or_insert_with(account.id.clone(), fresh);
+            known.quota = quota;
         }
     }
 
@@ -111,8 +116,7 @@
         from: &id::InstanceId,
         report: message::Report,
     ) -> Sums {
-        self.refill(now);
-        self.spend(from, &report);
+        self.spend(now, from, &report);
         self.note_losses(now, &report.losses);
         let heard = Gateway {
             report,
@@ -123,31 +127,36 @@
         self.sums(now, from)
     }
 
-    fn refill(&mut self, now: clock::Millis) {
-        let known = self.gateways.len().max(1) as f64;
-        let silent = |g: &&Gateway| now >= g.heard_at + SHARE_SILENCE;
-        let silent = self.gateways.values().filter(silent).count() as f64;
-        let in_touch = 1.0 - silent / known;
-        for bucket in self.accounts.values_mut() {
-            let gained = bucket.quota.rate as f64 * (now - bucket.at).as_secs_f64() * in_touch;
-            bucket.level = (bucket.level + gained).min(bucket.quota.burst as f64);
-            bucket.at = now;
-        }
-    }
-
-    fn spend(&mut self, from: &id::InstanceId, report: &message::Report) {
+    fn spend(&mut self, now: clock::Millis, from: &id::InstanceId, report: &message::Report) {
         let before = self.gateways.get(from).map(|g| &g.report);
         let before = before.filter(|b| b.incarnation == report.incarnation);
-        for (account, spent) in report.spent.iter() {
-            let Some(bucket) = self.accounts.get_mut(account) else {
+        for (id, spent) in report.spent.iter() {
+            let Some(account) = self.accounts.get_mut(id) else {
                 continue;
             };
-            // A gateway that this leader meets for the first time spent an unknown part earlier.
-            let counted = before.and_then(|b| b.spent.get(account)).copied();
-            bucket.level -= (spent - counted.unwrap_or(*spent)) as f64;
+            // A router that this leader meets for the first time spent its part of the window
+            // under another leader; when exactly is not known, so all of it counts from now.
+            let counted = before.and_then(|b| b.spent.get(id)).copied();
+            let recent = report.recent.get(id).copied().unwrap_or_default();
+            let units = counted.map_or(recent, |counted| spent - counted);
+            account.used.add(now, units);
         }
     }
 
+    /// Returns what is left of each quota, without the shares of silent routers.
+    fn left(&mut self, now: clock::Millis) -> sorted::Map<id::ClientAccountId, i64> {
+        let known = self.gateways.len().max(1) as i64;
+        let silent = |g: &&Gateway| now >= g.heard_at + SHARE_SILENCE;
+        let silent = self.gateways.values().filter(silent).count() as i64;
+        let window = self.quota_window;
+        let ids: Vec<id::ClientAccountId> = self.accounts.keys().cloned().collect();
+        let left = self.accounts.values_mut().map(|account| {
+            let limit = account.quota.limit(window);
+            limit - limit * silent / known - account.used.sum(now)
+        });
+        ids.into_iter().zip(left).collect()
+    }
+
     fn note_losses(&mut self, now: clock::Millis, losses: &[message::Loss]) {
         self.suspects.retain(|_, s| now < s.last_at + LOSS_LIFE);
         for loss in losses {
@@ -165,7 +174,8 @@
         }
     }
 
-    fn sums(&self, now: clock::Millis, asker: &id::InstanceId) -> Sums {
+    fn sums(&mut self, now: clock::Millis, asker: &id::InstanceId) -> Sums {
+        let left = self.left(now);
         let others = || self.gateways.iter().filter(|(id, _)| *id != asker);
         let mut attempts = sorted::Map::<document::ServiceId, message::Attempts>::new();
         let mut loads = sorted::Map::<id::BackendServerId, message::Load>::new();
@@ -184,12 +194,11 @@
                     .add(*load);
             }
         }
-        let levels = self.accounts.iter();
         Sums {
             next: MIN_REPORT.max(REPORT_PER_GATEWAY * self.gateways.len() as u64),
             entries: self.entries(now),
             gateways: self.gateways.len() as u32,
-            levels: levels.map(|(id, b)| (id.clone(), b.level as i64)).collect(),
+            left,
             attempts,
             loads,
             barred: self.barred(),
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -36,6 +36,8 @@
         pub list: Option<(id::Term, ListNumber)>,
         /// Quota units spent by each account since the start of the process.
         pub spent: sorted::Map<id::ClientAccountId, i64>,
+        /// Quota units spent by each account in the window of quotas.
+        pub recent: sorted::Map<id::ClientAccountId, i64>,
         /// The attempts in the budget window, by service.
         pub attempts: sorted::Map<document::ServiceId, Attempts>,
         /// What the gateway keeps each server busy with.
@@ -95,7 +97,7 @@
         /// The gateways that count for shares, this one among them.
         pub gateways: u32,
         /// What is left of each account's quota, in units.
-        pub levels: sorted::Map<id::ClientAccountId, i64>,
+        pub left: sorted::Map<id::ClientAccountId, i64>,
         /// The attempts of all other gateways in the budget window.
         pub attempts: sorted::Map<document::ServiceId, Attempts>,
         /// What all other gateways keep each server busy with.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,3 +10,4 @@
 pub mod ledger;
 pub mod message;
 pub mod quota;
+pub mod window;
--- a/src/fleet/quota.rs
+++ b/src/fleet/quota.rs
@@ -1,29 +1,31 @@
-//! Quotas of client accounts at one gateway.
+//! Quotas of client accounts at one router.
 //!
-//! The leader keeps one bucket for each account and tells its level with every summary; between
-//! two summaries a gateway subtracts what it spends itself. A gateway that has had no summary for
-//! [`STALE_AFTER`] spends from a bucket of its own, with an equal share of rate and burst; the
-//! leader sets that share aside for it.
+//! An account may use its rate for the length of a window, and its burst besides, in any window of
+//! that length over the whole fleet. The leader adds up what all routers spent and tells what is
+//! left with every summary; between two summaries a router subtracts what it spends itself. A
+//! router that has had no summary for [`STALE_AFTER`] spends an equal share of each quota, which
+//! the leader sets aside for it.
 
 use crate::clock;
 use crate::document;
+use crate::fleet::window;
 use crate::id;
 use crate::sorted;
 
-/// The age of a summary after which a gateway counts on its share alone; several reports long, so
+/// The age of a summary after which a router counts on its share alone; several reports long, so
 /// that one lost report changes nothing.
 pub const STALE_AFTER: clock::Millis = clock::Millis::new(1_000);
 
-/// The part of a burst by which an account's level may be overdrawn before requests are refused,
-/// as a divisor: what other gateways spend at the same moment is not known yet.
-const OVERDRAFT_SHARE: i64 = 4;
+/// The shortest wait that a refusal names.
+const SHORTEST_WAIT: clock::Millis = clock::Millis::new(200);
 
 /// The longest wait that a refusal names.
 const LONGEST_WAIT: clock::Millis = clock::Millis::from_secs(4);
 
-/// The quotas as one gateway sees them.
-#[derive(Debug, Default)]
+/// The quotas as one router sees them.
+#[derive(Debug)]
 pub struct Quotas {
+    window: clock::Millis,
     accounts: sorted::Map<id::ClientAccountId, Meter>,
     summary_at: Option<clock::Millis>,
     gateways: u32,
@@ -34,56 +36,83 @@
     quota: document::Quota,
     /// Units spent since the start of the process.
     spent: i64,
-    /// The level when `at` was.
-    level: f64,
-    at: clock::Millis,
-    /// Whether `level` is this gateway's share alone.
-    alone: bool,
+    /// Units spent here in the window.
+    recent: window::Window,
+    /// What is left over the whole fleet, as far as is known.
+    left: i64,
+}
+
+impl document::Quota {
+    /// Returns the units that may be used in any window of a length.
+    pub fn limit(&self, window: clock::Millis) -> i64 {
+        (self.rate as f64 * window.as_secs_f64()) as i64 + self.burst as i64
+    }
 }
 
 impl Quotas {
+    /// Starts without accounts.
+    pub fn new(window: clock::Millis) -> Self {
+        Self {
+            window,
+            accounts: sorted::Map::new(),
+            summary_at: None,
+            gateways: 1,
+        }
+    }
+
     /// Takes in the accounts of a document.
-    pub fn configure(&mut self, now: clock::Millis, accounts: &[document::Account]) {
-        let limited = |id: &id::ClientAccountId| {
-            let account = accounts.iter().find(|a| a.id == *id);
-            account.and_then(|a| a.quota)
-        };
+    pub fn configure(&mut self, accounts: &[document::Account]) {
+        let window = self.window;
         for account in accounts {
             let Some(quota) = account.quota else { continue };
-            let meter = self
-                .accounts
-                .get_or_insert_with(account.id.clone(), || Meter::new(now, quota));
-            meter.settle(now, meter.share(self.gateways));
+            let fresh = || Meter {
+                quota,
+                spent: 0,
+                recent: window::Window::new(window),
+                left: quota.limit(window),
+            };
+            let meter = self.accounts.get_or_insert_with(account.id.clone(), fresh);
+            meter.left += quota.limit(window) - meter.quota.limit(window);
             meter.quota = quota;
-            meter.level = meter.level.min(quota.burst as f64);
         }
-        self.accounts.retain(|id, _| limited(id).is_some());
+        let limited = |id: &id::ClientAccountId| {
+            let account = accounts.iter().find(|a| a.id == *id);
+            account.is_some_and(|a| a.quota.is_some())
+        };
+        self.accounts.retain(|id, _| limited(id));
     }
 
-    /// Returns what each account spent, for a report.
+    /// Returns what each account spent here since the start of the process, for a report.
     pub fn spent(&self) -> sorted::Map<id::ClientAccountId, i64> {
         let accounts = self.accounts.iter();
         accounts.map(|(id, m)| (id.clone(), m.spent)).collect()
     }
 
-    /// Takes in the levels of a summary that answers a report with the given amounts spent.
+    /// Returns what each account spent here in the window, for a report.
+    pub fn recent(&mut self, now: clock::Millis) -> sorted::Map<id::ClientAccountId, i64> {
+        let ids: Vec<id::ClientAccountId> = self.accounts.keys().cloned().collect();
+        let recent = self.accounts.values_mut().map(|m| m.recent.sum(now));
+        ids.into_iter()
+            .zip(recent)
+            .filter(|(_, n)| *n > 0)
+            .collect()
+    }
+
+    /// Takes in what is left, from a summary that answers a report with the given amounts spent.
     pub fn learn(
         &mut self,
         now: clock::Millis,
         reported: &sorted::Map<id::ClientAccountId, i64>,
-        levels: &sorted::Map<id::ClientAccountId, i64>,
+        left: &sorted::Map<id::ClientAccountId, i64>,
         gateways: u32,
     ) {
         self.summary_at = Some(now);
         self.gateways = gateways;
-        for (id, level) in levels.iter() {
-            let Some(meter) = self.accounts.get_mut(id) else {
-                continue;
-            };
-            let since = meter.spent - reported.get(id).copied().unwrap_or_default();
-            meter.level = (*level - since) as f64;
-            meter.at = now;
-            meter.alone = false;
+        for (id, left) in left.iter() {
+            if let Some(meter) = self.accounts.get_mut(id) {
+                let since = meter.spent - reported.get(id).copied().unwrap_or_default();
+                meter.left = left - since;
+            }
         }
     }
 
@@ -91,73 +120,57 @@
     ///
     /// # Errors
     ///
-    /// Returns the time until the account has enough units again.
+    /// Returns an estimate of the time until the account has enough units again.
     pub fn charge(
         &mut self,
         now: clock::Millis,
         account: &id::ClientAccountId,
         units: u64,
     ) -> Result<(), clock::Millis> {
-        let stale = self.summary_at.is_none_or(|at| now >= at + STALE_AFTER);
-        let gateways = self.gateways;
+        let alone = self.summary_at.is_none_or(|at| now >= at + STALE_AFTER);
+        let (window, gateways) = (self.window, i64::from(self.gateways.max(1)));
         let Some(meter) = self.accounts.get_mut(account) else {
             return Ok(());
         };
-        if stale && !meter.alone {
-            let share = meter.share(gateways);
-            meter.level = meter.level.min(share.burst as f64);
-            meter.alone = true;
-        }
-        let share = if meter.alone {
-            meter.share(gateways)
+        let left = if alone {
+            meter.quota.limit(window) / gateways - meter.recent.sum(now)
         } else {
-            meter.quota
+            meter.left
         };
-        meter.settle(now, share);
-        let overdraft = share.burst as i64 / OVERDRAFT_SHARE;
-        let after = meter.level - units as f64;
-        if after < -(overdraft as f64) {
-            let missing = -(overdraft as f64) - after;
-            let wait = (missing * 1000.0 / share.rate.max(1) as f64) as u64;
-            return Err(clock::Millis::new(wait).min(LONGEST_WAIT));
+        let missing = units as i64 - left;
+        if missing <= 0 {
+            meter.take(now, units as i64);
+            return Ok(());
         }
-        meter.level = after;
-        meter.spent += units as i64;
-        Ok(())
+        let wait = clock::Millis::new(missing as u64 * 1_000 / meter.quota.rate.max(1));
+        let wait = wait.clamp(SHORTEST_WAIT, LONGEST_WAIT);
+        log::info!(
+            event = "over_quota",
+            account = account.as_str(),
+            units = units,
+            left = left,
+            rate = meter.quota.rate,
+            burst = meter.quota.burst,
+            share_alone = alone,
+            summary_age_ms = self.summary_at.map_or(0, |at| (now - at).as_u64()),
+            wait_ms = wait.as_u64();
+            "the account has used up its quota"
+        );
+        Err(wait)
     }
 
     /// Gives back the units of a request that did not run.
-    pub fn give_back(&mut self, account: &id::ClientAccountId, units: u64) {
+    pub fn give_back(&mut self, now: clock::Millis, account: &id::ClientAccountId, units: u64) {
         if let Some(meter) = self.accounts.get_mut(account) {
-            meter.level += units as f64;
-            meter.spent -= units as i64;
+            meter.take(now, -(units as i64));
         }
     }
 }
 
 impl Meter {
-    fn new(now: clock::Millis, quota: document::Quota) -> Self {
-        Self {
-            quota,
-            spent: 0,
-            level: quota.burst as f64,
-            at: now,
-            alone: false,
-        }
-    }
-
-    fn share(&self, gateways: u32) -> document::Quota {
-        let parts = u64::from(gateways.max(1));
-        document::Quota {
-            unit: self.quota.unit,
-            rate: self.quota.rate / parts,
-            burst: self.quota.burst / parts,
-        }
-    }
-
-    fn settle(&mut self, now: clock::Millis, quota: document::Quota) {
-        let gained = quota.rate as f64 * (now - self.at).as_secs_f64();
-        self.level = (self.level + gained).min(quota.burst as f64);
-        self.at = self.at.max(now);
+    fn take(&mut self, now: clock::Millis, units: i64) {
+        self.spent += units;
+        self.left -= units;
+        self.recent.add(now, units);
     }
 }
--- a/src/keeper/hub.rs
+++ b/src/keeper/hub.rs
@@ -40,6 +40,7 @@
     group: group::Group,
     dialect: sync::Arc<dyn edge::Dialect>,
     list_settings: core::ListSettings,
+    quota_window: clock::Millis,
     clock: clock::Clock,
     lead: sync::Mutex<Lead>,
 }
@@ -60,12 +61,14 @@
         group: group::Group,
         dialect: sync::Arc<dyn edge::Dialect>,
         list_settings: core::ListSettings,
+        quota_window: clock::Millis,
         clock: clock::Clock,
     ) -> Self {
         Self {
             group,
             dialect,
             list_settings,
+            quota_window,
             clock,
             lead: sync::Mutex::default(),
         }
@@ -160,6 +163,7 @@
         if lead.term != leads {
             *lead = Lead {
                 term: leads,
+                ledger: ledger::Ledger::new(self.quota_window),
                 ..Lead::default()
             };
         }
@@ -179,7 +183,7 @@
             return message::Reply::NotLeader(leader_of(&self.group));
         };
         if let Some(packed) = &document {
-            self.configure(&mut lead, now, packed);
+            self.configure(&mut lead, packed);
         }
         let has_list = report.list;
         let has_document = report.document;
@@ -194,7 +198,7 @@
             list: list.cloned(),
             entries: sums.entries,
             gateways: sums.gateways,
-            levels: sums.levels,
+            left: sums.left,
             attempts: sums.attempts,
             loads: sums.loads,
             barred: sums.barred,
@@ -202,14 +206,14 @@
         }))
     }
 
-    fn configure(&self, lead: &mut Lead, now: clock::Millis, packed: &document::Packed) {
+    fn configure(&self, lead: &mut Lead, packed: &document::Packed) {
         if lead.configured == Some(packed.version) {
             return;
         }
         lead.configured = Some(packed.version);
         let plain = packed.to_plain();
         match plain.and_then(|plain| self.dialect.read_document(&plain)) {
-            Ok(document) => lead.ledger.configure(now, &document.accounts),
+            Ok(document) => lead.ledger.configure(&document.accounts),
             Err(e) => log::error!("the document of the log: {e}"),
         }
     }
--- a/src/keeper/run.rs
+++ b/src/keeper/run.rs
@@ -55,6 +55,8 @@
     pub data_folder: path::PathBuf,
     /// The platform's list of servers.
     pub list: core::ListSettings,
+    /// The window in which quotas are counted.
+    pub quota_window: clock::Millis,
 }
 
 /// What a keeper needs from its process.
@@ -94,6 +96,7 @@
         group.clone(),
         sync::Arc::clone(&env.dialect),
         settings.list,
+        settings.quota_window,
         clock,
     );
     let hub = sync::Arc::new(hub);
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -38,6 +38,8 @@
     pub list: ListSettings,
     /// The bound on attempts.
     pub budget: budget::Settings,
+    /// The window in which quotas are counted.
+    pub quota_window: clock::Millis,
     /// How long callers keep an answer that names entries.
     pub entry_keep: clock::Millis,
     /// The time from the signal to stop until the process is killed.
@@ -120,7 +122,7 @@
             table: watch::Sender::new(None),
             phase: watch::Sender::new(Phase::Serving),
             places: sync::Mutex::new(places),
-            quotas: sync::Mutex::default(),
+            quotas: sync::Mutex::new(quota::Quotas::new(settings.quota_window)),
             budget: sync::Mutex::new(budget::Budget::new(settings.budget)),
             fleet: sync::Mutex::default(),
             waiting: sync::Mutex::default(),
@@ -146,8 +148,7 @@
         if self.version() >= Some(version) {
             return;
         }
-        let now = self.clock.now();
-        self.quotas().configure(now, &document.accounts);
+        self.quotas().configure(&document.accounts);
         let routes = document.routes.len();
         let next = sync::Arc::new(table::Table::new(document));
         let before = self.table.send_replace(Some(next));
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -241,7 +241,8 @@
     if let (Err(refusal), Some(account)) = (&result, account)
         && refusal.is_not_run()
     {
-        core.quotas().give_back(&account, cost);
+        let now = core.clock.now();
+        core.quotas().give_back(now, &account, cost);
     }
     result
 }
--- a/src/router/sharing.rs
+++ b/src/router/sharing.rs
@@ -130,6 +130,10 @@
     fn make_report(&self) -> message::Report {
         let core = &self.core;
         let now = core.clock.now();
+        let (spent, recent) = {
+            let mut quotas = core.quotas();
+            (quotas.spent(), quotas.recent(now))
+        };
         message::Report {
             incarnation: self.links.identity().incarnation,
             address: core.settings.caller_address,
@@ -137,7 +141,8 @@
             accepts: crate::router::directory::is_ready(core),
             document: core.version(),
             list: self.list,
-            spent: core.quotas().spent(),
+            spent,
+            recent,
             attempts: core.budget().attempts(now),
             loads: core.places().loads(),
             losses: core.take_losses(),
@@ -171,7 +176,7 @@
             log::info!(event = "servers", number = list.number.as_u64(), count = list.servers.len(); "list of servers");
         }
         core.quotas()
-            .learn(now, spent, &summary.levels, summary.gateways);
+            .learn(now, spent, &summary.left, summary.gateways);
         core.budget().learn(now, summary.attempts, summary.gateways);
         core.places().set_others(summary.loads);
         core.set_fleet(summary.entries, summary.barred);
