Share model servers between reading prompts and generating by the work; orders with a fencing number

Cause: decode memory binds while 4 of 12 servers read prompts at a third of their time. Change: fleet/roles.rs measures prompt tokens and memory held and wants the ratio of the two; the leader alone orders one change at a time, with its term as fencing number, after the lease of earlier leaders, on the count of orders that the server reported. Routers see a changing server as leaving.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,4 +10,5 @@
 pub mod ledger;
 pub mod message;
 pub mod quota;
+pub mod roles;
 pub mod window;
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod hub;
 pub mod operators;
+pub mod orders;
 pub mod run;
 
 pub use run::run;
--- a/src/router/sharing.rs
+++ b/src/router/sharing.rs
@@ -145,6 +145,7 @@
             spent,
             recent,
             attempts: core.budget().attempts(now),
+            prompts: core.prompts(),
             loads: core.places().loads(),
             losses: core.take_losses(),
         }
--- a/tests/fleet_quota.rs
+++ b/tests/fleet_quota.rs
@@ -84,6 +84,7 @@
             spent: quotas.spent(),
             recent: quotas.recent(now),
             attempts: Map::new(),
+            prompts: Map::new(),
             loads: Map::new(),
             losses: Vec::new(),
         };
--- a/tests/replica_open.rs
+++ b/tests/replica_open.rs
@@ -85,7 +85,9 @@
                 self.input(to.unwrap(), Input::Message(message));
             }
             let numbers: Vec<u8> = self.nodes.keys().copied().collect();
-            let reads = self.reads_every.is_some_and(|every| self.now.is_multiple_of(every));
+            let reads = self
+                .reads_every
+                .is_some_and(|every| self.now.is_multiple_of(every));
             for number in numbers {
                 self.input(number, Input::Tick);
                 if reads {
