Read a prompt at another prefill server when one can't be reached

Change: one more prefill server is tried when the first could not be reached. Test: platform/tests/world.rs, read_ahead; failed before.

--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -62,6 +62,9 @@
 /// the way there.
 const EXPORT_USE: (u64, u64) = (4, 5);
 
+/// The prefill servers that may be tried again because others could not be reached.
+const MAX_PREFILL_UNREACHED: usize = 1;
+
 /// The output that is expected when neither the caller nor the request says anything, in tokens.
 const DEFAULT_OUTPUT: u64 = 256;
 
@@ -110,6 +113,16 @@
     hold: Option<reserve::Taken>,
 }
 
+/// How reading a prompt ahead went.
+enum Prefilled {
+    /// The prompt is read.
+    Done(Exported),
+    /// This server could not be reached; it got nothing.
+    Unreached(id::BackendServerId),
+    /// It was not read, or nobody knows.
+    Not,
+}
+
 /// How an attempt went.
 enum Attempt {
     Opened(Box<Opened>),
@@ -478,13 +491,33 @@
 
     /// Has the prompt read at a prefill server; without one, the decode server reads it itself.
     async fn prefill(&self) -> Option<Exported> {
+        let mut unreached = Vec::new();
+        while unreached.len() <= MAX_PREFILL_UNREACHED {
+            match self.prefill_once(&unreached).await {
+                Prefilled::Done(exported) => return Some(exported),
+                Prefilled::Unreached(server) => unreached.push(server),
+                Prefilled::Not => return None,
+            }
+        }
+        None
+    }
+
+    async fn prefill_once(&self, unreached: &[id::BackendServerId]) -> Prefilled {
         let req = &self.req;
-        let prompt = req.caller.generation?.prompt;
+        let Some(prompt) = req.caller.generation.map(|g| g.prompt) else {
+            return Prefilled::Not;
+        };
         let now = req.core.clock.now();
         let service = &req.service.id;
-        let picked = req.core.places().pick_prefill(now, service, prompt, &[])?;
+        let picked = req
+            .core
+            .places()
+            .pick_prefill(now, service, prompt, unreached);
+        let Some(picked) = picked else {
+            return Prefilled::Not;
+        };
         if picked.time > LONGEST_PREFILL {
-            return None;
+            return Prefilled::Not;
         }
         let load = message::Load {
             requests: 1,
@@ -505,7 +538,7 @@
             req.core.places().note_read(id, picked.tokens, took);
             let life = req.service.engine.as_ref().map(|e| e.export_life);
             let life = life.unwrap_or_default().as_u64() * EXPORT_USE.0 / EXPORT_USE.1;
-            return Some(Exported {
+            return Prefilled::Done(Exported {
                 from: picked.pick.address,
                 export,
                 until: req.core.clock.now() + clock::Millis::new(life),
@@ -517,9 +550,12 @@
             server = picked.pick.id.as_str(),
             predicted_ms = picked.time.as_u64(),
             took_ms = took.as_u64();
-            "the prompt was not read ahead; the decode server reads it"
+            "the prompt was not read ahead"
         );
-        None
+        if export == Err(upstream::Failure::NotSent) {
+            return Prefilled::Unreached(picked.pick.id);
+        }
+        Prefilled::Not
     }
 
     /// Returns the exported KV cache, or `None` when the server took no work.
