Log where a stream began and each failed attempt of a plain call

Change: attempt_failed names server and failure; stream_begun names both servers, the memory expected, and the document's version.

--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -81,6 +81,8 @@
     ran: bool,
     /// The KV cache of the prompt, while it is there for another decode server.
     export: Option<Exported>,
+    /// The server that read the prompt ahead.
+    prompt_server: Option<id::BackendServerId>,
     /// The last event that the caller has.
     pub resume_after: Option<u64>,
 }
@@ -88,6 +90,7 @@
 /// A prompt that was read ahead.
 #[derive(Clone, Debug)]
 struct Exported {
+    server: id::BackendServerId,
     from: net::SocketAddr,
     export: edge::Export,
     until: clock::Millis,
@@ -155,6 +158,7 @@
     *response.body_mut() = body;
     let first_event = run.req.age();
     metrics::histogram!("buckthorncleat_first_event_seconds").record(first_event.as_secs_f64());
+    run.log_begun(&opened.server);
     let core = sync::Arc::clone(&run.req.core);
     core.spawn_stream(relay::run(run, *opened, tx, first_event));
     Ok(response)
@@ -168,6 +172,7 @@
             unreached: 0,
             ran: false,
             export: None,
+            prompt_server: None,
             resume_after: req.caller.resume_after,
             req,
         }
@@ -358,6 +363,7 @@
         let pick = &pick;
         if self.resume_after.is_none() && self.sent == 0 && self.export.is_none() {
             self.export = self.prefill().await;
+            self.prompt_server = self.export.as_ref().map(|e| e.server.clone());
         }
         let now = self.req.core.clock.now();
         let export = self.export.clone().filter(|e| now < e.until);
@@ -475,6 +481,24 @@
         );
     }
 
+    fn log_begun(&self, server: &id::BackendServerId) {
+        log::info!(
+            event = "stream_begun",
+            request = self.req.caller.request.as_deref().unwrap_or(""),
+            route = self.req.route.name.as_str(),
+            account = self.req.account.as_ref().map_or("", |a| a.as_str()),
+            server = server.as_str(),
+            prompt_server = self.prompt_server.as_ref().map_or("", |s| s.as_str()),
+            expected_memory = self.expected_memory().as_u64(),
+            returning = self.req.is_returning(),
+            tries = self.sent,
+            resume_after = self.resume_after.unwrap_or_default(),
+            age_ms = self.req.age().as_u64(),
+            document = self.req.core.version().map_or(0, |v| v.as_u64());
+            "a stream began"
+        );
+    }
+
     fn log_not_run(&self, pick: &places::Pick, ran: edge::Ran, exported: bool) {
         metrics::counter!("buckthorncleat_server_refusals_total").increment(1);
         log::info!(
@@ -539,6 +563,7 @@
             let life = req.service.engine.as_ref().map(|e| e.export_life);
             let life = life.unwrap_or_default().as_u64() * EXPORT_USE.0 / EXPORT_USE.1;
             return Prefilled::Done(Exported {
+                server: id.clone(),
                 from: picked.pick.address,
                 export,
                 until: req.core.clock.now() + clock::Millis::new(life),
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -121,6 +121,16 @@
         }
         Err(failure) => failure,
     };
+    log::info!(
+        event = "attempt_failed",
+        request = req.caller.request.as_deref().unwrap_or(""),
+        route = req.route.name.as_str(),
+        server = pick.id.as_str(),
+        failure = failure.to_string(),
+        tries = progress.sent,
+        age_ms = req.age().as_u64();
+        "an attempt failed"
+    );
     held.end(places::End::Lost);
     if failure == upstream::Failure::NotSent {
         progress.unreached += 1;
