Revert the share of prefill servers by the work

Conclusion: reverted, since orders to servers are a risk that must be paid for. The ratio of memory held to prompts read may be wrong where clumps of prompts bind; see docs/PLATFORM.md.

--- a/src/document.rs
+++ b/src/document.rs
@@ -170,8 +170,6 @@
         pub export_life: clock::Millis,
         /// How long room may be reserved ahead of a request; zero where it can't be.
         pub longest_hold: clock::Millis,
-        /// How long a change between reading prompts and generating takes.
-        pub change_time: clock::Millis,
     }
 }
 
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -49,7 +49,6 @@
     counts_until: Option<clock::Millis>,
     quota_window: clock::Millis,
     accounts: sorted::Map<id::ClientAccountId, Account>,
-    prompts: sorted::Map<document::ServiceId, u64>,
     suspects: sorted::Map<message::Fingerprint, Suspect>,
 }
 
@@ -123,7 +122,6 @@
         report: message::Report,
     ) -> Sums {
         self.spend(now, from, &report);
-        self.note_prompts(from, &report);
         self.note_count(now, report.gateways);
         self.note_losses(now, &report.losses);
         let heard = Gateway {
@@ -162,33 +160,6 @@
         }
     }
 
-    fn note_prompts(&mut self, from: &id::InstanceId, report: &message::Report) {
-        let before = self.gateways.get(from).map(|g| &g.report);
-        let before = before.filter(|b| b.incarnation == report.incarnation);
-        let Some(before) = before else { return };
-        for (service, tokens) in report.prompts.iter() {
-            let counted = before.prompts.get(service).copied().unwrap_or_default();
-            let total = self.prompts.get_or_insert_with(service.clone(), || 0);
-            *total += tokens.saturating_sub(counted);
-        }
-    }
-
-    /// Returns the prompt tokens that arrived for a service since this leader began.
-    pub fn prompts(&self, service: &document::ServiceId) -> u64 {
-        self.prompts.get(service).copied().unwrap_or_default()
-    }
-
-    /// Returns what all gateways keep a server busy with.
-    pub fn load(&self, now: clock::Millis, server: &id::BackendServerId) -> message::Load {
-        let alive = |g: &&Gateway| now < g.heard_at + LOAD_LIFE;
-        let loads = self.gateways.values().filter(alive);
-        let mut sum = message::Load::default();
-        for load in loads.filter_map(|g| g.report.loads.get(server)) {
-            sum.add(*load);
-        }
-        sum
-    }
-
     fn note_count(&mut self, now: clock::Millis, count: u32) {
         if *self.counts_until.get_or_insert(now + GATEWAY_LIFE) > now {
             self.counted_before = self.counted_before.max(count);
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -42,8 +42,6 @@
         pub recent: sorted::Map<id::ClientAccountId, i64>,
         /// The attempts in the budget window, by service.
         pub attempts: sorted::Map<document::ServiceId, Attempts>,
-        /// Prompt tokens of generations since the start of the process, by service.
-        pub prompts: sorted::Map<document::ServiceId, u64>,
         /// What the gateway keeps each server busy with.
         pub loads: sorted::Map<id::BackendServerId, Load>,
         /// Requests that were running at a server when it was lost.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,5 +10,4 @@
 pub mod ledger;
 pub mod message;
 pub mod quota;
-pub mod roles;
 pub mod window;
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -3,7 +3,6 @@
 
 pub mod hub;
 pub mod operators;
-pub mod orders;
 pub mod run;
 
 pub use run::run;
--- a/src/keeper/run.rs
+++ b/src/keeper/run.rs
@@ -14,7 +14,6 @@
 use crate::id;
 use crate::keeper::hub;
 use crate::keeper::operators;
-use crate::keeper::orders;
 use crate::peer::frame;
 use crate::peer::link;
 use crate::peer::server;
@@ -54,8 +53,10 @@
     pub voters: usize,
     /// The folder that holds the log and the snapshots.
     pub data_folder: path::PathBuf,
-    /// What the member does for routers while it leads.
-    pub hub: hub::Settings,
+    /// The platform's list of servers.
+    pub list: core::ListSettings,
+    /// The window in which quotas are counted.
+    pub quota_window: clock::Millis,
 }
 
 /// What a keeper needs from its process.
@@ -94,7 +95,8 @@
     let hub = hub::Hub::new(
         group.clone(),
         sync::Arc::clone(&env.dialect),
-        settings.hub,
+        settings.list,
+        settings.quota_window,
         clock,
     );
     let hub = sync::Arc::new(hub);
@@ -120,12 +122,6 @@
         proving.prove(stop).await;
         Ok(())
     });
-    let (ordering, stop) = (sync::Arc::clone(&hub), ending.subscribe());
-    let orders = orders::run(ordering, name.clone(), stop);
-    tasks.spawn(async move {
-        orders.await;
-        Ok(())
-    });
     let stop = ending.subscribe();
     tasks.spawn(async move {
         hub.read_lists(stop).await;
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -17,8 +17,6 @@
 use crate::router::edge;
 use crate::router::places;
 use crate::router::table;
-use crate::sorted;
-use crate::unit;
 
 /// The most losses that wait to be reported.
 const MAX_LOSSES: usize = 256;
@@ -95,7 +93,6 @@
     entries: Vec<message::Entry>,
     barred: Vec<message::Fingerprint>,
     losses: Vec<message::Loss>,
-    prompts: sorted::Map<document::ServiceId, u64>,
 }
 
 /// The place of a request that waits for a server: by rank, then by arrival.
@@ -209,17 +206,6 @@
         locked(&self.fleet).barred.contains(&fingerprint)
     }
 
-    /// Notes the prompt of a generation.
-    pub fn note_prompt(&self, service: &document::ServiceId, tokens: unit::Tokens) {
-        let mut fleet = locked(&self.fleet);
-        *fleet.prompts.get_or_insert_with(service.clone(), || 0) += tokens.as_u64();
-    }
-
-    /// Returns the prompt tokens of generations since the start, by service.
-    pub fn prompts(&self) -> sorted::Map<document::ServiceId, u64> {
-        locked(&self.fleet).prompts.clone()
-    }
-
     /// Notes that a server was lost under a request.
     pub fn note_loss(&self, fingerprint: message::Fingerprint, server: &id::BackendServerId) {
         let server = xxhash_rust::xxh3::xxh3_64(server.as_str().as_bytes());
--- a/src/router/edge.rs
+++ b/src/router/edge.rs
@@ -51,19 +51,6 @@
     /// Makes the call that gives reserved room back.
     fn write_hold_drop(&self, hold: &Hold) -> ServerCall;
 
-    /// Makes the call that asks a model server what it does.
-    fn write_state_question(&self) -> ServerCall;
-
-    /// Reads the answer to [`Self::write_state_question`].
-    ///
-    /// # Errors
-    ///
-    /// Fails when the answer can't be read.
-    fn read_state(&self, body: &[u8]) -> error::Result<ModelServerState>;
-
-    /// Makes the call that orders a model server to do other work.
-    fn write_order(&self, order: &Order<'_>) -> ServerCall;
-
     /// Marks a call as meant for one life of a server.
     fn write_expected_server(&self, headers: &mut header::HeaderMap, server: &id::BackendServerId);
 
@@ -165,28 +152,6 @@
     pub body: Bytes,
 }
 
-/// An order to a model server.
-#[derive(Clone, Copy, Debug)]
-pub struct Order<'a> {
-    /// What it is to do.
-    pub stage: message::Stage,
-    /// Who orders.
-    pub holder: &'a id::InstanceId,
-    /// The fencing number: one with a lower number than a server has seen is refused.
-    pub fence: id::Term,
-    /// The orders that the server must have accepted before.
-    pub expected: u64,
-}
-
-/// What a model server says of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ModelServerState {
-    /// Whether an order is under way.
-    pub busy: bool,
-    /// The orders accepted since it started.
-    pub orders: u64,
-}
-
 /// Room that a server keeps for one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Hold {
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -143,9 +143,6 @@
 ///
 /// Tells the caller whether the request may have run.
 pub async fn serve(req: request::Request) -> Result<request::Response, Refusal> {
-    if let Some(generation) = req.caller.generation {
-        req.core.note_prompt(&req.service.id, generation.prompt);
-    }
     let mut run = Run::new(req);
     let opened = match run.open().await? {
         Ok(opened) => opened,
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -4,7 +4,6 @@
 //! decides by the product's own types.
 
 pub mod body;
-pub mod call;
 pub mod callers;
 pub mod core;
 pub mod directory;
--- a/src/router/reserve.rs
+++ b/src/router/reserve.rs
@@ -5,10 +5,10 @@
 
 use crate::clock;
 use crate::document;
-use crate::router::call;
 use crate::router::core;
 use crate::router::edge;
 use crate::router::places;
+use crate::router::upstream;
 use crate::unit;
 
 /// How long room is reserved: the longest prefill that is waited for, and some.
@@ -51,7 +51,7 @@
         return Reserved::NotOffered;
     }
     let call = core.dialect.write_hold(memory, LIFE.min(longest));
-    let called = call::call(&*core.dialect, &pick.id, pick.address, call, CALL_LIMIT).await;
+    let called = call_server(core, pick, call).await;
     let (status, body) = match called {
         Ok(answer) => answer,
         Err(failure) => {
@@ -77,6 +77,28 @@
     }
 }
 
+async fn call_server(
+    core: &core::Core,
+    pick: &places::Pick,
+    call: edge::ServerCall,
+) -> Result<(hyper::StatusCode, bytes::Bytes), upstream::Failure> {
+    let body = http_body_util::Full::new(call.body);
+    let mut req = hyper::Request::new(body);
+    *req.method_mut() = call.method;
+    *req.uri_mut() = call.path.parse().map_err(|_| upstream::Failure::NotSent)?;
+    let headers = req.headers_mut();
+    let host = pick.address.to_string();
+    if let Ok(host) = hyper::header::HeaderValue::try_from(host) {
+        headers.insert(hyper::header::HOST, host);
+    }
+    let json = hyper::header::HeaderValue::from_static("application/json");
+    headers.insert(hyper::header::CONTENT_TYPE, json);
+    core.dialect.write_expected_server(headers, &pick.id);
+    let mut answer = upstream::send(pick.address, req, CALL_LIMIT).await?;
+    let body = answer.whole(CALL_LIMIT).await?;
+    Ok((answer.status, body))
+}
+
 impl Taken {
     /// Returns the name of the room for the request that uses it.
     ///
@@ -98,9 +120,7 @@
         let core = sync::Arc::clone(&self.core);
         let pick = self.pick.clone();
         self.core.spawn_stream(async move {
-            if let Err(failure) =
-                call::call(&*core.dialect, &pick.id, pick.address, call, CALL_LIMIT).await
-            {
+            if let Err(failure) = call_server(&core, &pick, call).await {
                 log::debug!("giving room back at {}: {failure}", pick.id);
             }
         });
--- a/src/router/sharing.rs
+++ b/src/router/sharing.rs
@@ -145,7 +145,6 @@
             spent,
             recent,
             attempts: core.budget().attempts(now),
-            prompts: core.prompts(),
             loads: core.places().loads(),
             losses: core.take_losses(),
         }
--- a/tests/fleet_ledger.rs
+++ b/tests/fleet_ledger.rs
@@ -32,7 +32,6 @@
         spent: Map::new(),
         recent: Map::new(),
         attempts: Map::new(),
-        prompts: Map::new(),
         loads: [(server(), load)].into_iter().collect(),
         losses: Vec::new(),
     }
--- a/tests/fleet_quota.rs
+++ b/tests/fleet_quota.rs
@@ -84,7 +84,6 @@
             spent: quotas.spent(),
             recent: quotas.recent(now),
             attempts: Map::new(),
-            prompts: Map::new(),
             loads: Map::new(),
             losses: Vec::new(),
         };
--- a/tests/router_units.rs
+++ b/tests/router_units.rs
@@ -199,9 +199,7 @@
         id: id(number),
         service: "model".parse().unwrap(),
         address: ([10, 1, 0, number], 80).into(),
-        data_centre: if number.is_multiple_of(2) { "a" } else { "b" }
-            .parse()
-            .unwrap(),
+        data_centre: if number % 2 == 0 { "a" } else { "b" }.parse().unwrap(),
         slots: 6,
         state: ServerState::Ready,
         stage,
@@ -233,7 +231,6 @@
         memory: Tokens::new(10_000),
         export_life: Millis::new(500),
         longest_hold: Millis::new(2_000),
-        change_time: Millis::new(6_000),
     }))
 }
 
