--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -33,6 +33,10 @@
 /// take a silent stream for lost.
 const LATE_WAIT: clock::Millis = clock::Millis::new(2_500);
 
+/// How long a stream that broke waits for another server, before all that have not begun: less than
+/// the time after which callers take a silent stream for lost.
+const RESUME_WAIT: clock::Millis = clock::Millis::new(2_000);
+
 /// Put before the rank of requests that are late already, so that they hold no other request up.
 const LATE_RANK: u16 = 1 << 15;
 
@@ -233,10 +237,18 @@
         Ok(())
     }
 
+    /// Tells whether the caller has a part of the answer already.
+    fn has_begun(&self) -> bool {
+        self.resume_after > self.req.caller.resume_after
+    }
+
     /// Returns until when to wait for a place: as long as the answer can still begin in time. A
     /// caller that has waited before is late anyway; it waits for what the others leave.
     fn place_until(&self) -> clock::Millis {
         let now = self.req.core.clock.now();
+        if self.has_begun() {
+            return (now + RESUME_WAIT).min(self.req.due);
+        }
         let wait = if self.req.is_returning() {
             LATE_WAIT
         } else {
@@ -295,12 +307,18 @@
     async fn place(&self, until: clock::Millis) -> Result<(places::Pick, held::Held), Refusal> {
         let req = &self.req;
         let load = self.decode_load();
-        let late = if req.is_returning() { LATE_RANK } else { 0 };
+        let begun = self.has_begun();
+        let late = req.is_returning() && !begun;
+        let rank = match (begun, late) {
+            (true, _) => 0,
+            (false, true) => req.rank | LATE_RANK,
+            (false, false) => req.rank,
+        };
         let need = places::Need {
             memory: load.memory,
-            late: req.is_returning(),
+            late,
         };
-        let queued = req.core.queue(&req.service.id, req.rank | late);
+        let queued = req.core.queue(&req.service.id, rank);
         loop {
             let now = req.core.clock.now();
             // The waiter registers before the look, so that no change in between is missed.
