--- a/src/filter/forward_plain.rs
+++ b/src/filter/forward_plain.rs
@@ -11,6 +11,7 @@
 use crate::filter::exchange;
 use crate::http::body;
 use crate::http::caller::answer;
+use crate::http::hop;
 use crate::id;
 use crate::state::command;
 use crate::state::model;
@@ -24,21 +25,6 @@
 /// The header that tells plain services which account calls.
 const ACCOUNT_HEADER: &str = "buckthorncleat-account";
 
-/// The headers that concern one connection only, and those that the gateway sets itself.
-const DROPPED_HEADERS: [&str; 11] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect",
-    ACCOUNT_HEADER,
-    answer::OUTCOME_HEADER,
-];
-
 /// Sends the call and answers with what the service says.
 ///
 /// # Errors
@@ -165,7 +151,7 @@
     let head = &exchange.head;
     let mut request = hyper::Request::new(client::Body::from(exchange.body.clone()));
     *request.method_mut() = head.method.clone();
-    *request.uri_mut() = path_only(&head.uri);
+    *request.uri_mut() = hop::path_only(&head.uri);
     *request.headers_mut() = end_to_end(&head.headers);
     let headers = request.headers_mut();
     headers
@@ -180,25 +166,10 @@
     request
 }
 
-fn path_only(uri: &hyper::Uri) -> hyper::Uri {
-    uri.path_and_query()
-        .and_then(|path| path.as_str().parse().ok())
-        .unwrap_or_else(|| hyper::Uri::from_static("/"))
-}
-
+/// Keeps the headers that go on, without those that only this system sets.
 fn end_to_end(headers: &header::HeaderMap) -> header::HeaderMap {
-    let mut kept = headers.clone();
-    let named: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for name in &named {
-        kept.remove(name.as_str());
-    }
-    for name in DROPPED_HEADERS {
+    let mut kept = hop::end_to_end(headers);
+    for name in [ACCOUNT_HEADER, answer::OUTCOME_HEADER] {
         kept.remove(name);
     }
     kept
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -9,6 +9,7 @@
 use crate::clock;
 use crate::document;
 use crate::fleet::message;
+use crate::http::hop;
 use crate::id;
 use crate::router::body;
 use crate::router::edge;
@@ -154,7 +155,7 @@
     };
     let mut response = hyper::Response::new(body::Body::from_bytes(Bytes::new()));
     *response.status_mut() = opened.answer.status;
-    *response.headers_mut() = request::for_caller(&opened.answer.headers);
+    *response.headers_mut() = hop::end_to_end(&opened.answer.headers);
     let (tx, body) = body::Body::channel();
     *response.body_mut() = body;
     let first_event = run.req.age();
@@ -444,7 +445,7 @@
             held.end(places::End::Failed);
             let mut response = hyper::Response::new(body::Body::from_bytes(whole));
             *response.status_mut() = answer.status;
-            *response.headers_mut() = request::for_caller(&answer.headers);
+            *response.headers_mut() = hop::end_to_end(&answer.headers);
             return Attempt::Failed(response);
         }
         let first = match time::timeout(left.as_duration(), answer.piece()).await {
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -2,6 +2,7 @@
 
 use crate::clock;
 use crate::fleet::message;
+use crate::http::hop;
 use crate::id;
 use crate::router::body;
 use crate::router::edge;
@@ -168,7 +169,7 @@
     let whole = answer.whole(left).await?;
     let mut response = hyper::Response::new(body::Body::from_bytes(whole));
     *response.status_mut() = answer.status;
-    *response.headers_mut() = request::for_caller(&answer.headers);
+    *response.headers_mut() = hop::end_to_end(&answer.headers);
     Ok((ran, response))
 }
 
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -11,6 +11,7 @@
 use crate::clock;
 use crate::document;
 use crate::fleet::message;
+use crate::http::hop;
 use crate::id;
 use crate::router::body;
 use crate::router::core;
@@ -312,9 +313,8 @@
         let body = http_body_util::Full::new(self.body.clone());
         let mut req = hyper::Request::new(body);
         *req.method_mut() = self.head.method.clone();
-        *req.uri_mut() = path_only(&self.head.uri);
-        *req.headers_mut() = end_to_end(&self.head.headers);
-        req.headers_mut().remove(header::CONTENT_LENGTH);
+        *req.uri_mut() = hop::path_only(&self.head.uri);
+        *req.headers_mut() = hop::end_to_end(&self.head.headers);
         let order = edge::ServerHead {
             left: self.left(),
             server: &pick.id,
@@ -367,46 +367,3 @@
         );
     }
 }
-
-/// Returns the headers of an answer that go on to the caller.
-pub fn for_caller(headers: &header::HeaderMap) -> header::HeaderMap {
-    let mut kept = end_to_end(headers);
-    kept.remove(header::CONTENT_LENGTH);
-    kept
-}
-
-fn path_only(uri: &hyper::Uri) -> hyper::Uri {
-    uri.path_and_query()
-        .and_then(|path| path.as_str().parse().ok())
-        .unwrap_or_else(|| hyper::Uri::from_static("/"))
-}
-
-/// The headers that concern one connection only.
-const OF_ONE_CONNECTION: [&str; 8] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "transfer-encoding",
-    "upgrade",
-    "te",
-    "trailer",
-    "expect",
-];
-
-fn end_to_end(headers: &header::HeaderMap) -> header::HeaderMap {
-    let mut kept = headers.clone();
-    let named: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for name in &named {
-        kept.remove(name.as_str());
-    }
-    for name in OF_ONE_CONNECTION {
-        kept.remove(name);
-    }
-    kept
-}
--- a/tests/router_units.rs
+++ b/tests/router_units.rs
@@ -199,7 +199,9 @@
         id: id(number),
         service: "model".parse().unwrap(),
         address: ([10, 1, 0, number], 80).into(),
-        data_centre: if number % 2 == 0 { "a" } else { "b" }.parse().unwrap(),
+        data_centre: if number.is_multiple_of(2) { "a" } else { "b" }
+            .parse()
+            .unwrap(),
         slots: 6,
         state: ServerState::Ready,
         stage,
