--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -1,6 +1,5 @@
 //! Requests that are answered by a stream of events, placed on prefill and decode servers.
 
-use std::net;
 use std::sync;
 
 use bytes::Bytes;
@@ -15,6 +14,7 @@
 use crate::router::edge;
 use crate::router::held;
 use crate::router::places;
+use crate::router::prefill;
 use crate::router::relay;
 use crate::router::request;
 use crate::router::reserve;
@@ -56,20 +56,6 @@
 /// The servers that may be tried because others could not be reached, beside the attempts.
 const MAX_UNREACHED: u32 = 3;
 
-/// The time that a prefill may take beyond what was predicted.
-const PREFILL_SLACK: clock::Millis = clock::Millis::new(400);
-
-/// The predicted time up to which a prefill server is used; beyond it, the decode server reads
-/// the prompt itself.
-const LONGEST_PREFILL: clock::Millis = clock::Millis::new(700);
-
-/// The part of the time that an exported KV cache is kept in which it is fetched; the rest covers
-/// the way there.
-const EXPORT_USE: (u64, u64) = (4, 5);
-
-/// The prefill servers that may be tried again because others could not be reached.
-const MAX_PREFILL_UNREACHED: usize = 1;
-
 /// The output that is expected when neither the caller nor the request says anything, in tokens.
 const DEFAULT_OUTPUT: u64 = 256;
 
@@ -85,22 +71,13 @@
     /// Whether some attempt may have run.
     ran: bool,
     /// The KV cache of the prompt, while it is there for another decode server.
-    export: Option<Exported>,
+    export: Option<prefill::Exported>,
     /// The server that read the prompt ahead.
     prompt_server: Option<id::BackendServerId>,
     /// The last event that the caller has.
     pub resume_after: Option<u64>,
 }
 
-/// A prompt that was read ahead.
-#[derive(Clone, Debug)]
-struct Exported {
-    server: id::BackendServerId,
-    from: net::SocketAddr,
-    export: edge::Export,
-    until: clock::Millis,
-}
-
 /// An answer that has begun.
 pub struct Opened {
     /// The answer.
@@ -121,16 +98,6 @@
     hold: Option<reserve::Taken>,
 }
 
-/// How reading a prompt ahead went.
-enum Prefilled {
-    /// The prompt is read.
-    Done(Exported),
-    /// This server could not be reached; it got nothing.
-    Unreached(id::BackendServerId),
-    /// It was not read, or nobody knows.
-    Not,
-}
-
 /// How an attempt went.
 enum Attempt {
     Opened(Box<Opened>),
@@ -378,7 +345,7 @@
         } = place;
         let pick = &pick;
         if self.resume_after.is_none() && self.sent == 0 && self.export.is_none() {
-            self.export = self.prefill().await;
+            self.export = prefill::read(&self.req).await;
             self.prompt_server = self.export.as_ref().map(|e| e.server.clone());
         }
         let now = self.req.core.clock.now();
@@ -528,97 +495,6 @@
             "a server took no work"
         );
     }
-
-    /// Has the prompt read at a prefill server; without one, the decode server reads it itself.
-    async fn prefill(&self) -> Option<Exported> {
-        let mut unreached = Vec::new();
-        while unreached.len() <= MAX_PREFILL_UNREACHED {
-            match self.prefill_once(&unreached).await {
-                Prefilled::Done(exported) => return Some(exported),
-                Prefilled::Unreached(server) => unreached.push(server),
-                Prefilled::Not => return None,
-            }
-        }
-        None
-    }
-
-    async fn prefill_once(&self, unreached: &[id::BackendServerId]) -> Prefilled {
-        let req = &self.req;
-        let Some(prompt) = req.caller.generation.map(|g| g.prompt) else {
-            return Prefilled::Not;
-        };
-        let now = req.core.clock.now();
-        let service = &req.service.id;
-        let picked = req
-            .core
-            .places()
-            .pick_prefill(now, service, prompt, unreached);
-        let Some(picked) = picked else {
-            return Prefilled::Not;
-        };
-        if picked.time > LONGEST_PREFILL {
-            return Prefilled::Not;
-        }
-        let load = message::Load {
-            requests: 1,
-            memory: unit::Tokens::new(0),
-            prompts: prompt,
-        };
-        let held = held::Held::begin(&req.core, &picked.pick.id, load);
-        let limit = (picked.time * 2 + PREFILL_SLACK).min(req.left());
-        let export = self.read_ahead(&picked.pick, limit).await;
-        let took = req.core.clock.now() - now;
-        held.end(match &export {
-            Ok(Some(_)) => places::End::Good,
-            Ok(None) => places::End::Neutral,
-            Err(_) => places::End::Lost,
-        });
-        if let Ok(Some(export)) = export {
-            let id = &picked.pick.id;
-            req.core.places().note_read(id, picked.tokens, took);
-            let life = req.service.engine.as_ref().map(|e| e.export_life);
-            let life = life.unwrap_or_default().as_u64() * EXPORT_USE.0 / EXPORT_USE.1;
-            return Prefilled::Done(Exported {
-                server: id.clone(),
-                from: picked.pick.address,
-                export,
-                until: req.core.clock.now() + clock::Millis::new(life),
-            });
-        }
-        log::info!(
-            event = "prefill_failed",
-            request = req.caller.request.as_deref().unwrap_or(""),
-            server = picked.pick.id.as_str(),
-            predicted_ms = picked.time.as_u64(),
-            took_ms = took.as_u64();
-            "the prompt was not read ahead"
-        );
-        if export == Err(upstream::Failure::NotSent) {
-            return Prefilled::Unreached(picked.pick.id);
-        }
-        Prefilled::Not
-    }
-
-    /// Returns the exported KV cache, or `None` when the server took no work.
-    async fn read_ahead(
-        &self,
-        pick: &places::Pick,
-        limit: clock::Millis,
-    ) -> Result<Option<edge::Export>, upstream::Failure> {
-        let sent = self.req.for_server(pick, edge::Work::Prefill, None, None);
-        let mut answer = upstream::send(pick.address, sent, limit).await?;
-        if self.req.ran(&answer)? != edge::Ran::Yes || !answer.status.is_success() {
-            return Ok(None);
-        }
-        let whole = answer.whole(limit).await?;
-        match self.req.core.dialect.read_export(&whole) {
-            Ok(export) => Ok(Some(export)),
-            Err(e) => {
-                log::warn!("the answer of a prefill server: {e}");
-                Ok(None)
-            }
-        }
-    }
 }
 
 /// Tells whether a stream of the route can be taken up at another server.
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -14,6 +14,7 @@
 pub mod held;
 pub mod places;
 pub mod plain;
+pub mod prefill;
 pub mod relay;
 pub mod request;
 pub mod reserve;
--- /dev/null
+++ b/src/router/prefill.rs
@@ -0,0 +1,140 @@
+//! Has prompts read at prefill servers, ahead of the decode server that goes on.
+
+use std::net;
+
+use crate::clock;
+use crate::fleet::message;
+use crate::id;
+use crate::router::edge;
+use crate::router::held;
+use crate::router::places;
+use crate::router::request;
+use crate::router::upstream;
+use crate::unit;
+
+/// The time that a prefill may take beyond what was predicted.
+const PREFILL_SLACK: clock::Millis = clock::Millis::new(400);
+
+/// The predicted time up to which a prefill server is used; beyond it, the decode server reads
+/// the prompt itself.
+const LONGEST_PREFILL: clock::Millis = clock::Millis::new(700);
+
+/// The part of the time that an exported KV cache is kept in which it is fetched; the rest covers
+/// the way there.
+const EXPORT_USE: (u64, u64) = (4, 5);
+
+/// The prefill servers that may be tried again because others could not be reached.
+const MAX_PREFILL_UNREACHED: usize = 1;
+
+/// A prompt that was read ahead.
+#[derive(Clone, Debug)]
+pub struct Exported {
+    /// The server that read it.
+    pub server: id::BackendServerId,
+    /// Where that server listens.
+    pub from: net::SocketAddr,
+    /// The KV cache there.
+    pub export: edge::Export,
+    /// Until when it may be fetched.
+    pub until: clock::Millis,
+}
+
+/// How reading a prompt ahead went.
+enum Prefilled {
+    /// The prompt is read.
+    Done(Exported),
+    /// This server could not be reached; it got nothing.
+    Unreached(id::BackendServerId),
+    /// It was not read, or nobody knows.
+    Not,
+}
+
+/// Has the prompt read at a prefill server; without one, the decode server reads it itself.
+pub async fn read(req: &request::Request) -> Option<Exported> {
+    let mut unreached = Vec::new();
+    while unreached.len() <= MAX_PREFILL_UNREACHED {
+        match read_once(req, &unreached).await {
+            Prefilled::Done(exported) => return Some(exported),
+            Prefilled::Unreached(server) => unreached.push(server),
+            Prefilled::Not => return None,
+        }
+    }
+    None
+}
+
+async fn read_once(req: &request::Request, unreached: &[id::BackendServerId]) -> Prefilled {
+    let Some(prompt) = req.caller.generation.map(|g| g.prompt) else {
+        return Prefilled::Not;
+    };
+    let now = req.core.clock.now();
+    let service = &req.service.id;
+    let picked = req
+        .core
+        .places()
+        .pick_prefill(now, service, prompt, unreached);
+    let Some(picked) = picked else {
+        return Prefilled::Not;
+    };
+    if picked.time > LONGEST_PREFILL {
+        return Prefilled::Not;
+    }
+    let load = message::Load {
+        requests: 1,
+        memory: unit::Tokens::new(0),
+        prompts: prompt,
+    };
+    let held = held::Held::begin(&req.core, &picked.pick.id, load);
+    let limit = (picked.time * 2 + PREFILL_SLACK).min(req.left());
+    let export = read_at(req, &picked.pick, limit).await;
+    let took = req.core.clock.now() - now;
+    held.end(match &export {
+        Ok(Some(_)) => places::End::Good,
+        Ok(None) => places::End::Neutral,
+        Err(_) => places::End::Lost,
+    });
+    if let Ok(Some(export)) = export {
+        let id = &picked.pick.id;
+        req.core.places().note_read(id, picked.tokens, took);
+        let life = req.service.engine.as_ref().map(|e| e.export_life);
+        let life = life.unwrap_or_default().as_u64() * EXPORT_USE.0 / EXPORT_USE.1;
+        return Prefilled::Done(Exported {
+            server: id.clone(),
+            from: picked.pick.address,
+            export,
+            until: req.core.clock.now() + clock::Millis::new(life),
+        });
+    }
+    log::info!(
+        event = "prefill_failed",
+        request = req.caller.request.as_deref().unwrap_or(""),
+        server = picked.pick.id.as_str(),
+        predicted_ms = picked.time.as_u64(),
+        took_ms = took.as_u64();
+        "the prompt was not read ahead"
+    );
+    if export == Err(upstream::Failure::NotSent) {
+        return Prefilled::Unreached(picked.pick.id);
+    }
+    Prefilled::Not
+}
+
+/// Returns the exported KV cache, or `None` when the server took no work.
+async fn read_at(
+    req: &request::Request,
+    pick: &places::Pick,
+    limit: clock::Millis,
+) -> Result<Option<edge::Export>, upstream::Failure> {
+    let sent = req.for_server(pick, edge::Work::Prefill, None, None);
+    let mut answer = upstream::send(pick.address, sent, limit).await?;
+    if req.ran(&answer)? != edge::Ran::Yes || !answer.status.is_success() {
+        return Ok(None);
+    }
+    let whole = answer.whole(limit).await?;
+    match req.core.dialect.read_export(&whole) {
+        Ok(export) => Ok(Some(export)),
+        Err(e) => {
+            log::warn!("the answer of a prefill server: {e}");
+            Ok(None)
+        }
+    }
+}
