Copy the document for a report only when its router needs it

Cause: the leader copied the whole packed document under the state's lock for each report, up to 500 a second, though almost every report comes with the newest version. Imports of sharing.rs as elsewhere. Change: versions are compared first; behaviour stays.

--- a/src/keeper/hub.rs
+++ b/src/keeper/hub.rs
@@ -177,18 +177,19 @@
     /// Answers a report, or names the leader.
     pub fn report(&self, from: &id::InstanceId, report: fleet::Report) -> message::Reply {
         let now = self.clock.now();
-        let document = self.group.with_state(|s| s.document().cloned());
+        let held = self.group.with_state(|s| s.document().map(|d| d.version));
         let mut lead = self.lead();
         let Some(term) = lead.term.filter(|_| lead.is_proven(now)) else {
             return message::Reply::NotLeader(leader_of(&self.group));
         };
-        if let Some(packed) = &document {
-            self.configure(&mut lead, packed);
+        if lead.configured != held {
+            self.configure(&mut lead);
         }
         let has_list = report.list;
         let has_document = report.document;
         let sums = lead.ledger.report(now, from, report);
-        let newer = document.filter(|d| has_document < Some(d.version));
+        // Documents can be large, and almost every report comes with the newest version.
+        let newer = (has_document < held).then(|| self.document()).flatten();
         let list = lead.list.as_ref();
         let list = list.filter(|l| has_list != Some((term, l.number)));
         message::Reply::Summary(Box::new(fleet::Summary {
@@ -206,10 +207,14 @@
         }))
     }
 
-    fn configure(&self, lead: &mut Lead, packed: &document::Packed) {
-        if lead.configured == Some(packed.version) {
+    fn document(&self) -> Option<document::Packed> {
+        self.group.with_state(|s| s.document().cloned())
+    }
+
+    fn configure(&self, lead: &mut Lead) {
+        let Some(packed) = self.document() else {
             return;
-        }
+        };
         lead.configured = Some(packed.version);
         let plain = packed.to_plain();
         match plain.and_then(|plain| self.dialect.read_document(&plain)) {
--- a/src/router/sharing.rs
+++ b/src/router/sharing.rs
@@ -13,8 +13,11 @@
 use crate::id;
 use crate::peer::link;
 use crate::peer::message as peer_message;
+use crate::router::callers;
 use crate::router::core;
+use crate::router::directory;
 use crate::router::discovery;
+use crate::sorted;
 
 /// How long a member may take to answer a report: several round trips and a sync of its disk, and
 /// short against the time in which a document must be in force.
@@ -79,7 +82,7 @@
                 () = time::sleep(pause.as_duration()) => {}
                 // A change of the phase is told at once, so that callers are sent elsewhere.
                 _ = phase.wait_for(|p| *p != before) => {}
-                () = crate::router::callers::closed(&mut stop) => return,
+                () = callers::closed(&mut stop) => return,
             }
         }
     }
@@ -138,7 +141,7 @@
             incarnation: self.links.identity().incarnation,
             address: core.settings.caller_address,
             data_centre: core.settings.data_centre.clone(),
-            accepts: crate::router::directory::is_ready(core),
+            accepts: directory::is_ready(core),
             document: core.version(),
             list: self.list,
             gateways,
@@ -153,7 +156,7 @@
     fn take_in(
         &mut self,
         from: net::SocketAddr,
-        spent: &crate::sorted::Map<id::ClientAccountId, i64>,
+        spent: &sorted::Map<id::ClientAccountId, i64>,
         summary: message::Summary,
     ) {
         let core = &self.core;
