Logs that explain a request: bounded, sampled, ordered, and a command that reads them

Cause: a failed request could be followed only with grep and knowledge of the code. Lines had no order over processes, quota refusals had no request id, placement and repeats said nothing of what decided them, and nothing bounded the volume but the queue.

Change: structured lines carry their instance and the hybrid logical clock that messages hand on. Lines of requests that went well are sampled by request above 200 a second, so that all processes keep the same ones; refusals and failures are kept up to 1,000 a second and counted beyond. Lines tell fullness, age of the report, wait, quota left and the state of the retry budget. Metrics for waits, pauses, repeats, quota units by account, connections, ages, syncs and leads. The ring of events is a quarter of before: 3 MB.

Tests: tests/logging.rs (a reader that stalls, bursts, shared samples), tests/explain.rs (order, context, foreign lines, the command itself).

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -78,6 +78,14 @@
         /// The operators file.
         file: path::PathBuf,
     },
+    /// Tell what became of a request, from the structured logs of several processes.
+    Explain {
+        /// The request, as its caller named it.
+        #[arg(long, value_name = "ID")]
+        request: String,
+        /// The log files; standard input when there are none.
+        files: Vec<path::PathBuf>,
+    },
     /// Client accounts.
     #[command(subcommand)]
     Account(Account),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,6 +3,7 @@
 pub mod args;
 pub mod ask;
 pub mod client;
+pub mod explain;
 pub mod failure;
 pub mod local;
 pub mod output;
@@ -39,6 +40,7 @@
         Command::Check { files } => Ok(local::check(&files)?),
         Command::Secret { file } => Ok(local::make_secret(&file)?),
         Command::Token { name, file } => Ok(local::add_token(&name, &file)?),
+        Command::Explain { request, files } => Ok(explain::explain(&request, &files)?),
         Command::Account(command) => resource::account(&connect()?, command).await,
         Command::Key(command) => resource::key(&connect()?, command).await,
         Command::Model(command) => resource::model(&connect()?, command).await,
--- a/src/event.rs
+++ b/src/event.rs
@@ -11,8 +11,8 @@
 use crate::id;
 use crate::macros;
 
-/// The events that one process keeps.
-pub const RING_EVENTS: usize = 65_536;
+/// The events that one process keeps: a few minutes of a busy gateway, in 3 MB.
+pub const RING_EVENTS: usize = 16_384;
 
 macros::data! {copy
     /// A reading of the hybrid logical clock.
@@ -123,6 +123,11 @@
         }
     }
 
+    /// Returns the instance whose events these are.
+    pub fn instance(&self) -> &id::InstanceId {
+        &self.instance
+    }
+
     /// Records an event that concerns no single request.
     pub fn record(&self, kind: Kind, detail: impl Into<String>) {
         self.push(kind, None, detail.into());
--- /dev/null
+++ b/src/explain/words.rs
@@ -0,0 +1,156 @@
+//! Puts log lines into words.
+
+use crate::explain::line::Entry;
+
+/// Describes a line in a sentence; an event without words of its own prints its fields.
+pub fn describe(entry: &Entry) -> String {
+    let text = |name: &str| entry.text(name);
+    let value = |name: &str| entry.value(name);
+    match entry.event.as_str() {
+        "refused" => refused(entry),
+        "over_quota" => format!(
+            "account {} asked for {} units and had {} left of its quota (rate {}, counted alone: {})",
+            text("account"),
+            value("units"),
+            value("left"),
+            value("rate"),
+            value("share_alone")
+        ),
+        "stream_begun" => begun(entry),
+        "served" => format!(
+            "{} by server {} at attempt {}, {} ms after it came; the server was {} % busy by a report \
+             {} ms old, document {}",
+            text("outcome"),
+            text("server"),
+            value("tries"),
+            value("age_ms"),
+            value("busy_percent"),
+            value("report_age_ms"),
+            value("document")
+        ),
+        "attempt_failed" | "server_lost" => format!(
+            "server {} {} under request {}, {} ms after it came, with {} attempts sent before",
+            text("server"),
+            failure(text("failure")),
+            text("request"),
+            value("age_ms"),
+            value("tries")
+        ),
+        "server_refused" => format!(
+            "server {} took no work at attempt {}, so nothing ran there (address reused: {})",
+            text("server"),
+            value("tries"),
+            value("address_reused")
+        ),
+        "prefill_failed" => format!(
+            "prefill server {} did not read the prompt: predicted {} ms, given up after {} ms; the \
+             decode server reads it",
+            text("server"),
+            value("predicted_ms"),
+            value("took_ms")
+        ),
+        "repeat" => format!(
+            "another attempt for service {} was {}: {} of {} repeats were used in the window",
+            text("service"),
+            if value("granted") == "true" {
+                "granted"
+            } else {
+                "refused"
+            },
+            value("used"),
+            value("allowed")
+        ),
+        "not_resumed" => format!(
+            "the stream was not taken up again after event {}: {}",
+            value("last_event"),
+            text("reason")
+        ),
+        "stream_end" => format!(
+            "the stream ended: {}, {} pieces in {} ms, first event after {} ms, longest pause {} ms",
+            text("outcome"),
+            value("pieces"),
+            value("age_ms"),
+            value("first_event_ms"),
+            value("longest_pause_ms")
+        ),
+        _ => belief(entry),
+    }
+}
+
+fn refused(entry: &Entry) -> String {
+    let ran = match entry.value("status").as_str() {
+        "502" | "504" => "it may have run",
+        _ => "it did not run",
+    };
+    format!(
+        "answered {} after {} ms because of: {} ({ran}; come back after {} ms; document {})",
+        entry.value("status"),
+        entry.value("age_ms"),
+        entry.text("reason"),
+        entry.value("retry_after_ms"),
+        entry.value("document")
+    )
+}
+
+fn begun(entry: &Entry) -> String {
+    let prompt = match entry.text("prompt_server") {
+        "" => "which read the prompt itself".to_owned(),
+        server => format!("after prefill server {server} read the prompt"),
+    };
+    format!(
+        "the stream began at decode server {}, {prompt}: placed after {} ms, first event after {} ms; \
+         the server was {} % full with it by a report {} ms old; {} tokens of memory expected, \
+         account {} had {} left, document {}",
+        entry.text("server"),
+        entry.value("waited_ms"),
+        entry.value("age_ms"),
+        entry.value("busy_percent"),
+        entry.value("report_age_ms"),
+        entry.value("expected_memory"),
+        entry.text("account"),
+        entry.value("quota_left"),
+        entry.value("document")
+    )
+}
+
+fn failure(failure: &str) -> &str {
+    match failure {
+        "not sent" => "could not be reached",
+        "broken off" => "broke off",
+        "silent" => "was silent for too long",
+        other => other,
+    }
+}
+
+fn belief(entry: &Entry) -> String {
+    let value = |name: &str| entry.value(name);
+    match entry.event.as_str() {
+        "document" => format!("document {} came into force", value("version")),
+        "servers" => format!("took in a list of {} servers", value("count")),
+        "list" => format!("the platform's list changed: {} servers", value("servers")),
+        "leader" => format!(
+            "reports to the leader at {} in term {}",
+            entry.text("address"),
+            value("term")
+        ),
+        "leader_lost" => "no leader answers; serves by what is known".to_owned(),
+        "log_sampled" => format!(
+            "lines of requests that went well are kept for one request in {}",
+            value("one_in")
+        ),
+        "log_dropped" => format!("{} lines of this log were dropped", value("lines")),
+        _ => fields(entry),
+    }
+}
+
+fn fields(entry: &Entry) -> String {
+    let shown = entry.fields.iter().filter(|(name, _)| {
+        !["ts", "n", "instance", "level", "event", "msg"].contains(&name.as_str())
+    });
+    let shown: Vec<String> = shown.map(|(name, v)| format!(" {name}={v}")).collect();
+    let name = match entry.event.as_str() {
+        "" => entry.text("msg"),
+        event => event,
+    };
+    format!("{name}{}", shown.concat())
+}
--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -24,6 +24,17 @@
     pub window: clock::Millis,
 }
 
+/// Whether an attempt may be made, and what decided it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// Whether it may.
+    pub granted: bool,
+    /// The attempts beyond the first that were made in the window, as far as is known.
+    pub used: u64,
+    /// Those that are allowed.
+    pub allowed: u64,
+}
+
 /// The retry budget of one gateway.
 #[derive(Debug)]
 pub struct Budget {
@@ -59,7 +70,7 @@
     }
 
     /// Takes one attempt beyond the first, if the budget has one.
-    pub fn try_repeat(&mut self, now: clock::Millis, service: &document::ServiceId) -> bool {
+    pub fn try_repeat(&mut self, now: clock::Millis, service: &document::ServiceId) -> Verdict {
         let own = self.counts(service).sums(now);
         let stale = self.summary_at.is_none_or(|at| now >= at + STALE_AFTER);
         let (others, spare) = if stale {
@@ -71,11 +82,16 @@
         };
         let earned = self.settings.ratio * (own.requests + others.requests) as f64;
         let allowed = (earned as u64 + spare) * USED_PERCENT / 100;
-        let fits = own.repeats + others.repeats < allowed;
-        if fits {
+        let used = own.repeats + others.repeats;
+        let granted = used < allowed;
+        if granted {
             self.counts(service).repeats.add(now, 1);
         }
-        fits
+        Verdict {
+            granted,
+            used,
+            allowed,
+        }
     }
 
     /// Returns the attempts in the window, for a report.
--- a/src/fleet/quota.rs
+++ b/src/fleet/quota.rs
@@ -32,6 +32,23 @@
     gateways: u32,
 }
 
+/// Why an account can't pay for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shortage {
+    /// An estimate of the time until it can.
+    pub wait: clock::Millis,
+    /// The units asked for.
+    pub units: u64,
+    /// The units that are left here.
+    pub left: i64,
+    /// The quota.
+    pub quota: document::Quota,
+    /// Whether this router counts on its own share, without a leader's sums.
+    pub alone: bool,
+    /// How long the last sums are good for.
+    pub fresh_for: clock::Millis,
+}
+
 #[derive(Debug)]
 struct Meter {
     quota: document::Quota,
@@ -99,6 +116,11 @@
             .collect()
     }
 
+    /// Returns what is left of an account's quota over the whole fleet, as far as is known.
+    pub fn left(&self, account: &id::ClientAccountId) -> Option<i64> {
+        self.accounts.get(account).map(|meter| meter.left)
+    }
+
     /// Returns the gateways that count for shares.
     pub fn gateways(&self) -> u32 {
         self.gateways
@@ -127,13 +149,13 @@
     ///
     /// # Errors
     ///
-    /// Returns an estimate of the time until the account has enough units again.
+    /// Returns what is missing, with an estimate of the time until the account has enough units.
     pub fn charge(
         &mut self,
         now: clock::Millis,
         account: &id::ClientAccountId,
         units: u64,
-    ) -> Result<(), clock::Millis> {
+    ) -> Result<(), Shortage> {
         let alone = now >= self.stale_at;
         let (window, gateways) = (self.window, i64::from(self.gateways.max(1)));
         let Some(meter) = self.accounts.get_mut(account) else {
@@ -150,20 +172,14 @@
             return Ok(());
         }
         let wait = clock::Millis::new(missing as u64 * 1_000 / meter.quota.rate.max(1));
-        let wait = wait.clamp(SHORTEST_WAIT, LONGEST_WAIT);
-        log::info!(
-            event = "over_quota",
-            account = account.as_str(),
-            units = units,
-            left = left,
-            rate = meter.quota.rate,
-            burst = meter.quota.burst,
-            share_alone = alone,
-            fresh_for_ms = (self.stale_at - now).as_u64(),
-            wait_ms = wait.as_u64();
-            "the account has used up its quota"
-        );
-        Err(wait)
+        Err(Shortage {
+            wait: wait.clamp(SHORTEST_WAIT, LONGEST_WAIT),
+            units,
+            left,
+            quota: meter.quota,
+            alone,
+            fresh_for: self.stale_at - now,
+        })
     }
 
     /// Gives back the units of a request that did not run.
--- a/src/keeper/run.rs
+++ b/src/keeper/run.rs
@@ -67,6 +67,8 @@
     pub settings: Settings,
     /// The secret that all processes of the system share.
     pub secret: frame::Secret,
+    /// The events and the clock of the process.
+    pub recorder: sync::Arc<event::Recorder>,
     /// Turns true when the process is to stop.
     pub stop: watch::Receiver<bool>,
 }
@@ -78,8 +80,8 @@
 /// Fails when an address can't be listened on or the disk fails.
 pub async fn run(env: Environment) -> error::Result<()> {
     let settings = env.settings;
-    let recorder = sync::Arc::new(event::Recorder::new(settings.instance.clone()));
     let name = settings.instance.clone();
+    let recorder = env.recorder;
     let identity = link::Identity::new(name.clone(), env.secret, sync::Arc::clone(&recorder));
     let identity = sync::Arc::new(identity);
     let links = sync::Arc::new(link::Links::new(sync::Arc::clone(&identity)));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod document;
 pub mod error;
 pub mod event;
+pub mod explain;
 pub mod filter;
 pub mod fleet;
 pub mod gateway;
--- /dev/null
+++ b/src/logging/structured.rs
@@ -0,0 +1,183 @@
+//! The logger of structured lines: bounded in volume, and never waiting for its reader.
+
+use std::fmt::Write as _;
+use std::io;
+use std::io::Write as _;
+use std::sync;
+use std::time;
+
+use env_logger::fmt;
+use log::Log;
+use log::kv;
+
+use crate::clock;
+use crate::event;
+use crate::logging;
+use crate::logging::queue;
+use crate::logging::sample;
+
+/// How long the end of a process waits for its last lines.
+const FLUSH_LIMIT: time::Duration = time::Duration::from_millis(300);
+
+static COUNTS: sync::OnceLock<sync::Arc<queue::Counts>> = sync::OnceLock::new();
+
+/// Starts logging as JSON lines with typed fields on standard output. The lines carry the recorder's
+/// instance and clock, so that those of several processes can be merged in causal order.
+pub fn init_structured(recorder: sync::Arc<event::Recorder>) {
+    let counts = sync::Arc::new(queue::Counts::default());
+    let queue = match queue::Queue::start(io::stdout(), sync::Arc::clone(&counts)) {
+        Ok(queue) => queue,
+        Err(e) => {
+            eprintln!("no thread for the log: {e}; it goes to standard error");
+            logging::init();
+            return;
+        }
+    };
+    let lines = logging::builder()
+        .format(move |f, record| write_fields(&recorder, f, record))
+        .target(fmt::Target::Pipe(Box::new(queue)))
+        .build();
+    let level = lines.filter();
+    let bounded = Bounded {
+        lines,
+        counts: sync::Arc::clone(&counts),
+        clock: clock::Clock::start(),
+        sampler: sync::Mutex::new(sample::Sampler::new()),
+    };
+    // A second call, as in tests, keeps the first logger.
+    if log::set_boxed_logger(Box::new(bounded)).is_ok() {
+        log::set_max_level(level);
+        let _ = COUNTS.set(counts);
+    }
+}
+
+/// Waits a moment for the lines that are queued.
+pub fn flush() {
+    if let Some(counts) = COUNTS.get() {
+        counts.flush(FLUSH_LIMIT);
+    }
+}
+
+struct Bounded {
+    lines: env_logger::Logger,
+    counts: sync::Arc<queue::Counts>,
+    clock: clock::Clock,
+    sampler: sync::Mutex<sample::Sampler>,
+}
+
+impl Bounded {
+    /// Decides about a line; the second value is the new share of requests when it changed.
+    fn judge(&self, record: &log::Record<'_>) -> (sample::Verdict, Option<u64>) {
+        let now = self.clock.now();
+        let mut sampler = self
+            .sampler
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        let before = sampler.one_in();
+        let verdict = if record.target() == sample::ROUTINE {
+            let request = record.key_values().get("request".into());
+            let request = request.as_ref().and_then(kv::Value::to_borrowed_str);
+            sampler.routine(now, request.unwrap_or_default())
+        } else {
+            sampler.other(now)
+        };
+        let after = sampler.one_in();
+        (verdict, (after != before).then_some(after))
+    }
+
+    fn note(&self, event: &str, field: &str, value: u64, msg: &str) {
+        let pairs: &[(&str, kv::Value<'_>)] = &[("event", event.into()), (field, value.into())];
+        self.lines.log(
+            &log::Record::builder()
+                .level(log::Level::Warn)
+                .target("buckthorncleat")
+                .key_values(&pairs)
+                .args(format_args!("{msg}"))
+                .build(),
+        );
+    }
+}
+
+impl Log for Bounded {
+    fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+        self.lines.enabled(metadata)
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        if !self.lines.enabled(record.metadata()) {
+            return;
+        }
+        let (verdict, one_in) = self.judge(record);
+        if let Some(one_in) = one_in {
+            let msg = "lines of requests that went well are kept for one request in this many";
+            self.note("log_sampled", "one_in", one_in, msg);
+        }
+        match verdict {
+            sample::Verdict::Skip => return,
+            sample::Verdict::Drop => return self.counts.drop_line(),
+            sample::Verdict::Keep => {}
+        }
+        let dropped = self.counts.take_dropped();
+        if dropped > 0 {
+            self.note(
+                "log_dropped",
+                "lines",
+                dropped,
+                "lines of the log were dropped",
+            );
+        }
+        self.lines.log(record);
+    }
+
+    fn flush(&self) {}
+}
+
+fn write_fields(
+    recorder: &event::Recorder,
+    f: &mut fmt::Formatter,
+    record: &log::Record<'_>,
+) -> io::Result<()> {
+    let at = recorder.stamp();
+    let mut line = String::with_capacity(256);
+    let head = (at.wall, at.counter, record.level());
+    let instance = recorder.instance().as_str();
+    // Writing to a string does not fail.
+    let _ = write!(
+        line,
+        r#"{{"ts":{},"n":{},"instance":"{instance}","level":"{}""#,
+        head.0, head.1, head.2
+    );
+    // The visitor itself never fails.
+    let _ = record.key_values().visit(&mut Fields(&mut line));
+    push_field(&mut line, "msg", &record.args().to_string());
+    line.push_str("}\n");
+    f.write_all(line.as_bytes())
+}
+
+struct Fields<'a>(&'a mut String);
+
+impl<'kvs> kv::VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        let key = key.as_str();
+        if let Some(n) = value.to_u64() {
+            push_plain(self.0, key, n);
+        } else if let Some(n) = value.to_i64() {
+            push_plain(self.0, key, n);
+        } else if let Some(b) = value.to_bool() {
+            push_plain(self.0, key, b);
+        } else if let Some(text) = value.to_borrowed_str() {
+            push_field(self.0, key, text);
+        } else {
+            push_field(self.0, key, &value.to_string());
+        }
+        Ok(())
+    }
+}
+
+fn push_plain(line: &mut String, key: &str, value: impl std::fmt::Display) {
+    let _ = write!(line, r#","{key}":{value}"#);
+}
+
+fn push_field(line: &mut String, key: &str, text: &str) {
+    let _ = write!(line, r#","{key}":{}"#, serde_json::Value::from(text));
+}
--- a/src/replica/group/driver.rs
+++ b/src/replica/group/driver.rs
@@ -330,12 +330,13 @@
             return;
         }
         if let Some(term) = self.led_term {
-            log::info!("lost the lead of term {term}");
+            log::info!(event = "lead_lost", term = term.as_u64(); "lost the lead of term {term}");
             self.recorder
                 .record(event::Kind::LeaderLost, format!("term {term}"));
         }
         if let Some(term) = leads {
-            log::info!("leads the control group in term {term}");
+            log::info!(event = "leads", term = term.as_u64(); "leads the control group in term {term}");
+            metrics::counter!("buckthorncleat_leads_total").increment(1);
             self.recorder
                 .record(event::Kind::LeaderElected, format!("term {term}"));
         }
@@ -363,9 +364,9 @@
 
 fn log_members(members: &members::Membership) {
     for (instance, seat) in members.voters.iter() {
-        log::info!("member {instance} in life {} votes", seat.incarnation);
+        log::info!(event = "member", member = instance.as_str(), role = "votes"; "member {instance} in life {} votes", seat.incarnation);
     }
     for (instance, seat) in members.learners.iter() {
-        log::info!("member {instance} in life {} catches up", seat.incarnation);
+        log::info!(event = "member", member = instance.as_str(), role = "catches up"; "member {instance} in life {} catches up", seat.incarnation);
     }
 }
--- a/src/replica/storage/segment.rs
+++ b/src/replica/storage/segment.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::io::Write as _;
 use std::path;
+use std::time;
 
 use crate::error;
 use crate::id;
@@ -76,7 +77,11 @@
     pub fn commit(&mut self, bytes: &[u8]) -> error::Result<()> {
         let written = self.file.write_all(bytes);
         written.map_err(|e| file::failed("writing", &self.path, e))?;
+        let began = time::Instant::now();
         let synced = self.file.sync_data();
+        metrics::histogram!("buckthorncleat_log_sync_seconds")
+            .record(began.elapsed().as_secs_f64());
+        metrics::counter!("buckthorncleat_log_bytes_total").increment(bytes.len() as u64);
         synced.map_err(|e| file::failed("syncing", &self.path, e))?;
         self.length += bytes.len() as u64;
         Ok(())
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -103,6 +103,11 @@
     number: u64,
 }
 
+/// Sets a gauge to the time of day, from which readers get the age of what it stands for.
+pub fn note_time(name: &'static str) {
+    metrics::gauge!(name).set(clock::wall_millis() as f64 / 1_000.0);
+}
+
 fn locked<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
 }
@@ -156,6 +161,7 @@
         assert!(before < Some(version), "the document went back");
         log::info!(event = "document", version = version.as_u64(), routes = routes; "document in force");
         metrics::gauge!("buckthorncleat_document_version").set(version.as_u64() as f64);
+        note_time("buckthorncleat_document_timestamp_seconds");
     }
 
     /// Returns the places at servers.
@@ -240,6 +246,7 @@
             number: self.tickets.fetch_add(1, atomic::Ordering::Relaxed),
         };
         locked(&self.waiting).insert(ticket.clone());
+        metrics::gauge!("buckthorncleat_waiting").increment(1.0);
         Queued { core: self, ticket }
     }
 
@@ -278,6 +285,7 @@
 impl Drop for Queued<'_> {
     fn drop(&mut self) {
         locked(&self.core.waiting).remove(&self.ticket);
+        metrics::gauge!("buckthorncleat_waiting").decrement(1.0);
         self.core.freed.notify_waiters();
     }
 }
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -10,6 +10,7 @@
 use crate::fleet::message;
 use crate::http::hop;
 use crate::id;
+use crate::logging;
 use crate::router::body;
 use crate::router::edge;
 use crate::router::held;
@@ -74,6 +75,8 @@
     export: Option<prefill::Exported>,
     /// The server that read the prompt ahead.
     prompt_server: Option<id::BackendServerId>,
+    /// The time from the arrival to the newest place.
+    waited: clock::Millis,
     /// The last event that the caller has.
     pub resume_after: Option<u64>,
 }
@@ -87,7 +90,7 @@
     /// The place at its server.
     pub held: held::Held,
     /// The server.
-    pub server: id::BackendServerId,
+    pub pick: places::Pick,
 }
 
 /// A decode server that was picked, with the room there.
@@ -127,7 +130,7 @@
     *response.body_mut() = body;
     let first_event = run.req.age();
     metrics::histogram!("buckthorncleat_first_event_seconds").record(first_event.as_secs_f64());
-    run.log_begun(&opened.server);
+    run.log_begun(&opened);
     let core = sync::Arc::clone(&run.req.core);
     core.spawn_stream(relay::run(run, *opened, tx, first_event));
     Ok(response)
@@ -142,6 +145,7 @@
             ran: false,
             export: None,
             prompt_server: None,
+            waited: clock::Millis::ZERO,
             resume_after: req.caller.resume_after,
             req,
         }
@@ -173,6 +177,8 @@
                 Ok(None) => continue,
                 Err(refusal) => return Err(self.give_up(refusal)),
             };
+            self.waited = self.req.age();
+            metrics::histogram!("buckthorncleat_wait_seconds").record(self.waited.as_secs_f64());
             let pick = place.pick.clone();
             if self.sent > 0 && !self.req.may_repeat() {
                 return Err(self.give_up(Refusal::NotRun("no retry budget", self.retry_after())));
@@ -183,7 +189,8 @@
                 Attempt::Failed(response) => {
                     self.ran = true;
                     if self.may_try().is_err() {
-                        self.req.log_served("failed at server", &pick.id, self.sent);
+                        let served = request::Served::FailedAtServer;
+                        self.req.log_served(served, &pick, self.sent);
                         return Ok(Err(response));
                     }
                 }
@@ -430,7 +437,7 @@
             answer,
             first,
             held,
-            server: pick.id.clone(),
+            pick: pick.clone(),
         }))
     }
 
@@ -464,13 +471,18 @@
         );
     }
 
-    fn log_begun(&self, server: &id::BackendServerId) {
+    fn log_begun(&self, opened: &Opened) {
         log::info!(
+            target: logging::ROUTINE,
             event = "stream_begun",
             request = self.req.caller.request.as_deref().unwrap_or(""),
             route = self.req.route.name.as_str(),
-            account = self.req.account.as_ref().map_or("", |a| a.as_str()),
-            server = server.as_str(),
+            account = self.req.account_name(),
+            quota_left = self.req.quota_left,
+            server = opened.pick.id.as_str(),
+            busy_percent = opened.pick.busy_percent,
+            report_age_ms = opened.pick.report_age.as_u64(),
+            waited_ms = self.waited.as_u64(),
             prompt_server = self.prompt_server.as_ref().map_or("", |s| s.as_str()),
             expected_memory = self.expected_memory().as_u64(),
             returning = self.req.is_returning(),
--- a/src/router/places.rs
+++ b/src/router/places.rs
@@ -53,6 +53,7 @@
     data_centre: id::DataCentre,
     servers: sorted::Map<id::BackendServerId, Place>,
     others: sorted::Map<id::BackendServerId, message::Load>,
+    others_at: clock::Millis,
 }
 
 #[derive(Debug)]
@@ -74,6 +75,10 @@
     pub id: id::BackendServerId,
     /// Where it listens.
     pub address: net::SocketAddr,
+    /// How busy it was when it was picked, as a share of its room.
+    pub busy_percent: u32,
+    /// The age of what was known of the other routers' work there.
+    pub report_age: clock::Millis,
 }
 
 /// Why no server was picked.
@@ -132,6 +137,7 @@
             data_centre,
             servers: sorted::Map::new(),
             others: sorted::Map::new(),
+            others_at: clock::Millis::ZERO,
         }
     }
 
@@ -151,8 +157,13 @@
     }
 
     /// Takes in what the other routers keep the servers busy with.
-    pub fn set_others(&mut self, others: sorted::Map<id::BackendServerId, message::Load>) {
+    pub fn set_others(
+        &mut self,
+        now: clock::Millis,
+        others: sorted::Map<id::BackendServerId, message::Load>,
+    ) {
         self.others = others;
+        self.others_at = now;
     }
 
     /// Returns what this router keeps the servers busy with.
@@ -183,7 +194,8 @@
         if self.load(best).requests >= room {
             return Err(NoPlace::Full);
         }
-        Ok(best.pick())
+        let busy = f64::from(self.load(best).requests) / f64::from(best.server.slots.max(1));
+        Ok(self.pick(now, best, busy))
     }
 
     /// Picks the server with the most free memory to generate at.
@@ -214,7 +226,7 @@
             .into_iter()
             .filter(|p| now >= p.full_until && fullness(p) <= need.fullest());
         match best_of(fitting, draw, score) {
-            Some(best) => Ok(best.pick()),
+            Some(best) => Ok(self.pick(now, best, fullness(&best))),
             None if any => Err(NoPlace::Full),
             None => Err(NoPlace::None),
         }
@@ -237,7 +249,7 @@
         let best = best_of(usable.into_iter(), 0, time)?;
         let time = clock::Millis::new(time(&best) as u64);
         Some(PrefillPick {
-            pick: best.pick(),
+            pick: self.pick(now, best, 0.0),
             time,
             tokens: self.load(best).prompts + prompt,
         })
@@ -300,6 +312,15 @@
             .retain(|_, place| place.listed || place.own.requests > 0);
     }
 
+    fn pick(&self, now: clock::Millis, place: &Place, busy: f64) -> Pick {
+        Pick {
+            id: place.server.id.clone(),
+            address: place.server.address,
+            busy_percent: (busy * 100.0) as u32,
+            report_age: now - self.others_at,
+        }
+    }
+
     fn load(&self, place: &Place) -> message::Load {
         let mut load = place.own;
         load.add(
@@ -356,13 +377,6 @@
         }
     }
 
-    fn pick(&self) -> Pick {
-        Pick {
-            id: self.server.id.clone(),
-            address: self.server.address,
-        }
-    }
-
     fn judge(&mut self, now: clock::Millis, end: End) {
         let sample = match end {
             End::Neutral => return,
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -52,7 +52,7 @@
         };
         progress.tried.push(pick.id.clone());
         if let Some(response) = attempt(&req, &pick, &mut progress).await {
-            req.log_served("answered", &pick.id, progress.sent);
+            req.log_served(request::Served::Answered, &pick, progress.sent);
             return Ok(response);
         }
     }
@@ -181,7 +181,7 @@
         refusal: Refusal,
     ) -> Result<request::Response, Refusal> {
         if let Some((response, pick)) = self.failed {
-            req.log_served("failed at server", &pick.id, self.sent);
+            req.log_served(request::Served::FailedAtServer, &pick, self.sent);
             return Ok(response);
         }
         if !self.ran {
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -5,6 +5,7 @@
 use tokio::time;
 
 use crate::clock;
+use crate::logging;
 use crate::router::body;
 use crate::router::events;
 use crate::router::generate;
@@ -18,6 +19,9 @@
 /// The longest expected pauses that make a silence.
 const SILENT_PAUSES: u64 = 5;
 
+/// The outcome of a stream that came whole.
+const COMPLETE: &str = "complete";
+
 type Sender = mpsc::Sender<Result<Bytes, body::Cut>>;
 
 /// What was seen of a stream, for its last line in the log.
@@ -71,23 +75,18 @@
         } else {
             relay_pieces(&run, &mut opened, &tx, &mut seen).await
         };
-        let server = opened.server.clone();
         let failure = match relayed {
             Relayed::Complete => {
                 opened.held.end(places::End::Good);
-                break "complete";
+                break COMPLETE;
             }
             Relayed::CallerGone => break "caller gone",
             Relayed::Late => break cut(&tx, "time limit").await,
             Relayed::Lost(failure) => failure,
         };
-        let pick = places::Pick {
-            id: server,
-            address: ([0, 0, 0, 0], 0).into(),
-        };
         // The connection closes before another server goes on.
         drop(opened.answer);
-        run.lost(&pick, opened.held, failure);
+        run.lost(&opened.pick, opened.held, failure);
         if !resumes {
             break cut(&tx, "server broke off").await;
         }
@@ -97,7 +96,13 @@
             None => break cut(&tx, "no server to go on").await,
         };
     };
+    let target = if outcome == COMPLETE {
+        logging::ROUTINE
+    } else {
+        module_path!()
+    };
     log::info!(
+        target: target,
         event = "stream_end",
         request = run.req.caller.request.as_deref().unwrap_or(""),
         route = run.req.route.name.as_str(),
@@ -114,6 +119,8 @@
         "stream ended"
     );
     metrics::counter!("buckthorncleat_streams_total", "outcome" => outcome).increment(1);
+    let pause = seen.longest_pause.as_secs_f64();
+    metrics::histogram!("buckthorncleat_longest_pause_seconds").record(pause);
 }
 
 /// Ends the body without its end mark.
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -11,8 +11,10 @@
 use crate::clock;
 use crate::document;
 use crate::fleet::message;
+use crate::fleet::quota;
 use crate::http::hop;
 use crate::id;
+use crate::logging;
 use crate::router::body;
 use crate::router::core;
 use crate::router::edge;
@@ -56,6 +58,26 @@
     pub due: clock::Millis,
     /// What it has in common with its resends.
     pub fingerprint: message::Fingerprint,
+    /// What its account had left after it was charged, as far as is known.
+    pub quota_left: i64,
+}
+
+/// A whole answer of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Served {
+    /// The answer that the caller asked for.
+    Answered,
+    /// The server's own failure, which is handed on.
+    FailedAtServer,
+}
+
+impl Served {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::FailedAtServer => "failed at server",
+        }
+    }
 }
 
 /// How a request ends without a server's answer.
@@ -215,7 +237,13 @@
     if core.is_barred(fingerprint) {
         return Err(Refusal::NotRun("request crashes servers", SOON));
     }
-    let cost = charge(core, account, caller.generation.as_ref())?;
+    let (cost, quota_left) = charge(
+        core,
+        &table,
+        &trace.request,
+        account,
+        caller.generation.as_ref(),
+    )?;
     let patience = caller.patience.unwrap_or(route.time_limit);
     let rank = account.map_or(0, |a| u16::from(a.rank.min(63))) << 8 | u16::from(route.rank);
     let request = Request {
@@ -228,6 +256,7 @@
         came,
         due: came + patience.min(route.time_limit),
         fingerprint,
+        quota_left,
         caller,
         head,
     };
@@ -248,18 +277,53 @@
     result
 }
 
+fn log_over_quota(request: &str, account: &id::ClientAccountId, shortage: quota::Shortage) {
+    log::info!(
+        event = "over_quota",
+        request = request,
+        account = account.as_str(),
+        units = shortage.units,
+        left = shortage.left,
+        rate = shortage.quota.rate,
+        burst = shortage.quota.burst,
+        share_alone = shortage.alone,
+        fresh_for_ms = shortage.fresh_for.as_u64(),
+        wait_ms = shortage.wait.as_u64();
+        "the account has used up its quota"
+    );
+}
+
+/// Charges a request to its account; returns its cost and what the account has left.
 fn charge(
     core: &core::Core,
+    table: &table::Table,
+    request: &str,
     account: Option<&document::Account>,
     generation: Option<&edge::Generation>,
-) -> Result<u64, Refusal> {
+) -> Result<(u64, i64), Refusal> {
     let Some(account) = account else {
-        return Ok(0);
+        return Ok((0, 0));
     };
     let cost = account.cost(generation);
-    let charged = core.quotas().charge(core.clock.now(), &account.id, cost);
-    charged.map_err(Refusal::OverQuota)?;
-    Ok(cost)
+    let account_label = table.account_label(account);
+    let mut quotas = core.quotas();
+    let charged = quotas.charge(core.clock.now(), &account.id, cost);
+    let outcome = if charged.is_ok() {
+        "charged"
+    } else {
+        "refused"
+    };
+    metrics::counter!(
+        "buckthorncleat_quota_units_total",
+        "account" => account_label.to_owned(),
+        "outcome" => outcome
+    )
+    .increment(cost);
+    if let Err(shortage) = charged {
+        log_over_quota(request, &account.id, shortage);
+        return Err(Refusal::OverQuota(shortage.wait));
+    }
+    Ok((cost, quotas.left(&account.id).unwrap_or_default()))
 }
 
 fn host_of(head: &hyper::http::request::Parts) -> Option<String> {
@@ -347,23 +411,51 @@
     /// Takes one more attempt from the retry budget.
     pub fn may_repeat(&self) -> bool {
         let now = self.core.clock.now();
-        self.core.budget().try_repeat(now, &self.service.id)
+        let verdict = self.core.budget().try_repeat(now, &self.service.id);
+        metrics::counter!("buckthorncleat_repeats_total", "granted" => verdict.granted.to_string())
+            .increment(1);
+        log::info!(
+            event = "repeat",
+            request = self.caller.request.as_deref().unwrap_or(""),
+            service = self.service.id.as_str(),
+            granted = verdict.granted,
+            used = verdict.used,
+            allowed = verdict.allowed,
+            age_ms = self.age().as_u64();
+            "another attempt is asked of the retry budget"
+        );
+        verdict.granted
     }
 
-    /// Logs how the request was served.
-    pub fn log_served(&self, outcome: &'static str, server: &id::BackendServerId, tries: u32) {
+    /// Logs a whole answer of a server.
+    pub fn log_served(&self, served: Served, pick: &places::Pick, tries: u32) {
+        let outcome = served.as_str();
         metrics::counter!("buckthorncleat_served_total", "outcome" => outcome).increment(1);
         metrics::histogram!("buckthorncleat_answer_seconds").record(self.age().as_secs_f64());
+        let target = match served {
+            Served::Answered => logging::ROUTINE,
+            Served::FailedAtServer => module_path!(),
+        };
         log::info!(
+            target: target,
             event = "served",
             request = self.caller.request.as_deref().unwrap_or(""),
             route = self.route.name.as_str(),
+            account = self.account_name(),
+            quota_left = self.quota_left,
             outcome = outcome,
-            server = server.as_str(),
+            server = pick.id.as_str(),
+            busy_percent = pick.busy_percent,
+            report_age_ms = pick.report_age.as_u64(),
             tries = tries,
             age_ms = self.age().as_u64(),
             document = self.core.version().map_or(0, |v| v.as_u64());
             "request served"
         );
     }
+
+    /// Returns the name of the account for the log, or nothing for a route open to all.
+    pub fn account_name(&self) -> &str {
+        self.account.as_ref().map_or("", |a| a.as_str())
+    }
 }
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -35,6 +35,8 @@
     pub secret: frame::Secret,
     /// The members of the control group to ask first; they may change.
     pub seeds: watch::Receiver<Vec<net::SocketAddr>>,
+    /// The events and the clock of the process.
+    pub recorder: sync::Arc<event::Recorder>,
     /// Turns true when the process is to stop.
     pub stop: watch::Receiver<bool>,
 }
@@ -45,12 +47,8 @@
 ///
 /// Fails when an address can't be listened on.
 pub async fn run(env: Environment) -> error::Result<()> {
-    let recorder = event::Recorder::new(env.settings.instance.clone());
-    let identity = link::Identity::new(
-        env.settings.instance.clone(),
-        env.secret,
-        sync::Arc::new(recorder),
-    );
+    let name = env.settings.instance.clone();
+    let identity = link::Identity::new(name, env.secret, env.recorder);
     let links = link::Links::new(sync::Arc::new(identity));
     let clock = clock::Clock::start();
     let core = sync::Arc::new(core::Core::new(env.dialect, env.settings, clock));
--- a/src/router/sharing.rs
+++ b/src/router/sharing.rs
@@ -166,6 +166,7 @@
         }
         self.target = Some(from);
         self.heard_at = Some(now);
+        core::note_time("buckthorncleat_summary_timestamp_seconds");
         self.gateways = summary.gateways;
         self.members = summary.members;
         if let Some(packed) = &summary.document {
@@ -176,13 +177,14 @@
         }
         if let Some(list) = &summary.list {
             core.places().set_list(&list.servers);
+            core::note_time("buckthorncleat_list_timestamp_seconds");
             self.list = Some((summary.term, list.number));
             log::info!(event = "servers", number = list.number.as_u64(), count = list.servers.len(); "list of servers");
         }
         core.quotas()
             .learn(now, spent, &summary.left, summary.gateways, summary.next);
         core.budget().learn(now, summary.attempts, summary.gateways);
-        core.places().set_others(summary.loads);
+        core.places().set_others(now, summary.loads);
         core.set_fleet(summary.entries, summary.barred);
         core.freed.notify_waiters();
     }
@@ -209,6 +211,7 @@
         match discovery::read(&*self.core.dialect, settings).await {
             Ok(listed) => {
                 self.core.places().set_list(&listed.servers);
+                core::note_time("buckthorncleat_list_timestamp_seconds");
                 self.list = None;
                 log::info!(event = "servers", count = listed.servers.len(); "list of servers, read without a leader");
             }
--- a/src/router/table.rs
+++ b/src/router/table.rs
@@ -6,6 +6,9 @@
 use crate::router::edge;
 use crate::state::model;
 
+/// The accounts that metrics tell apart: enough for the large ones, and a few kilobytes a gateway.
+const MAX_ACCOUNT_LABELS: usize = 64;
+
 /// The document in force.
 #[derive(Debug)]
 pub struct Table {
@@ -74,6 +77,17 @@
         }
     }
 
+    /// Returns the account's name for metrics; accounts past the first [`MAX_ACCOUNT_LABELS`] share
+    /// one.
+    pub fn account_label<'a>(&self, account: &'a document::Account) -> &'a str {
+        let first = self.document.accounts.iter().take(MAX_ACCOUNT_LABELS);
+        if first.into_iter().any(|a| a.id == account.id) {
+            account.id.as_str()
+        } else {
+            "others"
+        }
+    }
+
     /// Finds a service.
     pub fn service(&self, id: &document::ServiceId) -> Option<&document::Service> {
         self.document.services.iter().find(|s| s.id == *id)
--- a/src/router/upstream.rs
+++ b/src/router/upstream.rs
@@ -52,8 +52,17 @@
 #[derive(Debug)]
 struct Connection(task::JoinHandle<()>);
 
+impl Connection {
+    fn new(driver: task::JoinHandle<()>) -> Self {
+        metrics::gauge!("buckthorncleat_server_connections").increment(1.0);
+        metrics::counter!("buckthorncleat_server_connects_total").increment(1);
+        Self(driver)
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
+        metrics::gauge!("buckthorncleat_server_connections").decrement(1.0);
         self.0.abort();
     }
 }
@@ -95,7 +104,7 @@
             log::debug!("connection to a server: {e}");
         }
     };
-    let connection = Connection(tokio::spawn(driver));
+    let connection = Connection::new(tokio::spawn(driver));
     let response = sender.send_request(req).await;
     let (head, body) = response.map_err(|_| Failure::Broken)?.into_parts();
     Ok(Answer {
--- a/tests/fleet_budget.rs
+++ b/tests/fleet_budget.rs
@@ -25,7 +25,7 @@
         budget.note_request(now, &service());
         requests += 1;
         for _ in 0..2 {
-            repeats += u64::from(budget.try_repeat(now, &service()));
+            repeats += u64::from(budget.try_repeat(now, &service()).granted);
         }
         if summaries && at % 200 == 0 {
             share(&mut budgets, now);
@@ -65,7 +65,11 @@
     let late = Millis::new(5_000);
     let granted: u64 = budgets
         .iter_mut()
-        .map(|b| (0..100).filter(|_| b.try_repeat(late, &service())).count() as u64)
+        .map(|b| {
+            (0..100)
+                .filter(|_| b.try_repeat(late, &service()).granted)
+                .count() as u64
+        })
         .sum();
     assert!(granted <= SETTINGS.spare, "{granted}");
 }
@@ -74,8 +78,8 @@
 fn old_attempts_leave_the_window() {
     let mut budget = Budget::new(SETTINGS);
     budget.learn(Millis::ZERO, Map::new(), 1);
-    while budget.try_repeat(Millis::ZERO, &service()) {}
+    while budget.try_repeat(Millis::ZERO, &service()).granted {}
     let later = Millis::new(10_500);
     budget.learn(later, Map::new(), 1);
-    assert!(budget.try_repeat(later, &service()));
+    assert!(budget.try_repeat(later, &service()).granted);
 }
--- a/tests/fleet_quota.rs
+++ b/tests/fleet_quota.rs
@@ -191,7 +191,7 @@
     quotas.learn(Millis::ZERO, &Map::new(), &Map::new(), 1, Millis::new(100));
     let now = Millis::new(1);
     assert!(quotas.charge(now, &account(), 58_000).is_ok());
-    let wait = quotas.charge(now, &account(), 1_000).unwrap_err();
+    let wait = quotas.charge(now, &account(), 1_000).unwrap_err().wait;
     assert!(wait > Millis::ZERO);
     quotas.give_back(now, &account(), 58_000);
     assert!(quotas.charge(now, &account(), 1_000).is_ok());
--- a/tests/router_units.rs
+++ b/tests/router_units.rs
@@ -286,7 +286,10 @@
         memory: Tokens::new(9_000),
         prompts: Tokens::new(0),
     };
-    places.set_others([(id(1), busy)].into_iter().collect::<Map<_, _>>());
+    places.set_others(
+        Millis::ZERO,
+        [(id(1), busy)].into_iter().collect::<Map<_, _>>(),
+    );
     for draw in 0..4 {
         let pick = places.pick_decode(Millis::ZERO, &engine(), FRESH, &[], draw);
         assert_eq!(pick.unwrap().id, id(2));
