Routers with the same view share a burst: near-best servers at random

Cause: what others send is known a report later (116 ms with 58 routers). Each router took the least busy server by a score that hardly ever ties, and prefill servers in a fixed order, so the whole fleet sent its next requests to one server: plain services shed while others had slots, prefill servers refused.

Change: any server within half the slots of the least busy one may be picked (plain), within half a request's memory (decode), within half a prompt's time (prefill), by a number drawn at random.

Tests: three patterns in tests/router_units.rs; they fail with spreads of zero (80 of 80 requests to one server).

--- a/src/router/places.rs
+++ b/src/router/places.rs
@@ -44,6 +44,17 @@
 /// rest is kept for those that can still be in time, wherever they arrive.
 const FULLEST_FOR_LATE: f64 = 0.85;
 
+/// How much busier than the least busy server another may be and still be picked, as a share of its
+/// room. What other routers send becomes known a report later; if all took the least busy one, it
+/// would get what a whole fleet sends in that time. Half of the slots of a small server.
+const PLAIN_SPREAD: f64 = 0.5;
+
+/// The same for model servers that generate: about half of what one request holds.
+const DECODE_SPREAD: f64 = 0.07;
+
+/// The same for model servers that read prompts, in milliseconds: half of what one prompt takes.
+const PREFILL_SPREAD: f64 = 50.0;
+
 /// The requests that may wait at a server of a plain service, for each that it runs at once.
 const QUEUE_PER_SLOT: u32 = 2;
 
@@ -172,7 +183,7 @@
         busy.map(|(id, p)| (id.clone(), p.own)).collect()
     }
 
-    /// Picks the least busy server of a plain service.
+    /// Picks one of the least busy servers of a plain service.
     ///
     /// # Errors
     ///
@@ -189,7 +200,8 @@
             let busy = f64::from(self.load(place).requests) / f64::from(place.server.slots.max(1));
             busy + self.penalty(place)
         };
-        let best = best_of(usable.iter().copied(), draw, score).ok_or(NoPlace::None)?;
+        let best = pick_near_best(usable.iter().copied(), draw, PLAIN_SPREAD, score);
+        let best = best.ok_or(NoPlace::None)?;
         let room = best.server.slots.max(1) * (1 + QUEUE_PER_SLOT);
         if self.load(best).requests >= room {
             return Err(NoPlace::Full);
@@ -198,7 +210,7 @@
         Ok(self.pick(now, best, busy))
     }
 
-    /// Picks the server with the most free memory to generate at.
+    /// Picks one of the servers with the most free memory to generate at.
     ///
     /// # Errors
     ///
@@ -225,20 +237,21 @@
         let fitting = usable
             .into_iter()
             .filter(|p| now >= p.full_until && fullness(p) <= need.fullest());
-        match best_of(fitting, draw, score) {
+        match pick_near_best(fitting, draw, DECODE_SPREAD, score) {
             Some(best) => Ok(self.pick(now, best, fullness(&best))),
             None if any => Err(NoPlace::Full),
             None => Err(NoPlace::None),
         }
     }
 
-    /// Picks the server that will have read a prompt first.
+    /// Picks one of the servers that will have read a prompt first.
     pub fn pick_prefill(
         &self,
         now: clock::Millis,
         service: &document::ServiceId,
         prompt: unit::Tokens,
         tried: &[id::BackendServerId],
+        draw: u64,
     ) -> Option<PrefillPick> {
         let stage = Some(message::Stage::Prefill);
         let usable = self.usable(now, service, stage, tried);
@@ -246,7 +259,7 @@
             let tokens = (self.load(place).prompts + prompt).as_u64() as f64;
             tokens / place.read_rate * (1.0 + self.penalty(place))
         };
-        let best = best_of(usable.into_iter(), 0, time)?;
+        let best = pick_near_best(usable.into_iter(), draw, PREFILL_SPREAD, time)?;
         let time = clock::Millis::new(time(&best) as u64);
         Some(PrefillPick {
             pick: self.pick(now, best, 0.0),
@@ -406,20 +419,23 @@
     unit::Tokens::new(tokens.div_ceil(MEMORY_BLOCK) * MEMORY_BLOCK)
 }
 
-/// Returns the entry with the lowest score, starting at a place drawn at random so that routers
-/// with the same view don't all take the first.
-fn best_of<'a>(
+/// Returns one of the entries whose score is at most `spread` over the lowest, by a number drawn at
+/// random, so that routers with the same view don't all take the same one.
+fn pick_near_best<'a>(
     places: impl Iterator<Item = &'a Place>,
     draw: u64,
+    spread: f64,
     score: impl Fn(&&'a Place) -> f64,
 ) -> Option<&'a Place> {
-    let mut places: Vec<&Place> = places.collect();
-    if places.is_empty() {
-        return None;
-    }
-    let start = (draw % places.len() as u64) as usize;
-    places.rotate_left(start);
-    places
+    let scored: Vec<(f64, &Place)> = places.map(|place| (score(&place), place)).collect();
+    let lowest = scored
+        .iter()
+        .map(|(score, _)| *score)
+        .min_by(f64::total_cmp)?;
+    let near: Vec<&Place> = scored
         .into_iter()
-        .min_by(|a, b| score(a).total_cmp(&score(b)))
+        .filter(|(score, _)| *score <= lowest + spread)
+        .map(|(_, place)| place)
+        .collect();
+    Some(near[(draw % near.len() as u64) as usize])
 }
--- a/src/router/prefill.rs
+++ b/src/router/prefill.rs
@@ -71,7 +71,7 @@
     let picked = req
         .core
         .places()
-        .pick_prefill(now, service, prompt, unreached);
+        .pick_prefill(now, service, prompt, unreached, rand::random());
     let Some(picked) = picked else {
         return Prefilled::Not;
     };
--- a/tests/router_units.rs
+++ b/tests/router_units.rs
@@ -14,6 +14,7 @@
 use buckthorncleat::state::model::KeyHash;
 use buckthorncleat::unit::Tokens;
 use proptest::prelude::*;
+use rand::{Rng as _, SeedableRng as _};
 
 fn service(engine: Option<Engine>) -> Service {
     Service {
@@ -302,7 +303,7 @@
     places.begin(&id(2), one_request());
     let service = "model".parse().unwrap();
     let pick = places
-        .pick_prefill(Millis::ZERO, &service, Tokens::new(3_000), &[])
+        .pick_prefill(Millis::ZERO, &service, Tokens::new(3_000), &[], 0)
         .unwrap();
     assert_eq!(pick.pick.id, id(1));
     assert!(pick.time >= Millis::new(90) && pick.time <= Millis::new(110));
@@ -377,3 +378,78 @@
     assert_eq!(memory_for(Tokens::new(1), Tokens::new(0)), Tokens::new(16));
     assert_eq!(memory_for(Tokens::new(16), Tokens::new(1)), Tokens::new(32));
 }
+
+/// What one router after the other picks with the same view, as all do between two reports.
+fn picks_of_a_fleet(pick: impl Fn(u64) -> BackendServerId) -> Vec<usize> {
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(7);
+    let mut counts = Vec::new();
+    for _ in 0..80 {
+        let id = pick(rng.random());
+        let at: usize = id.as_str()["server-".len()..].parse().unwrap();
+        counts.resize(counts.len().max(at + 1), 0);
+        counts[at] += 1;
+    }
+    counts
+}
+
+/// Pattern: a burst over many routers between two reports; the least busy server is not flooded.
+#[test]
+fn routers_with_the_same_view_share_a_burst_of_plain_requests() {
+    let mut places = places(None, 4);
+    let load = |requests| Load {
+        requests,
+        ..one_request()
+    };
+    let busy = [(id(1), load(2)), (id(2), load(1)), (id(3), load(2))];
+    places.set_others(Millis::ZERO, busy.into_iter().collect::<Map<_, _>>());
+    let service = "model".parse().unwrap();
+    let pick = |draw| places.pick_plain(Millis::ZERO, &service, &[], draw);
+    let counts = picks_of_a_fleet(|draw| pick(draw).unwrap().id);
+    assert!(
+        counts[1..].iter().all(|n| (8..40).contains(n)),
+        "{counts:?}"
+    );
+    // One that is much busier than the others is still left alone.
+    places.set_others(
+        Millis::ZERO,
+        [(id(4), load(6))].into_iter().collect::<Map<_, _>>(),
+    );
+    let pick = |draw| places.pick_plain(Millis::ZERO, &service, &[], draw);
+    let counts = picks_of_a_fleet(|draw| pick(draw).unwrap().id);
+    assert_eq!(counts.len(), 4, "{counts:?}");
+}
+
+/// Pattern: a burst of prompts over many routers between two reports.
+#[test]
+fn routers_with_the_same_view_share_a_burst_of_prompts() {
+    let places = places(Some(Stage::Prefill), 8);
+    let service = "model".parse().unwrap();
+    let pick = |draw| {
+        let prompt = Tokens::new(3_000);
+        let pick = places.pick_prefill(Millis::ZERO, &service, prompt, &[], draw);
+        pick.unwrap().pick.id
+    };
+    let counts = picks_of_a_fleet(pick);
+    assert!(
+        counts.len() == 9 && counts[1..].iter().all(|n| (2..25).contains(n)),
+        "{counts:?}"
+    );
+}
+
+/// Pattern: the same for streams; servers with little less memory get their part.
+#[test]
+fn routers_with_the_same_view_share_a_burst_of_streams() {
+    let mut places = places(Some(Stage::Decode), 8);
+    let used = |n: u8| Load {
+        memory: Tokens::new(u64::from(n) * 60),
+        ..one_request()
+    };
+    let others = (1..=8).map(|n| (id(n), used(n)));
+    places.set_others(Millis::ZERO, others.collect::<Map<_, _>>());
+    let pick = |draw| places.pick_decode(Millis::ZERO, &engine(), FRESH, &[], draw);
+    let counts = picks_of_a_fleet(|draw| pick(draw).unwrap().id);
+    assert!(
+        counts.len() == 9 && counts[1..].iter().all(|n| (2..25).contains(n)),
+        "{counts:?}"
+    );
+}
