Share what can't be reached, read prompts elsewhere, follow streams that outgrow their estimate

Changes: - Reports name the servers that a router could not connect to a moment ago; the leader tells those that two routers in two data centres name, and they get no work while there are others. Broken answers don't count for that. - A refused prompt goes to another prefill server, up to three, from the retry budget, and the full one rests for a moment. - The tokens of an event are learnt from estimates; a stream past its estimate counts with what it holds and a quarter of its output more.

A struct literal that locked the places twice hung the tests of the world once; guards are taken in blocks now.

--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -34,6 +34,12 @@
 /// The most barred requests that a summary names.
 const MAX_BARRED: usize = 256;
 
+/// The gateways that can't reach a server until the others leave it alone; one may be cut off.
+const MIN_UNREACHED: usize = 2;
+
+/// The data centres that these must stand in, if there are as many; one may be cut off.
+const MIN_UNREACHED_FROM: usize = 2;
+
 /// The shortest time between two reports of a gateway.
 const MIN_REPORT: clock::Millis = clock::Millis::new(100);
 
@@ -87,6 +93,8 @@
     pub loads: sorted::Map<id::BackendServerId, message::Load>,
     /// Requests that must not run.
     pub barred: Vec<message::Fingerprint>,
+    /// Servers that others can't reach, in order.
+    pub unreached: Vec<id::BackendServerId>,
 }
 
 impl Ledger {
@@ -226,9 +234,47 @@
             attempts,
             loads,
             barred: self.barred(),
+            unreached: self.unreached(now, asker),
         }
     }
 
+    /// Returns the servers that enough other gateways can't reach.
+    fn unreached(&self, now: clock::Millis, asker: &id::InstanceId) -> Vec<id::BackendServerId> {
+        let fresh = |g: &Gateway| now < g.heard_at + self.next() * SILENT_REPORTS;
+        let others = self.gateways.iter().filter(|(id, _)| *id != asker);
+        let mut named: Vec<(&id::BackendServerId, &id::DataCentre)> = others
+            .filter(|(_, g)| fresh(g))
+            .flat_map(|(_, g)| {
+                g.report
+                    .unreached
+                    .iter()
+                    .map(|s| (s, &g.report.data_centre))
+            })
+            .collect();
+        named.sort();
+        let centres = self.data_centres().min(MIN_UNREACHED_FROM);
+        named
+            .chunk_by(|a, b| a.0 == b.0)
+            .filter(|same| {
+                let from = 1 + same.windows(2).filter(|w| w[0].1 != w[1].1).count();
+                same.len() >= MIN_UNREACHED && from >= centres
+            })
+            .map(|same| same[0].0.clone())
+            .collect()
+    }
+
+    /// Returns the number of data centres with gateways.
+    fn data_centres(&self) -> usize {
+        let mut centres: Vec<&id::DataCentre> = self
+            .gateways
+            .values()
+            .map(|g| &g.report.data_centre)
+            .collect();
+        centres.sort();
+        centres.dedup();
+        centres.len()
+    }
+
     /// Returns the time between two reports of a gateway.
     fn next(&self) -> clock::Millis {
         MIN_REPORT.max(REPORT_PER_GATEWAY * self.gateways.len() as u64)
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -46,6 +46,8 @@
         pub loads: sorted::Map<id::BackendServerId, Load>,
         /// Requests that were running at a server when it was lost.
         pub losses: Vec<Loss>,
+        /// Servers that the gateway could not reach a moment ago.
+        pub unreached: Vec<id::BackendServerId>,
     }
 }
 
@@ -106,6 +108,8 @@
         pub loads: sorted::Map<id::BackendServerId, Load>,
         /// Requests that must not run any more.
         pub barred: Vec<Fingerprint>,
+        /// Servers that several other gateways can't reach, in order.
+        pub unreached: Vec<id::BackendServerId>,
         /// Where the members of the control group listen.
         pub members: Vec<net::SocketAddr>,
     }
--- a/src/keeper/hub.rs
+++ b/src/keeper/hub.rs
@@ -203,6 +203,7 @@
             attempts: sums.attempts,
             loads: sums.loads,
             barred: sums.barred,
+            unreached: sums.unreached,
             members: self.group.status().addresses,
         }))
     }
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -15,6 +15,7 @@
 use crate::fleet::quota;
 use crate::id;
 use crate::router::edge;
+use crate::router::output;
 use crate::router::places;
 use crate::router::table;
 
@@ -79,6 +80,7 @@
     table: watch::Sender<Option<sync::Arc<table::Table>>>,
     phase: watch::Sender<Phase>,
     places: sync::Mutex<places::Places>,
+    event_size: sync::Mutex<output::EventSize>,
     quotas: sync::Mutex<quota::Quotas>,
     budget: sync::Mutex<budget::Budget>,
     fleet: sync::Mutex<Fleet>,
@@ -127,6 +129,7 @@
             table: watch::Sender::new(None),
             phase: watch::Sender::new(Phase::Serving),
             places: sync::Mutex::new(places),
+            event_size: sync::Mutex::default(),
             quotas: sync::Mutex::new(quota::Quotas::new(settings.quota_window)),
             budget: sync::Mutex::new(budget::Budget::new(settings.budget)),
             fleet: sync::Mutex::default(),
@@ -169,6 +172,11 @@
         locked(&self.places)
     }
 
+    /// Returns what is known of the tokens of an event.
+    pub fn event_size(&self) -> sync::MutexGuard<'_, output::EventSize> {
+        locked(&self.event_size)
+    }
+
     /// Returns the quotas of accounts.
     pub fn quotas(&self) -> sync::MutexGuard<'_, quota::Quotas> {
         locked(&self.quotas)
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -14,6 +14,7 @@
 use crate::router::body;
 use crate::router::edge;
 use crate::router::held;
+use crate::router::output;
 use crate::router::places;
 use crate::router::prefill;
 use crate::router::relay;
@@ -57,9 +58,6 @@
 /// The servers that may be tried because others could not be reached, beside the attempts.
 const MAX_UNREACHED: u32 = 3;
 
-/// The output that is expected when neither the caller nor the request says anything, in tokens.
-const DEFAULT_OUTPUT: u64 = 256;
-
 /// A run of a request, over all its attempts.
 pub struct Run {
     /// The request.
@@ -268,8 +266,8 @@
                 req.core.places().misplaced(now, &pick.id);
                 return Ok(None);
             }
-            reserve::Reserved::Lost => {
-                held.end(places::End::Lost);
+            reserve::Reserved::Lost(failure) => {
+                held.end(failure.into_end());
                 self.unreached += 1;
                 self.tried.push(pick.id);
                 return Ok(None);
@@ -325,21 +323,9 @@
 
     fn decode_load(&self) -> message::Load {
         let generation = self.req.caller.generation.unwrap_or_default();
-        let likely = generation
-            .likely
-            .unwrap_or(if generation.most.as_u64() > 0 {
-                generation.most
-            } else {
-                unit::Tokens::new(DEFAULT_OUTPUT)
-            });
-        let output = if generation.most.as_u64() > 0 {
-            likely.min(generation.most)
-        } else {
-            likely
-        };
         message::Load {
             requests: 1,
-            memory: places::memory_for(generation.prompt, output),
+            memory: places::memory_for(generation.prompt, output::expected(generation)),
             prompts: unit::Tokens::new(0),
         }
     }
@@ -390,7 +376,7 @@
             }
             Err(upstream::Failure::NotSent) => {
                 self.unreached += 1;
-                held.end(places::End::Lost);
+                held.end(places::End::Unreached);
                 Attempt::NotRun
             }
             Err(failure) => {
--- a/src/router/held.rs
+++ b/src/router/held.rs
@@ -6,6 +6,7 @@
 use crate::id;
 use crate::router::core;
 use crate::router::places;
+use crate::unit;
 
 /// Work that was given to a server; without a word on its end it counts as neutral.
 pub struct Held {
@@ -36,6 +37,20 @@
         self.load
     }
 
+    /// Counts the work with more memory than was expected.
+    pub fn grow(&mut self, memory: unit::Tokens) {
+        let more = memory.saturating_sub(self.load.memory);
+        if more == unit::Tokens::new(0) {
+            return;
+        }
+        self.load.memory = memory;
+        let load = message::Load {
+            memory: more,
+            ..message::Load::default()
+        };
+        self.core.places().begin(&self.server, load);
+    }
+
     /// Notes how the work ended.
     pub fn end(mut self, end: places::End) {
         self.note(end);
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -12,6 +12,7 @@
 pub mod events;
 pub mod generate;
 pub mod held;
+pub mod output;
 pub mod places;
 pub mod plain;
 pub mod prefill;
--- /dev/null
+++ b/src/router/output.rs
@@ -0,0 +1,72 @@
+//! How much a stream will generate, and so how much memory it holds.
+//!
+//! Callers give an estimate that half of the streams outgrow. A stream that has is counted with
+//! what it holds and a part more, so that no other is placed on memory that it will take.
+
+use crate::router::edge;
+use crate::router::places;
+use crate::unit;
+
+/// The output that is expected when neither the caller nor the request says anything, in tokens.
+const DEFAULT_OUTPUT: u64 = 256;
+
+/// What a stream that has outgrown its estimate is expected to generate in all, against what it has
+/// so far: the mean rest of a lognormal length past its median, for a spread of a half.
+const REST: (u64, u64) = (5, 4);
+
+/// The weight of older streams after each new one, in the ratio of tokens to events.
+const KEEP: f64 = 0.98;
+
+/// The streams after which the ratio is used.
+const MIN_STREAMS: f64 = 10.0;
+
+/// Returns the output that a generation is expected to have.
+pub fn expected(generation: edge::Generation) -> unit::Tokens {
+    let most = generation.most;
+    let bounded = most.as_u64() > 0;
+    let likely = match generation.likely {
+        Some(likely) => likely,
+        None if bounded => most,
+        None => unit::Tokens::new(DEFAULT_OUTPUT),
+    };
+    if bounded { likely.min(most) } else { likely }
+}
+
+/// The tokens of an event, learnt from the estimates of streams that came whole: no answer tells
+/// its tokens, but the estimates are right in the middle.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EventSize {
+    streams: f64,
+    tokens: f64,
+    events: f64,
+}
+
+impl EventSize {
+    /// Learns from a stream that came whole.
+    pub fn learn(&mut self, generation: edge::Generation, events: u64) {
+        let Some(likely) = generation.likely.filter(|_| events > 0) else {
+            return;
+        };
+        self.streams = self.streams * KEEP + 1.0;
+        self.tokens = self.tokens * KEEP + likely.as_u64() as f64;
+        self.events = self.events * KEEP + events as f64;
+    }
+
+    /// Returns the memory that a stream with some events behind it will need, once that is more than
+    /// was expected before it began.
+    pub fn outgrown(&self, generation: edge::Generation, events: u64) -> Option<unit::Tokens> {
+        if self.streams < MIN_STREAMS {
+            return None;
+        }
+        let so_far = (events as f64 * self.tokens / self.events) as u64;
+        if so_far <= expected(generation).as_u64() {
+            return None;
+        }
+        let output = unit::Tokens::new(so_far * REST.0 / REST.1);
+        let output = match generation.most.as_u64() {
+            0 => output,
+            _ => output.min(generation.most),
+        };
+        Some(places::memory_for(generation.prompt, output))
+    }
+}
--- a/src/router/places.rs
+++ b/src/router/places.rs
@@ -65,6 +65,8 @@
     servers: sorted::Map<id::BackendServerId, Place>,
     others: sorted::Map<id::BackendServerId, message::Load>,
     others_at: clock::Millis,
+    /// Servers that several other routers can't reach.
+    shunned: Vec<id::BackendServerId>,
 }
 
 #[derive(Debug)]
@@ -73,6 +75,8 @@
     listed: bool,
     own: message::Load,
     failures_in_row: u32,
+    /// Whether the last failure was that no connection could be opened.
+    unreached: bool,
     paused_until: clock::Millis,
     full_until: clock::Millis,
     failure_share: f64,
@@ -124,8 +128,10 @@
     Good,
     /// The server said that it failed.
     Failed,
-    /// The server could not be reached, broke off or was silent.
+    /// The server broke off or was silent.
     Lost,
+    /// No connection to the server could be opened.
+    Unreached,
     /// It tells nothing, as when the caller left or the server had no room.
     Neutral,
 }
@@ -149,6 +155,7 @@
             servers: sorted::Map::new(),
             others: sorted::Map::new(),
             others_at: clock::Millis::ZERO,
+            shunned: Vec::new(),
         }
     }
 
@@ -177,6 +184,19 @@
         self.others_at = now;
     }
 
+    /// Takes in the servers that several other routers can't reach, in order of their names.
+    pub fn set_shunned(&mut self, shunned: Vec<id::BackendServerId>) {
+        self.shunned = shunned;
+    }
+
+    /// Returns the servers that this router could not reach a moment ago.
+    pub fn unreached(&self, now: clock::Millis) -> Vec<id::BackendServerId> {
+        let lost = self.servers.iter();
+        lost.filter(|(_, p)| p.unreached && now < p.paused_until)
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
     /// Returns what this router keeps the servers busy with.
     pub fn loads(&self) -> sorted::Map<id::BackendServerId, message::Load> {
         let busy = self.servers.iter().filter(|(_, p)| p.own.requests > 0);
@@ -259,7 +279,8 @@
             let tokens = (self.load(place).prompts + prompt).as_u64() as f64;
             tokens / place.read_rate * (1.0 + self.penalty(place))
         };
-        let best = pick_near_best(usable.into_iter(), draw, PREFILL_SPREAD, time)?;
+        let with_room = usable.into_iter().filter(|p| now >= p.full_until);
+        let best = pick_near_best(with_room, draw, PREFILL_SPREAD, time)?;
         let time = clock::Millis::new(time(&best) as u64);
         Some(PrefillPick {
             pick: self.pick(now, best, 0.0),
@@ -334,6 +355,11 @@
         }
     }
 
+    /// Tells whether other routers can't reach a server.
+    fn is_shunned(&self, place: &Place) -> bool {
+        self.shunned.binary_search(&place.server.id).is_ok()
+    }
+
     fn load(&self, place: &Place) -> message::Load {
         let mut load = place.own;
         load.add(
@@ -370,7 +396,7 @@
         let sound: Vec<&Place> = fitting
             .iter()
             .copied()
-            .filter(|p| now >= p.paused_until)
+            .filter(|p| now >= p.paused_until && !self.is_shunned(p))
             .collect();
         if sound.is_empty() { fitting } else { sound }
     }
@@ -383,6 +409,7 @@
             listed: true,
             own: message::Load::default(),
             failures_in_row: 0,
+            unreached: false,
             paused_until: clock::Millis::ZERO,
             full_until: clock::Millis::ZERO,
             failure_share: 0.0,
@@ -394,10 +421,11 @@
         let sample = match end {
             End::Neutral => return,
             End::Good => 0.0,
-            End::Failed | End::Lost => 1.0,
+            End::Failed | End::Lost | End::Unreached => 1.0,
         };
         self.failure_share += (sample - self.failure_share) * SAMPLE_WEIGHT;
-        if end != End::Lost {
+        self.unreached = end == End::Unreached;
+        if end == End::Good || end == End::Failed {
             self.failures_in_row = 0;
             return;
         }
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -132,7 +132,7 @@
         age_ms = req.age().as_u64();
         "an attempt failed"
     );
-    held.end(places::End::Lost);
+    held.end(failure.into_end());
     if failure == upstream::Failure::NotSent {
         progress.unreached += 1;
         return None;
--- a/src/router/prefill.rs
+++ b/src/router/prefill.rs
@@ -23,8 +23,9 @@
 /// the way there.
 const EXPORT_USE: (u64, u64) = (4, 5);
 
-/// The prefill servers that may be tried again because others could not be reached.
-const MAX_PREFILL_UNREACHED: usize = 1;
+/// The prefill servers that are tried for one prompt; each costs a few milliseconds when it has no
+/// room, and the connection limit when it is gone.
+const MAX_PREFILL_SERVERS: usize = 3;
 
 /// A prompt that was read ahead.
 #[derive(Clone, Debug)]
@@ -45,24 +46,28 @@
     Done(Exported),
     /// This server could not be reached; it got nothing.
     Unreached(id::BackendServerId),
+    /// This server took no work.
+    Refused(id::BackendServerId),
     /// It was not read, or nobody knows.
     Not,
 }
 
 /// Has the prompt read at a prefill server; without one, the decode server reads it itself.
 pub async fn read(req: &request::Request) -> Option<Exported> {
-    let mut unreached = Vec::new();
-    while unreached.len() <= MAX_PREFILL_UNREACHED {
-        match read_once(req, &unreached).await {
+    let mut tried = Vec::new();
+    while tried.len() < MAX_PREFILL_SERVERS {
+        match read_once(req, &tried).await {
             Prefilled::Done(exported) => return Some(exported),
-            Prefilled::Unreached(server) => unreached.push(server),
-            Prefilled::Not => return None,
+            Prefilled::Unreached(server) => tried.push(server),
+            // One that refused has seen the request; the next is an attempt more.
+            Prefilled::Refused(server) if req.may_repeat() => tried.push(server),
+            Prefilled::Refused(_) | Prefilled::Not => return None,
         }
     }
     None
 }
 
-async fn read_once(req: &request::Request, unreached: &[id::BackendServerId]) -> Prefilled {
+async fn read_once(req: &request::Request, tried: &[id::BackendServerId]) -> Prefilled {
     let Some(prompt) = req.caller.generation.map(|g| g.prompt) else {
         return Prefilled::Not;
     };
@@ -71,7 +76,7 @@
     let picked = req
         .core
         .places()
-        .pick_prefill(now, service, prompt, unreached, rand::random());
+        .pick_prefill(now, service, prompt, tried, rand::random());
     let Some(picked) = picked else {
         return Prefilled::Not;
     };
@@ -85,14 +90,15 @@
     };
     let held = held::Held::begin(&req.core, &picked.pick.id, load);
     let limit = (picked.time * 2 + PREFILL_SLACK).min(req.left());
-    let export = read_at(req, &picked.pick, limit).await;
+    let read = read_at(req, &picked.pick, limit).await;
     let took = req.core.clock.now() - now;
-    held.end(match &export {
-        Ok(Some(_)) => places::End::Good,
-        Ok(None) => places::End::Neutral,
-        Err(_) => places::End::Lost,
+    held.end(match &read {
+        Ok(Read::Done(_)) => places::End::Good,
+        Ok(Read::Refused) => places::End::Neutral,
+        Ok(Read::Failed) => places::End::Failed,
+        Err(failure) => failure.into_end(),
     });
-    if let Ok(Some(export)) = export {
+    if let Ok(Read::Done(export)) = read {
         let id = &picked.pick.id;
         req.core.places().note_read(id, picked.tokens, took);
         let life = req.service.engine.as_ref().map(|e| e.export_life);
@@ -112,29 +118,45 @@
         took_ms = took.as_u64();
         "the prompt was not read ahead"
     );
-    if export == Err(upstream::Failure::NotSent) {
-        return Prefilled::Unreached(picked.pick.id);
+    match read {
+        Ok(Read::Refused) => {
+            let now = req.core.clock.now();
+            req.core.places().note_full(now, &picked.pick.id);
+            Prefilled::Refused(picked.pick.id)
+        }
+        Err(upstream::Failure::NotSent) => Prefilled::Unreached(picked.pick.id),
+        Ok(Read::Done(_) | Read::Failed) | Err(_) => Prefilled::Not,
     }
-    Prefilled::Not
 }
 
-/// Returns the exported KV cache, or `None` when the server took no work.
+/// What a prefill server answered.
+enum Read {
+    Done(edge::Export),
+    /// It took no work.
+    Refused,
+    /// It failed, or its answer can't be read.
+    Failed,
+}
+
 async fn read_at(
     req: &request::Request,
     pick: &places::Pick,
     limit: clock::Millis,
-) -> Result<Option<edge::Export>, upstream::Failure> {
+) -> Result<Read, upstream::Failure> {
     let sent = req.for_server(pick, edge::Work::Prefill, None, None);
     let mut answer = upstream::send(pick.address, sent, limit).await?;
-    if req.ran(&answer)? != edge::Ran::Yes || !answer.status.is_success() {
-        return Ok(None);
+    if req.ran(&answer)? != edge::Ran::Yes {
+        return Ok(Read::Refused);
+    }
+    if !answer.status.is_success() {
+        return Ok(Read::Failed);
     }
     let whole = answer.whole(limit).await?;
     match req.core.dialect.read_export(&whole) {
-        Ok(export) => Ok(Some(export)),
+        Ok(export) => Ok(Read::Done(export)),
         Err(e) => {
             log::warn!("the answer of a prefill server: {e}");
-            Ok(None)
+            Ok(Read::Failed)
         }
     }
 }
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -78,6 +78,8 @@
         let failure = match relayed {
             Relayed::Complete => {
                 opened.held.end(places::End::Good);
+                let generation = run.req.caller.generation.unwrap_or_default();
+                run.req.core.event_size().learn(generation, seen.pieces);
                 break COMPLETE;
             }
             Relayed::CallerGone => break "caller gone",
@@ -96,6 +98,7 @@
             None => break cut(&tx, "no server to go on").await,
         };
     };
+    let generation = run.req.caller.generation.unwrap_or_default();
     let target = if outcome == COMPLETE {
         logging::ROUTINE
     } else {
@@ -111,6 +114,9 @@
         first_event_ms = first_event.as_u64(),
         longest_pause_ms = seen.longest_pause.as_u64(),
         pieces = seen.pieces,
+        prompt_tokens = generation.prompt.as_u64(),
+        most_tokens = generation.most.as_u64(),
+        likely_tokens = generation.likely.unwrap_or_default().as_u64(),
         expected_memory = run.expected_memory().as_u64(),
         returning = run.req.is_returning(),
         patience_ms = run.req.caller.patience.unwrap_or_default().as_u64(),
@@ -162,6 +168,7 @@
     let mut piece = opened.first.take();
     while let Some(bytes) = piece {
         seen.note(run.req.core.clock.now());
+        count_growth(run, opened, seen.pieces);
         if tx.send(Ok(bytes)).await.is_err() {
             return Relayed::CallerGone;
         }
@@ -193,6 +200,7 @@
             }
             run.resume_after = event.id.or(run.resume_after);
             seen.note(run.req.core.clock.now());
+            count_growth(run, opened, seen.pieces);
             if tx.send(Ok(event.bytes)).await.is_err() {
                 return Relayed::CallerGone;
             }
@@ -208,6 +216,17 @@
     Relayed::Complete
 }
 
+/// Counts a stream that outgrows its estimate with the memory that it takes.
+fn count_growth(run: &generate::Run, opened: &mut generate::Opened, pieces: u64) {
+    let Some(generation) = run.req.caller.generation else {
+        return;
+    };
+    let memory = run.req.core.event_size().outgrown(generation, pieces);
+    if let Some(memory) = memory {
+        opened.held.grow(memory);
+    }
+}
+
 /// Waits for the next piece of an answer.
 async fn next_piece(
     run: &generate::Run,
--- a/src/router/reserve.rs
+++ b/src/router/reserve.rs
@@ -28,7 +28,7 @@
     /// Another server has the address now.
     Elsewhere,
     /// The server can't be reached or does not answer.
-    Lost,
+    Lost(upstream::Failure),
 }
 
 /// Reserved room; it is given back when this is dropped before it was spent.
@@ -56,7 +56,7 @@
         Ok(answer) => answer,
         Err(failure) => {
             log::debug!("reserving room at {}: {failure}", pick.id);
-            return Reserved::Lost;
+            return Reserved::Lost(failure);
         }
     };
     match status {
@@ -68,7 +68,7 @@
             }),
             Err(e) => {
                 log::warn!("reserving room at {}: {e}", pick.id);
-                Reserved::Lost
+                Reserved::Lost(upstream::Failure::Broken)
             }
         },
         hyper::StatusCode::MISDIRECTED_REQUEST => Reserved::Elsewhere,
--- a/src/router/sharing.rs
+++ b/src/router/sharing.rs
@@ -137,6 +137,10 @@
             let mut quotas = core.quotas();
             (quotas.gateways(), quotas.spent(), quotas.recent(now))
         };
+        let (loads, unreached) = {
+            let places = core.places();
+            (places.loads(), places.unreached(now))
+        };
         message::Report {
             incarnation: self.links.identity().incarnation,
             address: core.settings.caller_address,
@@ -148,8 +152,9 @@
             spent,
             recent,
             attempts: core.budget().attempts(now),
-            loads: core.places().loads(),
+            loads,
             losses: core.take_losses(),
+            unreached,
         }
     }
 
@@ -184,7 +189,11 @@
         core.quotas()
             .learn(now, spent, &summary.left, summary.gateways, summary.next);
         core.budget().learn(now, summary.attempts, summary.gateways);
-        core.places().set_others(now, summary.loads);
+        {
+            let mut places = core.places();
+            places.set_others(now, summary.loads);
+            places.set_shunned(summary.unreached);
+        }
         core.set_fleet(summary.entries, summary.barred);
         core.freed.notify_waiters();
     }
--- a/src/router/upstream.rs
+++ b/src/router/upstream.rs
@@ -15,6 +15,7 @@
 use tokio::time;
 
 use crate::clock;
+use crate::router::places;
 
 /// The longest time to open a connection: several round trips between data centres, and less than
 /// the second after which a lost opening packet is sent again.
@@ -37,6 +38,16 @@
     Silent,
 }
 
+impl Failure {
+    /// Returns what the failure tells of the server.
+    pub const fn into_end(self) -> places::End {
+        match self {
+            Self::NotSent => places::End::Unreached,
+            Self::Broken | Self::Silent => places::End::Lost,
+        }
+    }
+}
+
 /// The head of an answer, and what of its body is still to come.
 #[derive(Debug)]
 pub struct Answer {
--- a/tests/fleet_ledger.rs
+++ b/tests/fleet_ledger.rs
@@ -34,6 +34,7 @@
         attempts: Map::new(),
         loads: [(server(), load)].into_iter().collect(),
         losses: Vec::new(),
+        unreached: Vec::new(),
     }
 }
 
@@ -106,3 +107,43 @@
     let last = ledger.report(Millis::ZERO, &name(1), report(1)).next;
     assert!(last * 2 > first * 3, "{first}, {last}");
 }
+
+/// A report of a gateway in a data centre that can't reach the server.
+fn cut_off(gateway: u8, data_centre: &str) -> Report {
+    Report {
+        data_centre: data_centre.parse().unwrap(),
+        unreached: vec![server()],
+        ..report(gateway)
+    }
+}
+
+/// Pattern: a server that went dark under load; routers don't each find out by themselves.
+#[test]
+fn a_server_that_two_data_centres_cannot_reach_is_told_to_all() {
+    let mut ledger = ledger();
+    ledger.report(Millis::ZERO, &name(1), report(1));
+    ledger.report(Millis::ZERO, &name(2), cut_off(2, "a"));
+    let sums = ledger.report(Millis::new(10), &name(3), cut_off(3, "b"));
+    assert!(sums.unreached.is_empty(), "its own word is not the others'");
+    let sums = ledger.report(Millis::new(20), &name(1), report(1));
+    assert_eq!(sums.unreached, [server()]);
+    // It is reached again, or those that could not reach it fell silent.
+    ledger.report(Millis::new(30), &name(2), report(2));
+    let sums = ledger.report(Millis::new(40), &name(1), report(1));
+    assert!(sums.unreached.is_empty());
+    ledger.report(Millis::new(50), &name(2), cut_off(2, "a"));
+    let sums = ledger.report(Millis::new(1_000), &name(1), report(1));
+    assert!(sums.unreached.is_empty());
+}
+
+/// Pattern: one data centre is cut off from a server that all others reach.
+#[test]
+fn a_cut_of_one_data_centre_is_not_told() {
+    let mut ledger = ledger();
+    ledger.report(Millis::ZERO, &name(1), report(1));
+    for gateway in 2..=5 {
+        ledger.report(Millis::ZERO, &name(gateway), cut_off(gateway, "b"));
+    }
+    let sums = ledger.report(Millis::new(10), &name(1), report(1));
+    assert!(sums.unreached.is_empty());
+}
--- a/tests/fleet_quota.rs
+++ b/tests/fleet_quota.rs
@@ -86,6 +86,7 @@
             attempts: Map::new(),
             loads: Map::new(),
             losses: Vec::new(),
+            unreached: Vec::new(),
         };
         let spent = report.spent.clone();
         let name: InstanceId = format!("gateway-{gateway}").parse().unwrap();
--- a/tests/router_units.rs
+++ b/tests/router_units.rs
@@ -453,3 +453,29 @@
         "{counts:?}"
     );
 }
+
+/// Pattern: servers lost under load; what others can't reach gets no work while there is another.
+#[test]
+fn servers_that_others_cannot_reach_are_left_alone() {
+    let mut places = places(None, 3);
+    let service = "model".parse().unwrap();
+    let now = Millis::ZERO;
+    places.set_shunned(vec![id(1), id(3)]);
+    for draw in 0..6 {
+        let pick = places.pick_plain(now, &service, &[], draw).unwrap();
+        assert_eq!(pick.id, id(2));
+    }
+    places.set_shunned(vec![id(1), id(2), id(3)]);
+    assert!(places.pick_plain(now, &service, &[], 0).is_ok());
+    places.set_shunned(Vec::new());
+    places.begin(&id(2), one_request());
+    places.end(now, &id(2), one_request(), End::Unreached);
+    assert_eq!(places.unreached(now), [id(2)]);
+    assert!(places.unreached(now + Millis::new(300)).is_empty());
+    places.begin(&id(2), one_request());
+    places.end(now, &id(2), one_request(), End::Lost);
+    assert!(
+        places.unreached(now).is_empty(),
+        "it broke off, so it was reached"
+    );
+}
