--- /dev/null
+++ b/benches/router_places.rs
@@ -0,0 +1,83 @@
+//! The time of one placement by a router, over the servers that it chooses among.
+
+use std::hint;
+
+use criterion::BenchmarkId;
+use criterion::Criterion;
+
+use buckthorncleat::clock;
+use buckthorncleat::document;
+use buckthorncleat::fleet::message;
+use buckthorncleat::id;
+use buckthorncleat::router::places;
+use buckthorncleat::unit;
+
+const NOW: clock::Millis = clock::Millis::new(1_000);
+const PROMPT: unit::Tokens = unit::Tokens::new(3_200);
+const MEMORY: unit::Tokens = unit::Tokens::new(4_000);
+
+fn service() -> document::Service {
+    document::Service {
+        id: "model".parse().expect("a name"),
+        connections: 100,
+        engine: Some(document::Engine {
+            slots: 64,
+            memory: unit::Tokens::new(29_000),
+            export_life: clock::Millis::new(500),
+            longest_hold: clock::Millis::from_secs(2),
+        }),
+    }
+}
+
+fn name(number: usize) -> id::BackendServerId {
+    format!("server-{number}").parse().expect("a name")
+}
+
+/// A third of the servers reads prompts; the others generate, and are half full.
+fn half_full(count: usize) -> places::Places {
+    let stage = |n: usize| match n % 3 {
+        0 => message::Stage::Prefill,
+        _ => message::Stage::Decode,
+    };
+    let server = |n: usize| message::Server {
+        id: name(n),
+        service: "model".parse().expect("a name"),
+        address: ([10, 0, 0, n as u8], 80).into(),
+        data_centre: format!("c{}", n % 4).parse().expect("a name"),
+        slots: 64,
+        state: message::ServerState::Ready,
+        stage: Some(stage(n)),
+    };
+    let list: Vec<message::Server> = (0..count).map(server).collect();
+    let mut places = places::Places::new("c1".parse().expect("a name"));
+    places.set_list(&list);
+    let load = |n: usize| message::Load {
+        requests: 4,
+        memory: unit::Tokens::new(14_000 + 31 * n as u64),
+        prompts: unit::Tokens::new(0),
+    };
+    places.set_others(NOW, (0..count).map(|n| (name(n), load(n))).collect());
+    places
+}
+
+fn main() {
+    let mut c = Criterion::default().configure_from_args();
+    let service = service();
+    let need = places::Need {
+        memory: MEMORY,
+        late: false,
+    };
+    for count in [12, 90] {
+        let places = half_full(count);
+        c.bench_function(&BenchmarkId::new("decode server", count).to_string(), |b| {
+            b.iter(|| hint::black_box(places.pick_decode(NOW, &service, need, &[], 7)));
+        });
+        c.bench_function(
+            &BenchmarkId::new("prefill server", count).to_string(),
+            |b| {
+                b.iter(|| hint::black_box(places.pick_prefill(NOW, &service.id, PROMPT, &[], 7)));
+            },
+        );
+    }
+    c.final_summary();
+}
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -12,6 +12,7 @@
 use crate::id;
 use crate::logging;
 use crate::router::body;
+use crate::router::comeback;
 use crate::router::edge;
 use crate::router::held;
 use crate::router::output;
@@ -24,6 +25,7 @@
 use crate::unit;
 
 use request::Refusal;
+use request::comeback_after;
 
 /// The part of the target up to which a request waits for a place, as a divisor and a factor: the
 /// rest is for reading the prompt.
@@ -46,15 +48,6 @@
 /// The longest pause between two looks for a place; places also become free at other routers.
 const LOOK_PAUSE: clock::Millis = clock::Millis::new(40);
 
-/// When to come back after all servers were full: about half of the time that a stream takes.
-const FULL_RETRY: clock::Millis = clock::Millis::new(1_500);
-
-/// The spread of the times to come back, so that refused callers don't all return at once.
-const RETRY_SPREAD: u64 = 1_500;
-
-/// When to come back after no server could be reached.
-const NO_SERVER_RETRY: clock::Millis = clock::Millis::new(700);
-
 /// The servers that may be tried because others could not be reached, beside the attempts.
 const MAX_UNREACHED: u32 = 3;
 
@@ -179,7 +172,10 @@
             metrics::histogram!("buckthorncleat_wait_seconds").record(self.waited.as_secs_f64());
             let pick = place.pick.clone();
             if self.sent > 0 && !self.req.may_repeat() {
-                return Err(self.give_up(Refusal::NotRun("no retry budget", self.retry_after())));
+                return Err(self.give_up(Refusal::NotRun(
+                    "no retry budget",
+                    comeback_after(comeback::Cause::StreamsFull),
+                )));
             }
             self.tried.push(pick.id.clone());
             match self.attempt(place).await {
@@ -202,10 +198,16 @@
         let again = self.req.route.repeats.is_allowed() || !self.ran;
         let attempts = self.req.route.attempts.max(1);
         if !again || self.sent >= attempts || self.unreached > MAX_UNREACHED {
-            return Err(Refusal::NotRun("servers failed", self.retry_after()));
+            return Err(Refusal::NotRun(
+                "servers failed",
+                comeback_after(comeback::Cause::ServersFailed),
+            ));
         }
         if self.req.left() == clock::Millis::ZERO {
-            return Err(Refusal::NotRun("no time left", self.retry_after()));
+            return Err(Refusal::NotRun(
+                "no time left",
+                comeback_after(comeback::Cause::StreamsFull),
+            ));
         }
         Ok(())
     }
@@ -242,10 +244,6 @@
         }
     }
 
-    fn retry_after(&self) -> clock::Millis {
-        FULL_RETRY + clock::Millis::new(rand::random_range(0..RETRY_SPREAD))
-    }
-
     /// Finds a decode server and reserves room there; `None` means that another look is needed.
     async fn place_and_reserve(&mut self, until: clock::Millis) -> Result<Option<Place>, Refusal> {
         let (pick, held) = self.place(until).await?;
@@ -308,10 +306,16 @@
                     return Ok((pick, held));
                 }
                 Err(places::NoPlace::None) => {
-                    return Err(Refusal::NotRun("no server", NO_SERVER_RETRY));
+                    return Err(Refusal::NotRun(
+                        "no server",
+                        comeback_after(comeback::Cause::ServersFailed),
+                    ));
                 }
                 Err(places::NoPlace::Full) if now >= until => {
-                    return Err(Refusal::NotRun("servers full", self.retry_after()));
+                    return Err(Refusal::NotRun(
+                        "servers full",
+                        comeback_after(comeback::Cause::StreamsFull),
+                    ));
                 }
                 Err(places::NoPlace::Full) => {}
             }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod body;
 pub mod callers;
+pub mod comeback;
 pub mod core;
 pub mod directory;
 pub mod discovery;
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -5,6 +5,7 @@
 use crate::http::hop;
 use crate::id;
 use crate::router::body;
+use crate::router::comeback;
 use crate::router::edge;
 use crate::router::held;
 use crate::router::places;
@@ -13,6 +14,7 @@
 use crate::unit;
 
 use request::Refusal;
+use request::comeback_after;
 
 /// The servers that may be tried because others could not be reached, beside the attempts.
 const MAX_UNREACHED: u32 = 3;
@@ -20,12 +22,6 @@
 /// The time under which an attempt is not begun any more.
 const LEAST_TIME: clock::Millis = clock::Millis::new(5);
 
-/// When to come back after the servers were full.
-const FULL_RETRY: clock::Millis = clock::Millis::new(150);
-
-/// When to come back after no server could be reached.
-const NO_SERVER_RETRY: clock::Millis = clock::Millis::new(300);
-
 /// What the attempts so far brought.
 #[derive(Default)]
 struct Progress {
@@ -61,11 +57,17 @@
 /// Picks the server for the next attempt, if there may be one.
 fn next(req: &request::Request, progress: &Progress) -> Result<places::Pick, Refusal> {
     if req.left() < LEAST_TIME {
-        return Err(Refusal::NotRun("no time left", FULL_RETRY));
+        return Err(Refusal::NotRun(
+            "no time left",
+            comeback_after(comeback::Cause::PlainFull),
+        ));
     }
     let again = req.route.repeats.is_allowed() || !progress.ran;
     if progress.sent >= req.route.attempts.max(1) || !again || progress.unreached > MAX_UNREACHED {
-        return Err(Refusal::NotRun("servers failed", NO_SERVER_RETRY));
+        return Err(Refusal::NotRun(
+            "servers failed",
+            comeback_after(comeback::Cause::ServersFailed),
+        ));
     }
     let now = req.core.clock.now();
     let draw = rand::random();
@@ -73,11 +75,18 @@
     let pick = places.pick_plain(now, &req.service.id, &progress.tried, draw);
     drop(places);
     let pick = pick.map_err(|why| match why {
-        places::NoPlace::Full => Refusal::NotRun("servers full", FULL_RETRY),
-        places::NoPlace::None => Refusal::NotRun("no server", NO_SERVER_RETRY),
+        places::NoPlace::Full => {
+            Refusal::NotRun("servers full", comeback_after(comeback::Cause::PlainFull))
+        }
+        places::NoPlace::None => {
+            Refusal::NotRun("no server", comeback_after(comeback::Cause::ServersFailed))
+        }
     })?;
     if progress.sent > 0 && !req.may_repeat() {
-        return Err(Refusal::NotRun("no retry budget", FULL_RETRY));
+        return Err(Refusal::NotRun(
+            "no retry budget",
+            comeback_after(comeback::Cause::PlainFull),
+        ));
     }
     Ok(pick)
 }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -16,6 +16,7 @@
 use crate::id;
 use crate::logging;
 use crate::router::body;
+use crate::router::comeback;
 use crate::router::core;
 use crate::router::edge;
 use crate::router::generate;
@@ -27,9 +28,6 @@
 /// The answer to a caller.
 pub type Response = hyper::Response<body::Body>;
 
-/// When to come back to a router that has no document yet, or no server.
-const SOON: clock::Millis = clock::Millis::new(400);
-
 /// The part of a route's time limit that callers have left at their first attempt, at least; some
 /// wait for a little less than the route allows.
 const FRESH_SHARE: (u64, u64) = (4, 5);
@@ -144,6 +142,11 @@
     }
 }
 
+/// Draws when a refused caller is asked to come back.
+pub fn comeback_after(cause: comeback::Cause) -> clock::Millis {
+    comeback::after(cause, rand::random())
+}
+
 /// Answers one request of a caller.
 pub async fn serve(
     core: sync::Arc<core::Core>,
@@ -217,7 +220,10 @@
         Refusal::Unreadable
     })?;
     trace.request = caller.request.clone().unwrap_or_default();
-    let table = core.table().ok_or(Refusal::NotRun("no document", SOON))?;
+    let table = core.table().ok_or(Refusal::NotRun(
+        "no document",
+        comeback_after(comeback::Cause::NotReady),
+    ))?;
     let host = host_of(&head).ok_or(Refusal::Unreadable)?;
     let route = table
         .route(&host, head.uri.path())
@@ -232,10 +238,16 @@
     let body = read_body(incoming, limits).await?;
     let service = table.pick_service(route, rand::random());
     let service = service.and_then(|id| table.service(id));
-    let service = service.ok_or(Refusal::NotRun("no service", SOON))?;
+    let service = service.ok_or(Refusal::NotRun(
+        "no service",
+        comeback_after(comeback::Cause::NotReady),
+    ))?;
     let fingerprint = table::fingerprint(account.map(|a| &a.id), head.uri.path(), &body);
     if core.is_barred(fingerprint) {
-        return Err(Refusal::NotRun("request crashes servers", SOON));
+        return Err(Refusal::NotRun(
+            "request crashes servers",
+            comeback_after(comeback::Cause::NotReady),
+        ));
     }
     let (cost, quota_left) = charge(
         core,
