Retry budget: helpful attempts use a quarter, former lives and refused prompts count; lines on lack of room

Beside slow links the remaining prefill servers refused many prompts. Found on the way: a refused prompt whose stream then went straight to a decode server was not counted, and a router that started anew forgot the attempts of its life before.

Tried and left out: orders, with the share of prefill servers from a square root rule and a tenth of the servers at once.

--- a/benches/router_places.rs
+++ b/benches/router_places.rs
@@ -2,7 +2,6 @@
 
 use std::hint;
 
-use criterion::BenchmarkId;
 use criterion::Criterion;
 
 use buckthorncleat::clock;
@@ -69,15 +68,12 @@
     };
     for count in [12, 90] {
         let places = half_full(count);
-        c.bench_function(&BenchmarkId::new("decode server", count).to_string(), |b| {
+        c.bench_function(&format!("decode server of {count}"), |b| {
             b.iter(|| hint::black_box(places.pick_decode(NOW, &service, need, &[], 7)));
         });
-        c.bench_function(
-            &BenchmarkId::new("prefill server", count).to_string(),
-            |b| {
-                b.iter(|| hint::black_box(places.pick_prefill(NOW, &service.id, PROMPT, &[], 7)));
-            },
-        );
+        c.bench_function(&format!("prefill server of {count}"), |b| {
+            b.iter(|| hint::black_box(places.pick_prefill(NOW, &service.id, PROMPT, &[], 7)));
+        });
     }
     c.final_summary();
 }
--- a/src/explain/mod.rs
+++ b/src/explain/mod.rs
@@ -26,12 +26,13 @@
 ];
 
 /// The events of a leader that change what it tells the others, beside losses of lines.
-const CHANGES: [&str; 7] = [
+const CHANGES: [&str; 8] = [
     "list",
     "list_lost",
     "list_regained",
     "document_put",
     "leads",
+    "lead_lost",
     "process",
     "log_dropped",
 ];
--- a/src/explain/words.rs
+++ b/src/explain/words.rs
@@ -16,6 +16,16 @@
             value("rate"),
             value("share_alone")
         ),
+        "no_room" => format!(
+            "no server had room for {} tokens after {} ms: {} of {} servers were in question, the \
+             emptiest {} % full by a report {} ms old",
+            value("memory"),
+            value("waited_ms"),
+            value("sound"),
+            value("servers"),
+            value("least_percent"),
+            value("report_age_ms")
+        ),
         "stream_begun" => begun(entry),
         "served" => format!(
             "{} by server {} at attempt {}, {} ms after it came; the server was {} % busy by a report \
@@ -134,6 +144,18 @@
             value("term")
         ),
         "leader_lost" => "no leader answers; serves by what is known".to_owned(),
+        "process" => format!(
+            "the process started: build {}, settings {}",
+            entry.text("build"),
+            entry.text("settings")
+        ),
+        "document_put" => format!(
+            "an operator's document {}: {}",
+            value("version"),
+            entry.text("outcome")
+        ),
+        "leads" => format!("leads the control group in term {}", value("term")),
+        "lead_lost" => format!("no longer leads in term {}", value("term")),
         "log_sampled" => format!(
             "lines of requests that went well are kept for one request in {}",
             value("one_in")
--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -13,6 +13,19 @@
 /// two summaries.
 const USED_PERCENT: u64 = 70;
 
+/// The part up to which attempts are made that a request can do without; the rest is for those that
+/// it fails without.
+const SPARED_PERCENT: u64 = 25;
+
+/// What an attempt beyond the first is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// The request fails without it.
+    Needed,
+    /// The request is served without it, but slower.
+    Helpful,
+}
+
 /// The settings of the budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
@@ -70,7 +83,12 @@
     }
 
     /// Takes one attempt beyond the first, if the budget has one.
-    pub fn try_repeat(&mut self, now: clock::Millis, service: &document::ServiceId) -> Verdict {
+    pub fn try_repeat(
+        &mut self,
+        now: clock::Millis,
+        service: &document::ServiceId,
+        purpose: Purpose,
+    ) -> Verdict {
         let own = self.counts(service).sums(now);
         let stale = self.summary_at.is_none_or(|at| now >= at + STALE_AFTER);
         let (others, spare) = if stale {
@@ -81,7 +99,11 @@
             (others, self.settings.spare)
         };
         let earned = self.settings.ratio * (own.requests + others.requests) as f64;
-        let allowed = (earned as u64 + spare) * USED_PERCENT / 100;
+        let percent = match purpose {
+            Purpose::Needed => USED_PERCENT,
+            Purpose::Helpful => SPARED_PERCENT,
+        };
+        let allowed = (earned as u64 + spare) * percent / 100;
         let used = own.repeats + others.repeats;
         let granted = used < allowed;
         if granted {
@@ -94,6 +116,11 @@
         }
     }
 
+    /// Counts an attempt beyond the first that is made in any case.
+    pub fn note_repeat(&mut self, now: clock::Millis, service: &document::ServiceId) {
+        self.counts(service).repeats.add(now, 1);
+    }
+
     /// Returns the attempts in the window, for a report.
     pub fn attempts(
         &mut self,
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -50,6 +50,8 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     gateways: sorted::Map<id::InstanceId, Gateway>,
+    /// The last reports of gateways that have started anew since; their attempts count on.
+    former: Vec<Gateway>,
     /// The gateways that another leader counted, until all that live must have reported here.
     counted_before: u32,
     counts_until: Option<clock::Millis>,
@@ -136,7 +138,11 @@
             report,
             heard_at: now,
         };
-        self.gateways.insert(from.clone(), heard);
+        let incarnation = heard.report.incarnation;
+        let before = self.gateways.insert(from.clone(), heard);
+        let anew = before.filter(|b| b.report.incarnation != incarnation);
+        self.former.extend(anew);
+        self.former.retain(|g| now < g.heard_at + GATEWAY_LIFE);
         self.gateways.retain(|_, g| now < g.heard_at + GATEWAY_LIFE);
         self.sums(now, from)
     }
@@ -211,12 +217,13 @@
         let others = || self.gateways.iter().filter(|(id, _)| *id != asker);
         let mut attempts = sorted::Map::<document::ServiceId, message::Attempts>::new();
         let mut loads = sorted::Map::<id::BackendServerId, message::Load>::new();
+        let counted = others().map(|(_, g)| g).chain(&self.former);
+        for (service, count) in counted.flat_map(|g| g.report.attempts.iter()) {
+            let sum = attempts.get_or_insert_with(service.clone(), Default::default);
+            sum.requests += count.requests;
+            sum.repeats += count.repeats;
+        }
         for (_, gateway) in others() {
-            for (service, count) in gateway.report.attempts.iter() {
-                let sum = attempts.get_or_insert_with(service.clone(), Default::default);
-                sum.requests += count.requests;
-                sum.repeats += count.repeats;
-            }
             if now >= gateway.heard_at + LOAD_LIFE {
                 continue;
             }
--- a/src/router/generate.rs
+++ b/src/router/generate.rs
@@ -7,6 +7,7 @@
 
 use crate::clock;
 use crate::document;
+use crate::fleet::budget;
 use crate::fleet::message;
 use crate::http::hop;
 use crate::id;
@@ -171,7 +172,7 @@
             self.waited = self.req.age();
             metrics::histogram!("buckthorncleat_wait_seconds").record(self.waited.as_secs_f64());
             let pick = place.pick.clone();
-            if self.sent > 0 && !self.req.may_repeat() {
+            if self.sent > 0 && !self.req.may_repeat(budget::Purpose::Needed) {
                 return Err(self.give_up(Refusal::NotRun(
                     "no retry budget",
                     comeback_after(comeback::Cause::StreamsFull),
@@ -312,6 +313,7 @@
                     ));
                 }
                 Err(places::NoPlace::Full) if now >= until => {
+                    self.log_no_room(now, load.memory);
                     return Err(Refusal::NotRun(
                         "servers full",
                         comeback_after(comeback::Cause::StreamsFull),
@@ -325,6 +327,23 @@
         }
     }
 
+    fn log_no_room(&self, now: clock::Millis, memory: unit::Tokens) {
+        let req = &self.req;
+        let room = req.core.places().decode_room(now, &req.service);
+        log::info!(
+            event = "no_room",
+            request = req.caller.request.as_deref().unwrap_or(""),
+            service = req.service.id.as_str(),
+            servers = room.servers as u64,
+            sound = room.sound as u64,
+            least_percent = room.least_percent,
+            report_age_ms = room.report_age.as_u64(),
+            memory = memory.as_u64(),
+            waited_ms = req.age().as_u64();
+            "no server has room"
+        );
+    }
+
     fn decode_load(&self) -> message::Load {
         let generation = self.req.caller.generation.unwrap_or_default();
         message::Load {
--- a/src/router/places.rs
+++ b/src/router/places.rs
@@ -105,6 +105,19 @@
     None,
 }
 
+/// What was known of a service's decode servers when none was picked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// The servers that generate.
+    pub servers: usize,
+    /// Those that are neither lost, nor out of reach of others, nor refused a moment ago.
+    pub sound: usize,
+    /// How full the emptiest of these is.
+    pub least_percent: u32,
+    /// The age of what was known of the other routers' work.
+    pub report_age: clock::Millis,
+}
+
 /// What a request needs of a model server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Need {
@@ -264,6 +277,25 @@
         }
     }
 
+    /// Returns what is known of a service's decode servers, for the log.
+    pub fn decode_room(&self, now: clock::Millis, service: &document::Service) -> Room {
+        let stage = Some(message::Stage::Decode);
+        let usable = self.usable(now, &service.id, stage, &[]);
+        let (slots, memory) = room_of(service);
+        let percent = |p: &&Place| {
+            let load = self.load(p);
+            let memory = load.memory.as_u64() * 100 / memory.max(1);
+            (memory as u32).max(load.requests * 100 / slots.max(1))
+        };
+        let sound = usable.iter().filter(|p| now >= p.full_until);
+        Room {
+            servers: usable.len(),
+            sound: sound.clone().count(),
+            least_percent: sound.map(percent).min().unwrap_or_default(),
+            report_age: now - self.others_at,
+        }
+    }
+
     /// Picks one of the servers that will have read a prompt first.
     pub fn pick_prefill(
         &self,
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -1,6 +1,7 @@
 //! Requests with one whole answer.
 
 use crate::clock;
+use crate::fleet::budget;
 use crate::fleet::message;
 use crate::http::hop;
 use crate::id;
@@ -82,7 +83,7 @@
             Refusal::NotRun("no server", comeback_after(comeback::Cause::ServersFailed))
         }
     })?;
-    if progress.sent > 0 && !req.may_repeat() {
+    if progress.sent > 0 && !req.may_repeat(budget::Purpose::Needed) {
         return Err(Refusal::NotRun(
             "no retry budget",
             comeback_after(comeback::Cause::PlainFull),
--- a/src/router/prefill.rs
+++ b/src/router/prefill.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use crate::clock;
+use crate::fleet::budget;
 use crate::fleet::message;
 use crate::id;
 use crate::router::edge;
@@ -60,8 +61,16 @@
             Prefilled::Done(exported) => return Some(exported),
             Prefilled::Unreached(server) => tried.push(server),
             // One that refused has seen the request; the next is an attempt more.
-            Prefilled::Refused(server) if req.may_repeat() => tried.push(server),
-            Prefilled::Refused(_) | Prefilled::Not => return None,
+            Prefilled::Refused(server) if req.may_repeat(budget::Purpose::Helpful) => {
+                tried.push(server);
+            }
+            Prefilled::Refused(_) => {
+                // The server has seen the request without reading it; the next one counts as more.
+                let now = req.core.clock.now();
+                req.core.budget().note_repeat(now, &req.service.id);
+                return None;
+            }
+            Prefilled::Not => return None,
         }
     }
     None
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -10,6 +10,7 @@
 
 use crate::clock;
 use crate::document;
+use crate::fleet::budget;
 use crate::fleet::message;
 use crate::fleet::quota;
 use crate::http::hop;
@@ -421,9 +422,10 @@
     }
 
     /// Takes one more attempt from the retry budget.
-    pub fn may_repeat(&self) -> bool {
+    pub fn may_repeat(&self, purpose: budget::Purpose) -> bool {
         let now = self.core.clock.now();
-        let verdict = self.core.budget().try_repeat(now, &self.service.id);
+        let service = &self.service.id;
+        let verdict = self.core.budget().try_repeat(now, service, purpose);
         metrics::counter!("buckthorncleat_repeats_total", "granted" => verdict.granted.to_string())
             .increment(1);
         log::info!(
--- a/tests/fleet_budget.rs
+++ b/tests/fleet_budget.rs
@@ -2,7 +2,7 @@
 
 use buckthorncleat::clock::Millis;
 use buckthorncleat::document::ServiceId;
-use buckthorncleat::fleet::budget::{Budget, Settings};
+use buckthorncleat::fleet::budget::{Budget, Purpose, Settings};
 use buckthorncleat::sorted::Map;
 
 const SETTINGS: Settings = Settings {
@@ -25,7 +25,7 @@
         budget.note_request(now, &service());
         requests += 1;
         for _ in 0..2 {
-            repeats += u64::from(budget.try_repeat(now, &service()).granted);
+            repeats += u64::from(budget.try_repeat(now, &service(), Purpose::Needed).granted);
         }
         if summaries && at % 200 == 0 {
             share(&mut budgets, now);
@@ -67,7 +67,7 @@
         .iter_mut()
         .map(|b| {
             (0..100)
-                .filter(|_| b.try_repeat(late, &service()).granted)
+                .filter(|_| b.try_repeat(late, &service(), Purpose::Needed).granted)
                 .count() as u64
         })
         .sum();
@@ -78,8 +78,40 @@
 fn old_attempts_leave_the_window() {
     let mut budget = Budget::new(SETTINGS);
     budget.learn(Millis::ZERO, Map::new(), 1);
-    while budget.try_repeat(Millis::ZERO, &service()).granted {}
+    while budget
+        .try_repeat(Millis::ZERO, &service(), Purpose::Needed)
+        .granted
+    {}
     let later = Millis::new(10_500);
     budget.learn(later, Map::new(), 1);
-    assert!(budget.try_repeat(later, &service()).granted);
+    assert!(
+        budget
+            .try_repeat(later, &service(), Purpose::Needed)
+            .granted
+    );
+}
+
+/// Pattern: a burst in which prompts are refused; what requests can do without leaves the budget to
+/// those that fail without another attempt.
+#[test]
+fn attempts_that_only_help_leave_most_of_the_budget() {
+    let mut budget = Budget::new(SETTINGS);
+    let now = Millis::ZERO;
+    for _ in 0..100 {
+        budget.note_request(now, &service());
+    }
+    let granted = |budget: &mut Budget, purpose| {
+        (0..200)
+            .filter(|_| budget.try_repeat(now, &service(), purpose).granted)
+            .count()
+    };
+    let helpful = granted(&mut budget, Purpose::Helpful);
+    let needed = granted(&mut budget, Purpose::Needed);
+    let allowed = 100 / 5 + SETTINGS.spare as usize;
+    assert!(
+        helpful > 0 && helpful <= allowed / 3,
+        "{helpful} of {allowed}"
+    );
+    assert!(needed >= allowed / 3, "{needed} of {allowed}");
+    assert_eq!(granted(&mut budget, Purpose::Helpful), 0);
 }
--- a/tests/fleet_ledger.rs
+++ b/tests/fleet_ledger.rs
@@ -2,7 +2,7 @@
 
 use buckthorncleat::clock::Millis;
 use buckthorncleat::fleet::ledger::Ledger;
-use buckthorncleat::fleet::message::{Fingerprint, Load, Loss, Report};
+use buckthorncleat::fleet::message::{Attempts, Fingerprint, Load, Loss, Report};
 use buckthorncleat::id::{BackendServerId, Incarnation, InstanceId};
 use buckthorncleat::sorted::Map;
 use buckthorncleat::unit::Tokens;
@@ -147,3 +147,30 @@
     let sums = ledger.report(Millis::new(10), &name(1), report(1));
     assert!(sums.unreached.is_empty());
 }
+
+/// Pattern: routers that lose power amid a burst of repeats; their attempts count on.
+#[test]
+fn attempts_of_a_gateway_that_starts_anew_are_not_forgotten() {
+    let mut ledger = ledger();
+    let spent = Attempts {
+        requests: 100,
+        repeats: 20,
+    };
+    let with_attempts = Report {
+        attempts: [("s".parse().unwrap(), spent)].into_iter().collect(),
+        ..report(2)
+    };
+    ledger.report(Millis::ZERO, &name(1), report(1));
+    ledger.report(Millis::ZERO, &name(2), with_attempts);
+    let anew = Report {
+        incarnation: Incarnation::new(2),
+        ..report(2)
+    };
+    let own = ledger.report(Millis::from_secs(2), &name(2), anew);
+    let others = ledger.report(Millis::from_secs(2), &name(1), report(1));
+    for sums in [own, others] {
+        assert_eq!(sums.attempts.get(&"s".parse().unwrap()), Some(&spent));
+    }
+    let late = ledger.report(Millis::from_secs(20), &name(1), report(1));
+    assert!(late.attempts.get(&"s".parse().unwrap()).is_none());
+}
