Late streams keep their rank at servers

Tried and reverted: a later rank for streams whose callers were refused before. Conclusion: a server lets fresh streams push out late ones as they arrive, and the prompt is read again; the rank of all stays the usual one.

Also: streams that a caller resumed no longer teach the size of events.

--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -77,8 +77,7 @@
         let failure = match relayed {
             Relayed::Complete => {
                 opened.held.end(places::End::Good);
-                let generation = run.req.caller.generation.unwrap_or_default();
-                run.req.core.event_size().learn(generation, seen.pieces);
+                learn_event_size(&run, seen);
                 break COMPLETE;
             }
             Relayed::CallerGone => break "caller gone",
@@ -100,6 +99,13 @@
     run.log_end(outcome, seen, first_event);
 }
 
+/// Learns from a stream that came whole; one that the caller resumed has only its end.
+fn learn_event_size(run: &generate::Run, seen: Seen) {
+    if let (Some(generation), None) = (run.req.caller.generation, run.req.caller.resume_after) {
+        run.req.core.event_size().learn(generation, seen.pieces);
+    }
+}
+
 /// Ends the body without its end mark.
 async fn cut(tx: &Sender, why: &'static str) -> &'static str {
     if tx.send(Err(body::Cut(why))).await.is_err() {
--- a/src/router/request/mod.rs
+++ b/src/router/request/mod.rs
@@ -37,9 +37,6 @@
 /// wait for a little less than the route allows.
 const FRESH_SHARE: (u64, u64) = (4, 5);
 
-/// The rank of late streams at servers, which is after the usual one.
-const LATE_SERVER_RANK: u8 = 7;
-
 /// A request that was admitted.
 pub struct Request {
     /// The shared state.
@@ -276,7 +273,7 @@
             account: self.account.as_ref(),
             resume_after,
             work,
-            rank: self.server_rank(),
+            rank: None,
             hold,
         };
         self.core
@@ -285,13 +282,6 @@
         req
     }
 
-    /// Returns the rank at a model server: a stream whose caller was refused before is late in any
-    /// case, so it gives way when memory runs out.
-    fn server_rank(&self) -> Option<u8> {
-        let late = self.route.repeats.is_stream() && self.is_returning();
-        late.then_some(LATE_SERVER_RANK)
-    }
-
     /// Reads a server's word on whether a request ran; an answer to another request is none.
     pub fn ran(&self, answer: &upstream::Answer) -> Result<edge::Ran, upstream::Failure> {
         let said = self
