A new leader counts quotas from when they were spent

A leader elected at 12.35 counted each router's part of the 8 s window from the moment at which it first met that router, so for up to eight seconds too long, into a burst.

Change: routers report what they spent in the window with its ages, in slots of 250 ms that are never said to be older than they are; the ledger adds it where it belongs.

--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -154,12 +154,15 @@
             let Some(account) = self.accounts.get_mut(id) else {
                 continue;
             };
+            if let Some(counted) = before.and_then(|b| b.spent.get(id)) {
+                account.used.add(now, spent - counted);
+                continue;
+            }
             // A router that this leader meets for the first time spent its part of the window
-            // under another leader; when exactly is not known, so all of it counts from now.
-            let counted = before.and_then(|b| b.spent.get(id)).copied();
-            let recent = report.recent.get(id).copied().unwrap_or_default();
-            let units = counted.map_or(recent, |counted| spent - counted);
-            account.used.add(now, units);
+            // under another leader.
+            for (age, units) in report.recent.get(id).into_iter().flatten() {
+                account.used.add_past(now - *age, *units);
+            }
         }
     }
 
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -39,7 +39,7 @@
         /// Quota units spent by each account since the start of the process.
         pub spent: sorted::Map<id::ClientAccountId, i64>,
         /// Quota units spent by each account in the window of quotas.
-        pub recent: sorted::Map<id::ClientAccountId, i64>,
+        pub recent: sorted::Map<id::ClientAccountId, Vec<(clock::Millis, i64)>>,
         /// The attempts in the budget window, by service.
         pub attempts: sorted::Map<document::ServiceId, Attempts>,
         /// What the gateway keeps each server busy with.
--- a/src/fleet/quota.rs
+++ b/src/fleet/quota.rs
@@ -106,13 +106,16 @@
         accounts.map(|(id, m)| (id.clone(), m.spent)).collect()
     }
 
-    /// Returns what each account spent here in the window, for a report.
-    pub fn recent(&mut self, now: clock::Millis) -> sorted::Map<id::ClientAccountId, i64> {
+    /// Returns what each account spent here in the window and how long ago, for a report.
+    pub fn recent(
+        &mut self,
+        now: clock::Millis,
+    ) -> sorted::Map<id::ClientAccountId, Vec<(clock::Millis, i64)>> {
         let ids: Vec<id::ClientAccountId> = self.accounts.keys().cloned().collect();
-        let recent = self.accounts.values_mut().map(|m| m.recent.sum(now));
+        let recent = self.accounts.values_mut().map(|m| m.recent.ages(now));
         ids.into_iter()
             .zip(recent)
-            .filter(|(_, n)| *n > 0)
+            .filter(|(_, ages)| !ages.is_empty())
             .collect()
     }
 
--- a/src/fleet/window.rs
+++ b/src/fleet/window.rs
@@ -41,6 +41,28 @@
         }
     }
 
+    /// Adds an amount that was spent before now.
+    pub fn add_past(&mut self, at: clock::Millis, amount: i64) {
+        let after = self.slots.partition_point(|(begin, _)| *begin <= at);
+        let within = after
+            .checked_sub(1)
+            .filter(|i| at < self.slots[*i].0 + SLOT);
+        match within {
+            Some(i) => self.slots[i].1 += amount,
+            None => self.slots.insert(after, (at, amount)),
+        }
+        self.sum += amount;
+    }
+
+    /// Returns the amounts in the window that ends now, with their ages; an amount is never said to
+    /// be older than it is.
+    pub fn ages(&mut self, now: clock::Millis) -> Vec<(clock::Millis, i64)> {
+        self.sum(now);
+        let age = |at: clock::Millis| now - (at + SLOT).min(now);
+        let slots = self.slots.iter().filter(|(_, amount)| *amount != 0);
+        slots.map(|(at, amount)| (age(*at), *amount)).collect()
+    }
+
     /// Returns the sum of the window that ends now.
     pub fn sum(&mut self, now: clock::Millis) -> i64 {
         while let Some((at, amount)) = self.slots.front() {
--- a/tests/fleet_quota.rs
+++ b/tests/fleet_quota.rs
@@ -40,6 +40,7 @@
     gateways: Vec<Quotas>,
     cut: Vec<bool>,
     spent: Vec<(u64, u64)>,
+    refused: usize,
 }
 
 impl Fleet {
@@ -55,6 +56,7 @@
             gateways: (0..GATEWAYS).map(gateway).collect(),
             cut: vec![false; GATEWAYS],
             spent: Vec::new(),
+            refused: 0,
         };
         fleet.ledger.configure(&accounts(RATE));
         // A gateway serves nothing before its first summary, which brings the document.
@@ -100,6 +102,7 @@
         if charged.is_ok() {
             self.spent.push((self.now, units));
         }
+        self.refused += usize::from(charged.is_err());
         charged.is_ok()
     }
 
@@ -197,3 +200,19 @@
     quotas.give_back(now, &account(), 58_000);
     assert!(quotas.charge(now, &account(), 1_000).is_ok());
 }
+
+/// Pattern: a core that elects one leader after the other while accounts keep to their rates.
+#[test]
+fn a_usual_load_is_not_refused_under_other_leaders() {
+    let mut fleet = Fleet::new();
+    let mut rng = ChaCha8Rng::seed_from_u64(29);
+    for step in 0..4_000 {
+        fleet.step(&mut rng, RATE * 7 / 10);
+        if step % 400 == 399 {
+            fleet.elect_another_leader();
+            (0..GATEWAYS).for_each(|g| fleet.report(g));
+        }
+    }
+    assert_eq!(fleet.refused, 0, "of {} served", fleet.spent.len());
+    fleet.assert_bound(0);
+}
