--- a/src/router/table.rs
+++ b/src/router/table.rs
@@ -77,7 +77,7 @@
         }
     }
 
-    /// Returns the account's name for metrics; accounts past the first [`MAX_ACCOUNT_LABELS`] share
+    /// Returns the account's name for metrics; accounts past the first 64 share
     /// one.
     pub fn account_label<'a>(&self, account: &'a document::Account) -> &'a str {
         let first = self.document.accounts.iter().take(MAX_ACCOUNT_LABELS);
