One copy of what the router and its daemons wrote again

Cause: a reading of the whole change found pieces that the project had already, or that the change wrote twice.

Change, without new behaviour: - The router's body was a second http::body; one type carries the cut now, and makes whole and JSON answers. A panicked task is reported with one remedy, to send the logs of all instances. - Status::leader_peer and edge::read_packed replace twins in control, keeper and router.

--- a/src/control/handler.rs
+++ b/src/control/handler.rs
@@ -4,7 +4,6 @@
 
 use tokio::time;
 
-use crate::config::settings;
 use crate::control::proposer;
 use crate::control::sessions;
 use crate::controller::membership;
@@ -134,14 +133,7 @@
     }
 
     fn not_leader(&self) -> message::Reply {
-        let status = self.group.status();
-        let leader = status.leader.zip(status.leader_address);
-        message::Reply::NotLeader(
-            leader.map(|(instance, peer_address)| settings::ControlPeer {
-                instance,
-                peer_address,
-            }),
-        )
+        message::Reply::NotLeader(self.group.status().leader_peer())
     }
 
     fn reply_to(&self, outcome: group::Outcome) -> message::Reply {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -6,6 +6,7 @@
 use metrics_exporter_prometheus as prometheus;
 use tokio::signal::unix;
 use tokio::sync::watch;
+use tokio::task;
 
 use crate::error;
 use crate::logging;
@@ -36,17 +37,10 @@
     F: Future<Output = error::Result<()>>,
 {
     logging::init();
-    let settings = match settings {
+    let settings = match usable(settings, check) {
         Ok(settings) => settings,
-        Err(e) => {
-            eprintln!("{e}");
-            return process::ExitCode::from(BAD_SETTINGS);
-        }
+        Err(code) => return code,
     };
-    if check {
-        println!("ok");
-        return process::ExitCode::SUCCESS;
-    }
     match start(settings, run) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(e) => {
@@ -56,6 +50,55 @@
     }
 }
 
+/// Returns settings to run with, or how the process ends: they are not usable, or were only checked.
+///
+/// # Errors
+///
+/// Returns the exit code, after it has told the reason.
+pub fn usable<S>(settings: error::Result<S>, check: bool) -> Result<S, process::ExitCode> {
+    match settings {
+        Ok(_) if check => {
+            println!("ok");
+            Err(process::ExitCode::SUCCESS)
+        }
+        Ok(settings) => Ok(settings),
+        Err(e) => {
+            eprintln!("{e}");
+            Err(process::ExitCode::from(BAD_SETTINGS))
+        }
+    }
+}
+
+/// Begins to record the metrics of the process.
+///
+/// # Errors
+///
+/// Fails when the process records them already.
+pub fn record_metrics() -> error::Result<prometheus::PrometheusHandle> {
+    prometheus::PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(|e| error::Error::bad_value("metrics", e, "start one daemon in a process"))
+}
+
+/// Ends a task that runs beside a daemon.
+pub async fn end_task<T>(task: task::JoinHandle<T>) {
+    task.abort();
+    // An aborted task ends with an error that says just that.
+    let _ = task.await;
+}
+
+/// Returns how a task of a daemon ended; one that panicked is a fault of the program.
+///
+/// # Errors
+///
+/// Returns the task's own error, or reports the panic.
+pub fn joined(ended: Result<error::Result<()>, task::JoinError>) -> error::Result<()> {
+    ended.unwrap_or_else(|e| {
+        let remedy = "report this fault with the logs of all instances";
+        Err(error::Error::damaged(format!("a task: {e}"), remedy))
+    })
+}
+
 fn start<S, F>(
     settings: S,
     run: impl FnOnce(S, prometheus::PrometheusHandle, watch::Receiver<bool>) -> F,
@@ -63,18 +106,14 @@
 where
     F: Future<Output = error::Result<()>>,
 {
-    let metrics = prometheus::PrometheusBuilder::new()
-        .install_recorder()
-        .map_err(|e| error::Error::bad_value("metrics", e, "start one daemon in a process"))?;
+    let metrics = record_metrics()?;
     let runtime =
         tokio::runtime::Runtime::new().map_err(|e| error::Error::io("starting the runtime", e))?;
     runtime.block_on(async {
         let (tx, stop) = watch::channel(false);
         let signals = tokio::spawn(stop_on_signal(tx));
         let result = run(settings, metrics, stop).await;
-        signals.abort();
-        // An aborted task ends with an error that says just that.
-        let _ = signals.await;
+        end_task(signals).await;
         result
     })
 }
--- a/src/explain/mod.rs
+++ b/src/explain/mod.rs
@@ -78,15 +78,12 @@
 
     /// Returns the lines of the request alone, in causal order.
     pub fn own(&self) -> Vec<&Entry> {
-        let mut own: Vec<&Entry> = self.of_request().collect();
+        let of_request = self.entries.iter().filter(|e| e.is_of(&self.request));
+        let mut own: Vec<&Entry> = of_request.collect();
         own.sort_by_key(|e| e.order());
         own
     }
 
-    fn of_request(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.iter().filter(|e| e.is_of(&self.request))
-    }
-
     /// Tells the story in plain words, a decision a line.
     ///
     /// # Errors
@@ -113,15 +110,12 @@
         lines.sort_by_key(|e| e.order());
         for entry in lines {
             let after = entry.at.wall as i64 - begin as i64;
-            let mark = if entry.is_of(&self.request) { "" } else { "(" };
-            let end = if mark.is_empty() { "" } else { ")" };
+            let mut words = words::describe(entry);
+            if !entry.is_of(&self.request) {
+                words = format!("({words})");
+            }
             // Writing to a string does not fail.
-            let _ = writeln!(
-                out,
-                "{after:>+8} ms  {}  {mark}{}{end}",
-                entry.instance,
-                words::describe(entry)
-            );
+            let _ = writeln!(out, "{after:>+8} ms  {}  {words}", entry.instance);
         }
         Ok(out.trim_end().to_owned())
     }
--- a/src/filter/exchange.rs
+++ b/src/filter/exchange.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use hyper::http::request;
-use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time;
@@ -79,11 +78,14 @@
     pub output: unit::Tokens,
 }
 
+/// The pieces of a streamed answer that may wait for a slow caller: a few seconds of tokens.
+const CALLER_PIECES: usize = 64;
+
 /// The way back to a caller.
 #[derive(Debug)]
 pub struct Caller {
     head: Option<oneshot::Sender<answer::Response>>,
-    body: Option<mpsc::Sender<Bytes>>,
+    body: Option<body::Sender>,
 }
 
 impl Caller {
@@ -106,7 +108,7 @@
 
     /// Sends the head of a streamed answer.
     pub fn begin(&mut self, builder: hyper::http::response::Builder) {
-        let (tx, body) = body::Body::channel();
+        let (tx, body) = body::Body::channel(CALLER_PIECES);
         self.body = Some(tx);
         self.answer(answer::finish(builder, body));
     }
@@ -124,7 +126,7 @@
         let Some(tx) = &self.body else {
             return false;
         };
-        let sent = time::timeout(CALLER_PATIENCE.as_duration(), tx.send(piece));
+        let sent = time::timeout(CALLER_PATIENCE.as_duration(), tx.send(Ok(piece)));
         matches!(sent.await, Ok(Ok(())))
     }
 
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -78,27 +78,6 @@
     last_at: clock::Millis,
 }
 
-/// What a summary holds of the ledger.
-#[derive(Debug)]
-pub struct Sums {
-    /// When to report again.
-    pub next: clock::Millis,
-    /// Where callers may connect.
-    pub entries: Vec<message::Entry>,
-    /// The gateways that count for shares.
-    pub gateways: u32,
-    /// What is left of each quota.
-    pub left: sorted::Map<id::ClientAccountId, i64>,
-    /// The attempts of the others.
-    pub attempts: sorted::Map<document::ServiceId, message::Attempts>,
-    /// The loads by the others.
-    pub loads: sorted::Map<id::BackendServerId, message::Load>,
-    /// Requests that must not run.
-    pub barred: Vec<message::Fingerprint>,
-    /// Servers that others can't reach, in order.
-    pub unreached: Vec<id::BackendServerId>,
-}
-
 impl Ledger {
     /// Starts without reports.
     pub fn new(quota_window: clock::Millis) -> Self {
@@ -130,7 +109,7 @@
         now: clock::Millis,
         from: &id::InstanceId,
         report: message::Report,
-    ) -> Sums {
+    ) -> message::Sums {
         self.spend(now, from, &report);
         self.note_count(now, report.gateways);
         self.note_losses(now, &report.losses);
@@ -215,7 +194,7 @@
         }
     }
 
-    fn sums(&mut self, now: clock::Millis, asker: &id::InstanceId) -> Sums {
+    fn sums(&mut self, now: clock::Millis, asker: &id::InstanceId) -> message::Sums {
         let left = self.left(now);
         let others = || self.gateways.iter().filter(|(id, _)| *id != asker);
         let mut attempts = sorted::Map::<document::ServiceId, message::Attempts>::new();
@@ -236,7 +215,7 @@
                     .add(*load);
             }
         }
-        Sums {
+        message::Sums {
             next: self.next(),
             entries: self.entries(now),
             gateways: self.known(now),
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -90,12 +90,22 @@
     pub struct Summary {
         /// The leader's term.
         pub term: id::Term,
-        /// When to report again.
-        pub next: clock::Millis,
         /// A newer document.
         pub document: Option<document::Packed>,
         /// A newer list of servers.
         pub list: Option<List>,
+        /// The sums over the reports.
+        pub sums: Sums,
+        /// Where the members of the control group listen.
+        pub members: Vec<net::SocketAddr>,
+    }
+}
+
+macros::data! {
+    /// The sums over the reports, for one gateway.
+    pub struct Sums {
+        /// When to report again.
+        pub next: clock::Millis,
         /// Where callers may connect.
         pub entries: Vec<Entry>,
         /// The gateways that count for shares, this one among them.
@@ -110,8 +120,6 @@
         pub barred: Vec<Fingerprint>,
         /// Servers that several other gateways can't reach, in order.
         pub unreached: Vec<id::BackendServerId>,
-        /// Where the members of the control group listen.
-        pub members: Vec<net::SocketAddr>,
     }
 }
 
--- a/src/keeper/hub.rs
+++ b/src/keeper/hub.rs
@@ -6,7 +6,6 @@
 use tokio::time;
 
 use crate::clock;
-use crate::config::settings;
 use crate::document;
 use crate::fleet::ledger;
 use crate::fleet::message as fleet;
@@ -180,7 +179,7 @@
         let held = self.group.with_state(|s| s.document().map(|d| d.version));
         let mut lead = self.lead();
         let Some(term) = lead.term.filter(|_| lead.is_proven(now)) else {
-            return message::Reply::NotLeader(leader_of(&self.group));
+            return message::Reply::NotLeader(self.group.status().leader_peer());
         };
         if lead.configured != held {
             self.configure(&mut lead);
@@ -194,16 +193,9 @@
         let list = list.filter(|l| has_list != Some((term, l.number)));
         message::Reply::Summary(Box::new(fleet::Summary {
             term,
-            next: sums.next,
             document: newer,
             list: list.cloned(),
-            entries: sums.entries,
-            gateways: sums.gateways,
-            left: sums.left,
-            attempts: sums.attempts,
-            loads: sums.loads,
-            barred: sums.barred,
-            unreached: sums.unreached,
+            sums,
             members: self.group.status().addresses,
         }))
     }
@@ -217,8 +209,7 @@
             return;
         };
         lead.configured = Some(packed.version);
-        let plain = packed.to_plain();
-        match plain.and_then(|plain| self.dialect.read_document(&plain)) {
+        match edge::read_packed(&*self.dialect, &packed) {
             Ok(document) => lead.ledger.configure(&document.accounts),
             Err(e) => log::error!("the document of the log: {e}"),
         }
@@ -231,16 +222,6 @@
     }
 }
 
-/// Returns the leader as far as this member knows.
-pub fn leader_of(group: &group::Group) -> Option<settings::ControlPeer> {
-    let status = group.status();
-    let (instance, peer_address) = status.leader.zip(status.leader_address)?;
-    Some(settings::ControlPeer {
-        instance,
-        peer_address,
-    })
-}
-
 impl server::Handler for Hub {
     async fn handle(&self, from: id::InstanceId, request: message::Request) -> message::Reply {
         match request {
--- a/src/keeper/operators.rs
+++ b/src/keeper/operators.rs
@@ -3,16 +3,14 @@
 use std::net;
 use std::sync;
 
-use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body as hyper_body;
 use hyper::header;
 
 use crate::document;
 use crate::error;
-use crate::keeper::hub;
+use crate::http::body;
 use crate::replica::group;
-use crate::router::body;
 use crate::router::callers;
 use crate::router::edge;
 use crate::router::request;
@@ -40,7 +38,7 @@
         match self.dialect.read_operator_call(req.method(), &path) {
             Some(edge::OperatorCall::Replace) => self.replace(req, &path).await,
             Some(edge::OperatorCall::Read) => self.read(&path).await,
-            None => answer(hyper::StatusCode::NOT_FOUND, "no such call"),
+            None => body::answer(hyper::StatusCode::NOT_FOUND, "no such call"),
         }
     }
 }
@@ -55,15 +53,15 @@
         let plain = match limited.collect().await {
             Ok(whole) => whole.to_bytes(),
             Err(e) if e.is::<http_body_util::LengthLimitError>() => {
-                return answer(hyper::StatusCode::PAYLOAD_TOO_LARGE, "too large");
+                return body::answer(hyper::StatusCode::PAYLOAD_TOO_LARGE, "too large");
             }
-            Err(_) => return answer(hyper::StatusCode::BAD_REQUEST, "broken off"),
+            Err(_) => return body::answer(hyper::StatusCode::BAD_REQUEST, "broken off"),
         };
         let packed = match self.check(&plain) {
             Ok(packed) => packed,
             Err(e) => {
                 log::info!(event = "document_refused", reason = e.to_string(); "document refused");
-                return answer(hyper::StatusCode::BAD_REQUEST, e.to_string());
+                return body::answer(hyper::StatusCode::BAD_REQUEST, e.to_string());
             }
         };
         let version = packed.version;
@@ -71,21 +69,21 @@
         if held >= Some(version) {
             // What was applied here is committed, so this version is overtaken for good.
             self.log(version, "overtaken");
-            return answer(hyper::StatusCode::OK, "");
+            return body::answer(hyper::StatusCode::OK, "");
         }
         let command = command::Command::PutDocument(packed);
         match self.group.submit(&command).await {
             Ok(group::Outcome::Applied(_)) => {
                 self.log(version, "committed");
-                answer(hyper::StatusCode::OK, "")
+                body::answer(hyper::StatusCode::OK, "")
             }
             Ok(group::Outcome::NotLeader(_)) => self.redirect(path),
             Ok(group::Outcome::Uncertain) => {
                 self.log(version, "uncertain");
-                answer(hyper::StatusCode::GATEWAY_TIMEOUT, "not committed in time")
+                body::answer(hyper::StatusCode::GATEWAY_TIMEOUT, "not committed in time")
             }
-            Ok(_) => answer(hyper::StatusCode::SERVICE_UNAVAILABLE, "busy"),
-            Err(e) => answer(hyper::StatusCode::PAYLOAD_TOO_LARGE, e.to_string()),
+            Ok(_) => body::answer(hyper::StatusCode::SERVICE_UNAVAILABLE, "busy"),
+            Err(e) => body::answer(hyper::StatusCode::PAYLOAD_TOO_LARGE, e.to_string()),
         }
     }
 
@@ -104,41 +102,30 @@
             return self.redirect(path);
         }
         if let Err(e) = self.group.confirm().await {
-            return answer(hyper::StatusCode::SERVICE_UNAVAILABLE, e.to_string());
+            return body::answer(hyper::StatusCode::SERVICE_UNAVAILABLE, e.to_string());
         }
         let Some(packed) = self.group.with_state(|s| s.document().cloned()) else {
-            return answer(hyper::StatusCode::SERVICE_UNAVAILABLE, "no document yet");
+            return body::answer(hyper::StatusCode::SERVICE_UNAVAILABLE, "no document yet");
         };
         match packed.to_plain() {
-            Ok(plain) => {
-                let mut response = answer(hyper::StatusCode::OK, plain);
-                let json = header::HeaderValue::from_static("application/json");
-                response.headers_mut().insert(header::CONTENT_TYPE, json);
-                response
-            }
-            Err(e) => answer(hyper::StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+            Ok(plain) => body::json(plain),
+            Err(e) => body::answer(hyper::StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
         }
     }
 
     /// Sends an operator to the leader.
     fn redirect(&self, path: &str) -> request::Response {
-        let leader = hub::leader_of(&self.group);
+        let leader = self.group.status().leader_peer();
         let address =
             leader.map(|l| net::SocketAddr::new(l.peer_address.ip(), self.address.port()));
         let location = address
             .filter(|a| *a != self.address)
             .and_then(|a| header::HeaderValue::try_from(format!("http://{a}{path}")).ok());
         let Some(location) = location else {
-            return answer(hyper::StatusCode::SERVICE_UNAVAILABLE, "no leader is known");
+            return body::answer(hyper::StatusCode::SERVICE_UNAVAILABLE, "no leader is known");
         };
-        let mut response = answer(hyper::StatusCode::TEMPORARY_REDIRECT, "");
+        let mut response = body::answer(hyper::StatusCode::TEMPORARY_REDIRECT, "");
         response.headers_mut().insert(header::LOCATION, location);
         response
     }
 }
-
-fn answer(status: hyper::StatusCode, text: impl Into<Bytes>) -> request::Response {
-    let mut response = hyper::Response::new(body::Body::from_bytes(text));
-    *response.status_mut() = status;
-    response
-}
--- a/src/keeper/run.rs
+++ b/src/keeper/run.rs
@@ -9,6 +9,7 @@
 
 use crate::clock;
 use crate::config::settings;
+use crate::daemon;
 use crate::error;
 use crate::event;
 use crate::id;
@@ -137,21 +138,14 @@
     };
     ending.send_replace(true);
     phase.send_replace(core::Phase::Closing);
-    let mut result = ended.map_or(Ok(()), flatten);
+    let mut result = ended.map_or(Ok(()), daemon::joined);
     while let Some(ended) = tasks.join_next().await {
-        result = result.and(flatten(ended));
+        result = result.and(daemon::joined(ended));
     }
     log::info!(event = "stopped", instance = name.as_str(); "keeper stopped");
     result
 }
 
-fn flatten(ended: Result<error::Result<()>, task::JoinError>) -> error::Result<()> {
-    ended.unwrap_or_else(|e| {
-        let remedy = "report this fault with the log of all members";
-        Err(error::Error::damaged(format!("a task: {e}"), remedy))
-    })
-}
-
 fn group_settings(settings: &Settings) -> group::Settings {
     group::Settings {
         instance: settings.instance.clone(),
--- a/src/logging/structured.rs
+++ b/src/logging/structured.rs
@@ -139,13 +139,14 @@
 ) -> io::Result<()> {
     let at = recorder.stamp();
     let mut line = String::with_capacity(256);
-    let head = (at.wall, at.counter, record.level());
     let instance = recorder.instance().as_str();
     // Writing to a string does not fail.
     let _ = write!(
         line,
         r#"{{"ts":{},"n":{},"instance":"{instance}","level":"{}""#,
-        head.0, head.1, head.2
+        at.wall,
+        at.counter,
+        record.level()
     );
     // The visitor itself never fails.
     let _ = record.key_values().visit(&mut Fields(&mut line));
--- a/src/replica/group/view.rs
+++ b/src/replica/group/view.rs
@@ -1,11 +1,11 @@
 //! What a member shows of the group, and how requests to it went.
 
 use std::net;
-
 use std::sync;
 
 use tokio::sync::watch;
 
+use crate::config::settings;
 use crate::id;
 use crate::macros;
 use crate::state::command;
@@ -34,6 +34,17 @@
     }
 }
 
+impl Status {
+    /// Returns the leader and where it listens, as far as this member knows.
+    pub fn leader_peer(&self) -> Option<settings::ControlPeer> {
+        let (instance, peer_address) = self.leader.clone().zip(self.leader_address)?;
+        Some(settings::ControlPeer {
+            instance,
+            peer_address,
+        })
+    }
+}
+
 macros::data! {
     /// What those wait for who follow the group.
     #[derive(Default)]
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -150,6 +150,11 @@
         self.table.borrow().as_ref().map(|t| t.document().version)
     }
 
+    /// Returns the version of the document in force for the log, 0 without one.
+    pub fn version_number(&self) -> u64 {
+        self.version().map_or(0, document::DocumentVersion::as_u64)
+    }
+
     /// Puts a document in force, unless a newer one is.
     pub fn put_document(&self, document: document::Document) {
         let version = document.version;
@@ -172,6 +177,16 @@
         locked(&self.places)
     }
 
+    /// Notes that a server has less room than it seems to have.
+    pub fn note_full(&self, server: &id::BackendServerId) {
+        self.places().note_full(self.clock.now(), server);
+    }
+
+    /// Notes that a server is not what the list says.
+    pub fn note_misplaced(&self, server: &id::BackendServerId) {
+        self.places().misplaced(self.clock.now(), server);
+    }
+
     /// Returns what is known of the tokens of an event.
     pub fn event_size(&self) -> sync::MutexGuard<'_, output::EventSize> {
         locked(&self.event_size)
--- a/src/router/directory.rs
+++ b/src/router/directory.rs
@@ -4,9 +4,8 @@
 use std::sync;
 
 use hyper::body as hyper_body;
-use hyper::header;
 
-use crate::router::body;
+use crate::http::body;
 use crate::router::callers;
 use crate::router::core;
 use crate::router::request;
@@ -40,10 +39,7 @@
         }
         let keep = core.settings.entry_keep;
         let bytes = core.dialect.write_entries(&addresses, keep);
-        let mut response = hyper::Response::new(body::Body::from_bytes(bytes));
-        let json = header::HeaderValue::from_static("application/json");
-        response.headers_mut().insert(header::CONTENT_TYPE, json);
-        response
+        body::json(bytes)
     }
 }
 
@@ -69,7 +65,5 @@
 }
 
 fn bare(status: hyper::StatusCode) -> request::Response {
-    let mut response = hyper::Response::new(body::Body::from_bytes(""));
-    *response.status_mut() = status;
-    response
+    body::answer(status, "")
 }
--- a/src/router/edge.rs
+++ b/src/router/edge.rs
@@ -212,3 +212,15 @@
     /// The next page.
     pub next: Option<String>,
 }
+
+/// Decodes a document as the log keeps it.
+///
+/// # Errors
+///
+/// Fails when it is damaged or names what can't be read.
+pub fn read_packed(
+    dialect: &dyn Dialect,
+    packed: &document::Packed,
+) -> error::Result<document::Document> {
+    dialect.read_document(&packed.to_plain()?)
+}
--- a/src/router/generate/lines.rs
+++ b/src/router/generate/lines.rs
@@ -15,7 +15,7 @@
         log::info!(
             target: logging::ROUTINE,
             event = "stream_begun",
-            request = self.req.caller.request.as_deref().unwrap_or(""),
+            request = self.req.name(),
             route = self.req.route.name.as_str(),
             account = self.req.account_name(),
             quota_left = self.req.quota_left,
@@ -29,7 +29,7 @@
             tries = self.sent,
             resume_after = self.resume_after.unwrap_or_default(),
             age_ms = self.req.age().as_u64(),
-            document = self.req.core.version().map_or(0, |v| v.as_u64());
+            document = self.req.core.version_number();
             "a stream began"
         );
     }
@@ -40,7 +40,7 @@
         let room = req.core.places().decode_room(now, &req.service);
         log::info!(
             event = "no_room",
-            request = req.caller.request.as_deref().unwrap_or(""),
+            request = req.name(),
             service = req.service.id.as_str(),
             servers = room.servers as u64,
             sound = room.sound as u64,
@@ -57,7 +57,7 @@
         metrics::counter!("buckthorncleat_server_refusals_total").increment(1);
         log::info!(
             event = "server_refused",
-            request = self.req.caller.request.as_deref().unwrap_or(""),
+            request = self.req.name(),
             server = pick.id.as_str(),
             address_reused = (ran == edge::Ran::Elsewhere),
             prompt_read_ahead = exported,
@@ -71,7 +71,7 @@
     pub(super) fn log_lost(&self, pick: &places::Pick, failure: upstream::Failure) {
         log::info!(
             event = "server_lost",
-            request = self.req.caller.request.as_deref().unwrap_or(""),
+            request = self.req.name(),
             server = pick.id.as_str(),
             failure = failure.to_string(),
             tries = self.sent,
@@ -93,7 +93,7 @@
         log::info!(
             target: target,
             event = "stream_end",
-            request = self.req.caller.request.as_deref().unwrap_or(""),
+            request = self.req.name(),
             route = self.req.route.name.as_str(),
             outcome = outcome,
             tries = self.sent,
--- a/src/router/generate/mod.rs
+++ b/src/router/generate/mod.rs
@@ -11,9 +11,8 @@
 use crate::document;
 use crate::fleet::budget;
 use crate::fleet::message;
-use crate::http::hop;
+use crate::http::body;
 use crate::id;
-use crate::router::body;
 use crate::router::comeback;
 use crate::router::edge;
 use crate::router::held;
@@ -50,8 +49,8 @@
 /// The longest pause between two looks for a place; places also become free at other routers.
 const LOOK_PAUSE: clock::Millis = clock::Millis::new(40);
 
-/// The servers that may be tried because others could not be reached, beside the attempts.
-const MAX_UNREACHED: u32 = 3;
+/// The pieces of an answer that may wait for a slow caller: small instances hold many streams.
+const CALLER_PIECES: usize = 16;
 
 /// A run of a request, over all its attempts.
 pub struct Run {
@@ -116,11 +115,8 @@
         Ok(opened) => opened,
         Err(failed) => return Ok(failed),
     };
-    let mut response = hyper::Response::new(body::Body::from_bytes(Bytes::new()));
-    *response.status_mut() = opened.answer.status;
-    *response.headers_mut() = hop::end_to_end(&opened.answer.headers);
-    let (tx, body) = body::Body::channel();
-    *response.body_mut() = body;
+    let (tx, body) = body::Body::channel(CALLER_PIECES);
+    let response = opened.answer.relay(body);
     let first_event = run.req.age();
     metrics::histogram!("buckthorncleat_first_event_seconds").record(first_event.as_secs_f64());
     run.log_begun(&opened);
@@ -194,7 +190,7 @@
     fn may_try(&self) -> Result<(), Refusal> {
         let again = self.req.route.repeats.is_allowed() || !self.ran;
         let attempts = self.req.route.attempts.max(1);
-        if !again || self.sent >= attempts || self.unreached > MAX_UNREACHED {
+        if !again || self.sent >= attempts || self.unreached > request::MAX_UNREACHED {
             return Err(Refusal::NotRun(
                 "servers failed",
                 comeback_after(comeback::Cause::ServersFailed),
@@ -251,14 +247,12 @@
             reserve::Reserved::NotOffered => None,
             reserve::Reserved::Full => {
                 held.end(places::End::Neutral);
-                let now = req.core.clock.now();
-                req.core.places().note_full(now, &pick.id);
+                req.core.note_full(&pick.id);
                 return Ok(None);
             }
             reserve::Reserved::Elsewhere => {
                 held.end(places::End::Neutral);
-                let now = req.core.clock.now();
-                req.core.places().misplaced(now, &pick.id);
+                req.core.note_misplaced(&pick.id);
                 return Ok(None);
             }
             reserve::Reserved::Lost(failure) => {
@@ -369,8 +363,7 @@
             Ok((ran, _)) => {
                 self.sent += 1;
                 if ran == edge::Ran::Elsewhere {
-                    let now = self.req.core.clock.now();
-                    self.req.core.places().misplaced(now, &pick.id);
+                    self.req.core.note_misplaced(&pick.id);
                 }
                 held.end(places::End::Neutral);
                 self.log_not_run(pick, ran, export.is_some());
@@ -405,10 +398,7 @@
                 return Attempt::Lost;
             };
             held.end(places::End::Failed);
-            let mut response = hyper::Response::new(body::Body::from_bytes(whole));
-            *response.status_mut() = answer.status;
-            *response.headers_mut() = hop::end_to_end(&answer.headers);
-            return Attempt::Failed(response);
+            return Attempt::Failed(answer.relay(body::Body::from_bytes(whole)));
         }
         let first = match time::timeout(left.as_duration(), answer.piece()).await {
             Ok(Ok(first)) => first,
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -3,7 +3,6 @@
 //! How callers, servers and the platform speak is the matter of an [`edge::Dialect`]; this module
 //! decides by the product's own types.
 
-pub mod body;
 pub mod callers;
 pub mod comeback;
 pub mod core;
--- a/src/router/places.rs
+++ b/src/router/places.rs
@@ -229,18 +229,17 @@
         draw: u64,
     ) -> Result<Pick, NoPlace> {
         let usable = self.usable(now, service, None, tried);
-        let score = |place: &&Place| {
-            let busy = f64::from(self.load(place).requests) / f64::from(place.server.slots.max(1));
-            busy + self.penalty(place)
+        let busy = |place: &&Place| {
+            f64::from(self.load(place).requests) / f64::from(place.server.slots.max(1))
         };
-        let best = pick_near_best(usable.iter().copied(), draw, PLAIN_SPREAD, score);
+        let score = |place: &&Place| busy(place) + self.penalty(place);
+        let best = pick_near_best(usable.into_iter(), draw, PLAIN_SPREAD, score);
         let best = best.ok_or(NoPlace::None)?;
         let room = best.server.slots.max(1) * (1 + QUEUE_PER_SLOT);
         if self.load(best).requests >= room {
             return Err(NoPlace::Full);
         }
-        let busy = f64::from(self.load(best).requests) / f64::from(best.server.slots.max(1));
-        Ok(self.pick(now, best, busy))
+        Ok(self.pick(now, best, busy(&best)))
     }
 
     /// Picks one of the servers with the most free memory to generate at.
@@ -258,12 +257,15 @@
     ) -> Result<Pick, NoPlace> {
         let stage = Some(message::Stage::Decode);
         let usable = self.usable(now, &service.id, stage, tried);
-        let (slots, memory) = room_of(service);
+        let one_more = message::Load {
+            requests: 1,
+            memory: need.memory,
+            ..message::Load::default()
+        };
         let fullness = |place: &&Place| {
-            let load = self.load(place);
-            let memory_share = (load.memory + need.memory).as_u64() as f64 / memory.max(1) as f64;
-            let slot_share = f64::from(load.requests + 1) / f64::from(slots.max(1));
-            memory_share.max(slot_share)
+            let mut load = self.load(place);
+            load.add(one_more);
+            fullness_of(service, load)
         };
         let score = |place: &&Place| fullness(place) + self.penalty(place);
         let any = !usable.is_empty();
@@ -281,12 +283,7 @@
     pub fn decode_room(&self, now: clock::Millis, service: &document::Service) -> Room {
         let stage = Some(message::Stage::Decode);
         let usable = self.usable(now, &service.id, stage, &[]);
-        let (slots, memory) = room_of(service);
-        let percent = |p: &&Place| {
-            let load = self.load(p);
-            let memory = load.memory.as_u64() * 100 / memory.max(1);
-            (memory as u32).max(load.requests * 100 / slots.max(1))
-        };
+        let percent = |p: &&Place| percent_of(fullness_of(service, self.load(p)));
         let sound = usable.iter().filter(|p| now >= p.full_until);
         Room {
             servers: usable.len(),
@@ -382,7 +379,7 @@
         Pick {
             id: place.server.id.clone(),
             address: place.server.address,
-            busy_percent: (busy * 100.0) as u32,
+            busy_percent: percent_of(busy),
             report_age: now - self.others_at,
         }
     }
@@ -467,10 +464,18 @@
     }
 }
 
-/// Returns the slots and the memory, in tokens, of a service's servers.
-fn room_of(service: &document::Service) -> (u32, u64) {
+/// Returns the share of a model server's room that a load takes: of its memory or of its slots,
+/// whichever is more.
+fn fullness_of(service: &document::Service, load: message::Load) -> f64 {
     let engine = service.engine.as_ref();
-    engine.map_or((1, u64::MAX), |e| (e.slots, e.memory.as_u64()))
+    let (slots, memory) = engine.map_or((1, u64::MAX), |e| (e.slots, e.memory.as_u64()));
+    let memory_share = load.memory.as_u64() as f64 / memory.max(1) as f64;
+    let slot_share = f64::from(load.requests) / f64::from(slots.max(1));
+    memory_share.max(slot_share)
+}
+
+fn percent_of(share: f64) -> u32 {
+    (share * 100.0) as u32
 }
 
 /// Returns the memory that a generation needs.
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -3,9 +3,8 @@
 use crate::clock;
 use crate::fleet::budget;
 use crate::fleet::message;
-use crate::http::hop;
+use crate::http::body;
 use crate::id;
-use crate::router::body;
 use crate::router::comeback;
 use crate::router::edge;
 use crate::router::held;
@@ -17,9 +16,6 @@
 use request::Refusal;
 use request::comeback_after;
 
-/// The servers that may be tried because others could not be reached, beside the attempts.
-const MAX_UNREACHED: u32 = 3;
-
 /// The time under which an attempt is not begun any more.
 const LEAST_TIME: clock::Millis = clock::Millis::new(5);
 
@@ -64,7 +60,10 @@
         ));
     }
     let again = req.route.repeats.is_allowed() || !progress.ran;
-    if progress.sent >= req.route.attempts.max(1) || !again || progress.unreached > MAX_UNREACHED {
+    if progress.sent >= req.route.attempts.max(1)
+        || !again
+        || progress.unreached > request::MAX_UNREACHED
+    {
         return Err(Refusal::NotRun(
             "servers failed",
             comeback_after(comeback::Cause::ServersFailed),
@@ -125,8 +124,7 @@
             progress.sent += 1;
             held.end(places::End::Neutral);
             if ran == edge::Ran::Elsewhere {
-                let now = req.core.clock.now();
-                req.core.places().misplaced(now, &pick.id);
+                req.core.note_misplaced(&pick.id);
             }
             return None;
         }
@@ -134,7 +132,7 @@
     };
     log::info!(
         event = "attempt_failed",
-        request = req.caller.request.as_deref().unwrap_or(""),
+        request = req.name(),
         route = req.route.name.as_str(),
         server = pick.id.as_str(),
         failure = failure.to_string(),
@@ -177,10 +175,7 @@
     let ran = req.ran(&answer)?;
     let left = until - req.core.clock.now();
     let whole = answer.whole(left).await?;
-    let mut response = hyper::Response::new(body::Body::from_bytes(whole));
-    *response.status_mut() = answer.status;
-    *response.headers_mut() = hop::end_to_end(&answer.headers);
-    Ok((ran, response))
+    Ok((ran, answer.relay(body::Body::from_bytes(whole))))
 }
 
 impl Progress {
--- a/src/router/prefill.rs
+++ b/src/router/prefill.rs
@@ -60,12 +60,11 @@
         match read_once(req, &tried).await {
             Prefilled::Done(exported) => return Some(exported),
             Prefilled::Unreached(server) => tried.push(server),
-            // One that refused has seen the request; the next is an attempt more.
+            // One that refused has seen the request; whoever is next gets an attempt more.
             Prefilled::Refused(server) if req.may_repeat(budget::Purpose::Helpful) => {
                 tried.push(server);
             }
             Prefilled::Refused(_) => {
-                // The server has seen the request without reading it; the next one counts as more.
                 let now = req.core.clock.now();
                 req.core.budget().note_repeat(now, &req.service.id);
                 return None;
@@ -121,7 +120,7 @@
     }
     log::info!(
         event = "prefill_failed",
-        request = req.caller.request.as_deref().unwrap_or(""),
+        request = req.name(),
         server = picked.pick.id.as_str(),
         predicted_ms = picked.time.as_u64(),
         took_ms = took.as_u64();
@@ -129,8 +128,7 @@
     );
     match read {
         Ok(Read::Refused) => {
-            let now = req.core.clock.now();
-            req.core.places().note_full(now, &picked.pick.id);
+            req.core.note_full(&picked.pick.id);
             Prefilled::Refused(picked.pick.id)
         }
         Err(upstream::Failure::NotSent) => Prefilled::Unreached(picked.pick.id),
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -1,11 +1,10 @@
 //! Relays the events of a stream to the caller, and takes a broken stream up elsewhere.
 
 use bytes::Bytes;
-use tokio::sync::mpsc;
 use tokio::time;
 
 use crate::clock;
-use crate::router::body;
+use crate::http::body;
 use crate::router::events;
 use crate::router::generate;
 use crate::router::places;
@@ -21,8 +20,6 @@
 /// The outcome of a stream that came whole.
 pub const COMPLETE: &str = "complete";
 
-type Sender = mpsc::Sender<Result<Bytes, body::Cut>>;
-
 /// What was seen of a stream, for its last line in the log.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Seen {
@@ -61,7 +58,7 @@
 pub async fn run(
     mut run: generate::Run,
     opened: generate::Opened,
-    tx: Sender,
+    tx: body::Sender,
     first_event: clock::Millis,
 ) {
     let mut opened = opened;
@@ -107,7 +104,7 @@
 }
 
 /// Ends the body without its end mark.
-async fn cut(tx: &Sender, why: &'static str) -> &'static str {
+async fn cut(tx: &body::Sender, why: &'static str) -> &'static str {
     if tx.send(Err(body::Cut(why))).await.is_err() {
         return "caller gone";
     }
@@ -115,7 +112,7 @@
 }
 
 /// Goes on after the last event that the caller has, at another server.
-async fn reopen(run: &mut generate::Run, tx: &Sender) -> Option<generate::Opened> {
+async fn reopen(run: &mut generate::Run, tx: &body::Sender) -> Option<generate::Opened> {
     let opened = tokio::select! {
         opened = run.open() => opened,
         () = tx.closed() => return None,
@@ -126,7 +123,7 @@
         Err(refusal) => {
             log::info!(
                 event = "not_resumed",
-                request = run.req.caller.request.as_deref().unwrap_or(""),
+                request = run.req.name(),
                 reason = refusal.reason(),
                 last_event = run.resume_after.unwrap_or_default();
                 "a broken stream is not taken up"
@@ -139,7 +136,7 @@
 async fn relay_pieces(
     run: &generate::Run,
     opened: &mut generate::Opened,
-    tx: &Sender,
+    tx: &body::Sender,
     seen: &mut Seen,
 ) -> Relayed {
     let mut piece = opened.first.take();
@@ -160,7 +157,7 @@
 async fn relay_events(
     run: &mut generate::Run,
     opened: &mut generate::Opened,
-    tx: &Sender,
+    tx: &body::Sender,
     splitter: &mut events::Splitter,
     seen: &mut Seen,
 ) -> Relayed {
@@ -208,7 +205,7 @@
 async fn next_piece(
     run: &generate::Run,
     opened: &mut generate::Opened,
-    tx: &Sender,
+    tx: &body::Sender,
     silence: clock::Millis,
 ) -> Result<Option<Bytes>, Relayed> {
     let left = run.req.left();
--- a/src/router/request/lines.rs
+++ b/src/router/request/lines.rs
@@ -55,7 +55,7 @@
             status = refusal.status().as_u16(),
             age_ms = (core.clock.now() - came).as_u64(),
             retry_after_ms = after,
-            document = core.version().map_or(0, |v| v.as_u64());
+            document = core.version_number();
             "request refused"
         );
     }
@@ -85,7 +85,7 @@
             .increment(1);
         log::info!(
             event = "repeat",
-            request = self.caller.request.as_deref().unwrap_or(""),
+            request = self.name(),
             service = self.service.id.as_str(),
             granted = verdict.granted,
             used = verdict.used,
@@ -107,7 +107,7 @@
         log::info!(
             target: target,
             event = "served",
-            request = self.caller.request.as_deref().unwrap_or(""),
+            request = self.name(),
             route = self.route.name.as_str(),
             account = self.account_name(),
             quota_left = self.quota_left,
@@ -117,7 +117,7 @@
             report_age_ms = pick.report_age.as_u64(),
             tries = tries,
             age_ms = self.age().as_u64(),
-            document = self.core.version().map_or(0, |v| v.as_u64());
+            document = self.core.version_number();
             "request served"
         );
     }
--- a/src/router/request/mod.rs
+++ b/src/router/request/mod.rs
@@ -18,9 +18,9 @@
 use crate::document;
 use crate::fleet::budget;
 use crate::fleet::message;
+use crate::http::body;
 use crate::http::hop;
 use crate::id;
-use crate::router::body;
 use crate::router::comeback;
 use crate::router::core;
 use crate::router::edge;
@@ -37,6 +37,9 @@
 /// wait for a little less than the route allows.
 const FRESH_SHARE: (u64, u64) = (4, 5);
 
+/// The servers that may be tried because others could not be reached, beside the attempts.
+pub const MAX_UNREACHED: u32 = 3;
+
 /// A request that was admitted.
 pub struct Request {
     /// The shared state.
@@ -305,6 +308,11 @@
         verdict.granted
     }
 
+    /// Returns the caller's name of the request for the log, or nothing when it has none.
+    pub fn name(&self) -> &str {
+        self.caller.request.as_deref().unwrap_or("")
+    }
+
     /// Returns the name of the account for the log, or nothing for a route open to all.
     pub fn account_name(&self) -> &str {
         self.account.as_ref().map_or("", |a| a.as_str())
--- a/src/router/request/refusal.rs
+++ b/src/router/request/refusal.rs
@@ -1,7 +1,7 @@
 //! How a request ends without a server's answer.
 
 use crate::clock;
-use crate::router::body;
+use crate::http::body;
 use crate::router::edge;
 use crate::router::request;
 
@@ -59,8 +59,7 @@
     }
 
     pub(super) fn into_response(self, dialect: &dyn edge::Dialect) -> request::Response {
-        let mut response = hyper::Response::new(body::Body::from_bytes(self.reason()));
-        *response.status_mut() = self.status();
+        let mut response = body::answer(self.status(), self.reason());
         let after = match self {
             Self::NotRun(_, after) | Self::OverQuota(after) => after,
             _ => return response,
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -8,6 +8,7 @@
 use tokio::time;
 
 use crate::clock;
+use crate::daemon;
 use crate::error;
 use crate::event;
 use crate::peer::frame;
@@ -66,10 +67,7 @@
         ended = tasks.join_next() => ended,
     };
     if let Some(ended) = ended {
-        return ended.unwrap_or_else(|e| {
-            let remedy = "report this fault with the log";
-            Err(error::Error::damaged(format!("a task: {e}"), remedy))
-        });
+        return daemon::joined(ended);
     }
     shut_down(&core, tasks).await;
     log::info!(event = "stopped", instance = core.settings.instance.as_str(); "router stopped");
--- a/src/router/scrape.rs
+++ b/src/router/scrape.rs
@@ -8,7 +8,7 @@
 use tokio::sync::watch;
 
 use crate::error;
-use crate::router::body;
+use crate::http::body;
 use crate::router::callers;
 use crate::router::core;
 use crate::router::request;
@@ -21,7 +21,7 @@
         _req: hyper::Request<hyper_body::Incoming>,
     ) -> request::Response {
         self.0.run_upkeep();
-        hyper::Response::new(body::Body::from_bytes(self.0.render()))
+        body::answer(hyper::StatusCode::OK, self.0.render())
     }
 }
 
--- a/src/router/sharing.rs
+++ b/src/router/sharing.rs
@@ -7,8 +7,6 @@
 use tokio::time;
 
 use crate::clock;
-use crate::document;
-use crate::error;
 use crate::fleet::message;
 use crate::id;
 use crate::peer::link;
@@ -17,6 +15,7 @@
 use crate::router::core;
 use crate::router::directory;
 use crate::router::discovery;
+use crate::router::edge;
 use crate::sorted;
 
 /// How long a member may take to answer a report: several round trips and a sync of its disk, and
@@ -100,7 +99,7 @@
         let reply = self.links.request(address, &request, REPORT_LIMIT).await;
         match reply {
             Ok(peer_message::Reply::Summary(summary)) => {
-                let pause = summary.next;
+                let pause = summary.sums.next;
                 self.take_in(address, &spent, *summary);
                 return pause;
             }
@@ -172,10 +171,11 @@
         self.target = Some(from);
         self.heard_at = Some(now);
         core::note_time("buckthorncleat_summary_timestamp_seconds");
-        self.gateways = summary.gateways;
+        let sums = summary.sums;
+        self.gateways = sums.gateways;
         self.members = summary.members;
         if let Some(packed) = &summary.document {
-            match decode(core, packed) {
+            match edge::read_packed(&*core.dialect, packed) {
                 Ok(document) => core.put_document(document),
                 Err(e) => log::error!("a document of the leader: {e}"),
             }
@@ -187,14 +187,14 @@
             log::info!(event = "servers", number = list.number.as_u64(), count = list.servers.len(); "list of servers");
         }
         core.quotas()
-            .learn(now, spent, &summary.left, summary.gateways, summary.next);
-        core.budget().learn(now, summary.attempts, summary.gateways);
+            .learn(now, spent, &sums.left, sums.gateways, sums.next);
+        core.budget().learn(now, sums.attempts, sums.gateways);
         {
             let mut places = core.places();
-            places.set_others(now, summary.loads);
-            places.set_shunned(summary.unreached);
+            places.set_others(now, sums.loads);
+            places.set_shunned(sums.unreached);
         }
-        core.set_fleet(summary.entries, summary.barred);
+        core.set_fleet(sums.entries, sums.barred);
         core.freed.notify_waiters();
     }
 
@@ -228,7 +228,3 @@
         }
     }
 }
-
-fn decode(core: &core::Core, packed: &document::Packed) -> error::Result<document::Document> {
-    core.dialect.read_document(&packed.to_plain()?)
-}
--- a/src/router/table.rs
+++ b/src/router/table.rs
@@ -77,11 +77,10 @@
         }
     }
 
-    /// Returns the account's name for metrics; accounts past the first 64 share
-    /// one.
+    /// Returns the account's name for metrics; accounts past the first 64 share one.
     pub fn account_label<'a>(&self, account: &'a document::Account) -> &'a str {
         let first = self.document.accounts.iter().take(MAX_ACCOUNT_LABELS);
-        if first.into_iter().any(|a| a.id == account.id) {
+        if first.map(|a| &a.id).any(|id| *id == account.id) {
             account.id.as_str()
         } else {
             "others"
--- a/src/router/upstream.rs
+++ b/src/router/upstream.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
-use hyper::body;
+use hyper::body as hyper_body;
 use hyper::client::conn::http1;
 use hyper_util::rt;
 use tokio::net::TcpStream;
@@ -15,7 +15,10 @@
 use tokio::time;
 
 use crate::clock;
+use crate::http::body;
+use crate::http::hop;
 use crate::router::places;
+use crate::router::request;
 
 /// The longest time to open a connection: several round trips between data centres, and less than
 /// the second after which a lost opening packet is sent again.
@@ -55,7 +58,7 @@
     pub status: hyper::StatusCode,
     /// The headers.
     pub headers: hyper::HeaderMap,
-    body: body::Incoming,
+    body: hyper_body::Incoming,
     _connection: Connection,
 }
 
@@ -127,6 +130,14 @@
 }
 
 impl Answer {
+    /// Makes the answer to the caller: this one's status and headers, and a body.
+    pub fn relay(&self, body: body::Body) -> request::Response {
+        let mut response = hyper::Response::new(body);
+        *response.status_mut() = self.status;
+        *response.headers_mut() = hop::end_to_end(&self.headers);
+        response
+    }
+
     /// Returns the next piece of the body, or `None` after its regular end.
     ///
     /// # Errors
