--- a/stand-in/src/lib.rs
+++ b/stand-in/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod load;
 pub mod plain;
 pub mod platform;
+pub mod ports;
 pub mod process;
 pub mod server;
 pub mod shutdown;
--- a/stand-in/src/process.rs
+++ b/stand-in/src/process.rs
@@ -5,59 +5,31 @@
 use std::net;
 use std::path;
 use std::process;
-use std::sync::atomic;
 use std::thread;
 use std::time;
 
+use crate::ports;
+
 /// The longest time to wait for a child process to print an expected line or to end.
 pub const CHILD_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 
-/// The first port that is given to daemons.
-const FIRST_PORT: u16 = 11_000;
-/// The number of ports from [`FIRST_PORT`] on that are given to daemons.
-const PORT_COUNT: u16 = 20_000;
-
-static NEXT_PORT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
-
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
 
-/// Returns different loopback addresses whose ports were free when checked.
+/// Returns different loopback addresses that no other process gets as long as this one runs.
 ///
 /// # Errors
 ///
-/// Returns an error if no port can be bound.
+/// Returns an error if all ports for tests are taken.
 pub fn free_addresses(count: usize) -> buckthorncleat::Result<Vec<net::SocketAddr>> {
-    (0..count).map(|_| next_free_address()).collect()
-}
-
-/// Returns an address with the next port that can be bound.
-///
-/// The ports lie below the ephemeral range: the system could give a port of that range to an
-/// outgoing connection before the daemon listens on it.
-fn next_free_address() -> buckthorncleat::Result<net::SocketAddr> {
-    for _ in 0..PORT_COUNT {
-        let step = NEXT_PORT.fetch_add(1, atomic::Ordering::Relaxed);
-        let start = process::id() % u32::from(PORT_COUNT);
-        let port = FIRST_PORT + ((start + step) % u32::from(PORT_COUNT)) as u16;
-        if let Ok(listener) = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, port)) {
-            return listener
-                .local_addr()
-                .map_err(io_error("read the address of a loopback port"));
-        }
-    }
-    let remedy = "end other processes that listen on loopback ports";
-    Err(buckthorncleat::Error::missing(
-        "free port",
-        FIRST_PORT,
-        remedy,
-    ))
+    let claimed: io::Result<_> = (0..count).map(|_| ports::claim()).collect();
+    claimed.map_err(io_error("claim loopback ports"))
 }
 
-/// Returns a loopback address whose port was free when checked.
+/// Returns a loopback address that no other process gets as long as this one runs.
 ///
 /// # Errors
 ///
-/// Returns an error if no port can be bound.
+/// Returns an error if all ports for tests are taken.
 pub fn free_address() -> buckthorncleat::Result<net::SocketAddr> {
     Ok(free_addresses(1)?.remove(0))
 }
--- a/stand-in/tests/small_contracts.rs
+++ b/stand-in/tests/small_contracts.rs
@@ -187,3 +187,13 @@
         );
     }
 }
+
+#[test]
+fn no_other_process_is_given_the_ports_of_this_one() {
+    let address = process::free_address().unwrap();
+    let block = (address.port() - 11_000) / 64 * 64 + 11_000;
+    let claim = std::net::TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, block));
+    let held = claim.unwrap_err().kind();
+    assert_eq!(held, std::io::ErrorKind::AddrInUse);
+    assert_ne!(process::free_address().unwrap(), address);
+}
--- a/tests/control_support/mod.rs
+++ b/tests/control_support/mod.rs
@@ -2,4 +2,6 @@
 
 pub mod cluster;
 pub mod operators;
+#[path = "../../stand-in/src/ports.rs"]
+mod ports;
 pub mod writer;
