Server lists and the fleet's state go to gateways as changes

An entry lives 0.8 s beyond a report interval (it was 0.9 s in all, less than one interval beyond 450 gateways). A router that finds no leader asks less often, spread over time. Lists may have 1024 pages (64 were 3,200 servers).

--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -4,13 +4,14 @@
 use crate::document;
 use crate::fleet::message;
 use crate::fleet::quota;
+use crate::fleet::totals;
 use crate::fleet::window;
 use crate::id;
 use crate::sorted;
 
-/// The longest time since a gateway's last report for which callers are sent to it. A caller that
-/// is sent to a failed gateway loses a second.
-const MAX_ENTRY_AGE: clock::Millis = clock::Millis::new(900);
+/// The longest time since a gateway's last report for which callers are sent to it, in addition to
+/// one report interval. A caller that is sent to a failed gateway loses a second.
+const MAX_ENTRY_DELAY: clock::Millis = clock::Millis::new(800);
 
 /// The number of missed reports after which a gateway counts as silent and its share of each quota
 /// is reserved for it.
@@ -26,6 +27,9 @@
 /// The longest time for which the load that a silent gateway reported is counted.
 const MAX_LOAD_AGE: clock::Millis = clock::Millis::from_secs(3);
 
+/// The time between two searches for gateways that have become silent.
+const EXPIRY_INTERVAL: clock::Millis = clock::Millis::new(100);
+
 /// The number of servers lost while they ran a request after which the request is quarantined.
 const QUARANTINE_LOSSES: usize = 3;
 
@@ -54,7 +58,13 @@
 /// The reports that one leader received during its term; a new leader starts with an empty ledger.
 #[derive(Debug, Default)]
 pub struct Ledger {
+    /// The term of the leader; changes are numbered within it.
+    term: id::Term,
     gateways: sorted::Map<id::InstanceId, Gateway>,
+    totals: totals::Totals,
+    /// The sums of the attempts of all gateways and previous incarnations.
+    attempts: sorted::Map<document::ServiceId, message::Attempts>,
+    next_expiry: clock::Millis,
     /// The last reports of gateways that have restarted since; their attempts still count.
     previous_incarnations: Vec<Gateway>,
     /// The highest number of gateways that a previous leader counted, taken from the reports.
@@ -71,6 +81,8 @@
 struct Gateway {
     report: message::Report,
     received_at: clock::Millis,
+    /// Whether its loads are contained in the totals.
+    has_counted_loads: bool,
 }
 
 #[derive(Debug)]
@@ -86,9 +98,10 @@
 }
 
 impl Ledger {
-    /// Makes a ledger without reports or accounts.
-    pub fn new(quota_window: clock::Millis) -> Self {
+    /// Makes the ledger of the leader in `term`, without reports or accounts.
+    pub fn new(term: id::Term, quota_window: clock::Millis) -> Self {
         Self {
+            term,
             quota_window,
             ..Self::default()
         }
@@ -120,19 +133,88 @@
         self.record_spending(now, from, &report);
         self.record_gateway_count(now, report.gateways);
         self.record_losses(now, &report.losses);
+        let known = report.known.filter(|(term, _)| *term == self.term);
+        self.store(now, from, report);
+        if now >= self.next_expiry {
+            self.next_expiry = now + EXPIRY_INTERVAL;
+            self.expire(now);
+        }
+        self.sums(now, from, known.map(|(_, sequence)| sequence))
+    }
+
+    /// Replaces the last report of a gateway and updates the totals.
+    fn store(&mut self, now: clock::Millis, from: &id::InstanceId, report: message::Report) {
+        let none = sorted::Map::new();
+        let previous = self.gateways.remove(from);
+        let counted = previous.as_ref().filter(|g| g.has_counted_loads);
+        let before = counted.map_or(&none, |g| &g.report.loads);
+        self.totals.replace_loads(now, before, &report.loads);
+        if let Some(previous) = previous {
+            if previous.report.address != report.address {
+                self.totals.set_entry(now, previous.report.address, None);
+            }
+            if previous.report.incarnation == report.incarnation {
+                self.remove_attempts(&previous.report);
+            } else {
+                self.previous_incarnations.push(previous);
+            }
+        }
+        let entry = report.accepts_callers.then_some(&report.data_centre);
+        self.totals.set_entry(now, report.address, entry);
+        for (service, count) in report.attempts.iter() {
+            let sum = self
+                .attempts
+                .get_or_insert_with(service.clone(), Default::default);
+            sum.requests += count.requests;
+            sum.retries += count.retries;
+        }
         let received = Gateway {
             report,
             received_at: now,
+            has_counted_loads: true,
         };
-        let incarnation = received.report.incarnation;
-        let previous = self.gateways.insert(from.clone(), received);
-        let restarted = previous.filter(|b| b.report.incarnation != incarnation);
-        self.previous_incarnations.extend(restarted);
-        self.previous_incarnations
-            .retain(|g| now < g.received_at + GATEWAY_RETENTION);
-        self.gateways
-            .retain(|_, g| now < g.received_at + GATEWAY_RETENTION);
-        self.sums(now, from)
+        self.gateways.insert(from.clone(), received);
+    }
+
+    /// Removes silent gateways from the totals: first from the entries, then their loads, last
+    /// their attempts.
+    fn expire(&mut self, now: clock::Millis) {
+        let max_entry_age = self.max_entry_age();
+        for gateway in self.gateways.values_mut() {
+            if now >= gateway.received_at + max_entry_age {
+                self.totals.set_entry(now, gateway.report.address, None);
+            }
+            if gateway.has_counted_loads && now >= gateway.received_at + MAX_LOAD_AGE {
+                gateway.has_counted_loads = false;
+                let none = sorted::Map::new();
+                self.totals.replace_loads(now, &gateway.report.loads, &none);
+            }
+        }
+        self.totals.prune(now);
+        let is_silent = |g: &Gateway| now >= g.received_at + GATEWAY_RETENTION;
+        let gateways = self.gateways.iter();
+        let silent: Vec<id::InstanceId> = gateways
+            .filter(|(_, g)| is_silent(g))
+            .map(|(id, _)| id.clone())
+            .collect();
+        let mut removed: Vec<Gateway> = silent
+            .iter()
+            .filter_map(|id| self.gateways.remove(id))
+            .collect();
+        removed.extend(self.previous_incarnations.extract_if(.., |g| is_silent(g)));
+        for gateway in removed {
+            self.remove_attempts(&gateway.report);
+        }
+    }
+
+    fn remove_attempts(&mut self, report: &message::Report) {
+        for (service, count) in report.attempts.iter() {
+            let sum = self.attempts.get_mut(service);
+            let sum = sum.expect("every stored report is contained in the sums");
+            sum.requests -= count.requests;
+            sum.retries -= count.retries;
+        }
+        self.attempts.retain(|_, sum| *sum != Default::default());
     }
 
     fn record_spending(
@@ -218,34 +300,28 @@
         }
     }
 
-    fn sums(&mut self, now: clock::Millis, asker: &id::InstanceId) -> message::Sums {
+    fn sums(
+        &mut self,
+        now: clock::Millis,
+        asker: &id::InstanceId,
+        known: Option<totals::Sequence>,
+    ) -> message::Sums {
         let remaining = self.remaining(now);
-        let others = || self.gateways.iter().filter(|(id, _)| *id != asker);
-        let mut attempts = sorted::Map::<document::ServiceId, message::Attempts>::new();
-        let mut loads = sorted::Map::<id::BackendServerId, message::Load>::new();
-        let counted = others().map(|(_, g)| g).chain(&self.previous_incarnations);
-        for (service, count) in counted.flat_map(|g| g.report.attempts.iter()) {
-            let sum = attempts.get_or_insert_with(service.clone(), Default::default);
-            sum.requests += count.requests;
-            sum.retries += count.retries;
-        }
-        for (_, gateway) in others() {
-            if now >= gateway.received_at + MAX_LOAD_AGE {
-                continue;
-            }
-            for (server, load) in gateway.report.loads.iter() {
-                loads
-                    .get_or_insert_with(server.clone(), Default::default)
-                    .add(*load);
+        let mut attempts = self.attempts.clone();
+        let own = self.gateways.get(asker);
+        for (service, count) in own.into_iter().flat_map(|g| g.report.attempts.iter()) {
+            if let Some(sum) = attempts.get_mut(service) {
+                sum.requests -= count.requests;
+                sum.retries -= count.retries;
             }
         }
+        attempts.retain(|_, sum| *sum != Default::default());
         message::Sums {
             report_interval: self.report_interval(),
-            entries: self.entries(now),
+            changes: self.totals.changes_since(known),
             gateways: self.gateway_count(now),
             remaining,
             attempts,
-            loads,
             quarantined: self.quarantined(),
             unreachable: self.unreachable(now, asker),
         }
@@ -293,16 +369,14 @@
         MIN_REPORT_INTERVAL.max(REPORT_INTERVAL_PER_GATEWAY * self.gateways.len() as u64)
     }
 
+    fn max_entry_age(&self) -> clock::Millis {
+        self.report_interval() + MAX_ENTRY_DELAY
+    }
+
     /// Returns the gateways that accept callers and have reported recently.
-    pub fn entries(&self, now: clock::Millis) -> Vec<message::Entry> {
-        let alive = |g: &&Gateway| g.report.accepts_callers && now < g.received_at + MAX_ENTRY_AGE;
-        let alive = self.gateways.values().filter(alive);
-        alive
-            .map(|g| message::Entry {
-                address: g.report.address,
-                data_centre: g.report.data_centre.clone(),
-            })
-            .collect()
+    pub fn entries(&mut self, now: clock::Millis) -> Vec<message::Entry> {
+        self.expire(now);
+        self.totals.entries()
     }
 
     fn quarantined(&self) -> Vec<message::Fingerprint> {
@@ -321,4 +395,14 @@
         self.memory = self.memory + other.memory;
         self.prompts = self.prompts + other.prompts;
     }
+
+    /// Subtracts a part of this load; the result is not less than zero.
+    #[must_use]
+    pub fn less(self, part: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_sub(part.requests),
+            memory: self.memory.saturating_sub(part.memory),
+            prompts: self.prompts.saturating_sub(part.prompts),
+        }
+    }
 }
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -4,16 +4,13 @@
 
 use crate::clock;
 use crate::document;
+use crate::fleet::listing;
+use crate::fleet::totals;
 use crate::id;
 use crate::macros;
 use crate::sorted;
 use crate::unit;
 
-macros::number! {
-    /// The number of a list of servers; a leader increases it with every change of the list.
-    ListNumber
-}
-
 macros::data! {copy
     /// A digest of a request's account, path and body; equal for every resend of the request.
     pub struct Fingerprint(pub u64);
@@ -30,9 +27,11 @@
         pub accepts_callers: bool,
         /// The version of the document in force.
         pub document: Option<document::DocumentVersion>,
-        /// The list of servers that the gateway uses, and the term of the leader that sent it;
-        /// `None` when it has none or has read the platform's list itself.
-        pub list: Option<(id::Term, ListNumber)>,
+        /// The list of servers that the gateway uses; `None` when it has none.
+        pub list: Option<listing::ListDigest>,
+        /// The last change of the fleet's state that the gateway has applied, and the term of the
+        /// leader that sent it; `None` before the first summary.
+        pub known: Option<(id::Term, totals::Sequence)>,
         /// The number of gateways among which quotas are shared, from the last summary.
         pub gateways: u32,
         /// The quota units that each account spent at this gateway since the process started.
@@ -89,8 +88,8 @@
         pub term: id::Term,
         /// The configuration document, if it is newer than the one in the report.
         pub document: Option<document::Packed>,
-        /// The list of servers, if it differs from the one in the report.
-        pub list: Option<List>,
+        /// Makes the newest list of servers of the one in the report, if they differ.
+        pub list: Option<listing::Update>,
         pub sums: Sums,
         /// The addresses of the members of the control group.
         pub members: Vec<net::SocketAddr>,
@@ -102,16 +101,15 @@
     pub struct Sums {
         /// The time until the next report.
         pub report_interval: clock::Millis,
-        /// The gateways that callers may be sent to.
-        pub entries: Vec<Entry>,
+        /// The gateways that callers may be sent to and the loads of all gateways, this one
+        /// included, as changes against the state named in the report.
+        pub changes: totals::Changes,
         /// The number of gateways among which quotas are shared, this one included.
         pub gateways: u32,
         /// The remaining units of each account's quota, over the whole fleet.
         pub remaining: sorted::Map<id::ClientAccountId, i64>,
         /// The requests and retries of all other gateways in the budget window, by service.
         pub attempts: sorted::Map<document::ServiceId, Attempts>,
-        /// The load of all other gateways on each server.
-        pub loads: sorted::Map<id::BackendServerId, Load>,
         /// Requests that must not run any more.
         pub quarantined: Vec<Fingerprint>,
         /// Servers that several other gateways can't reach, sorted.
@@ -119,15 +117,6 @@
     }
 }
 
-macros::data! {
-    /// A list of backend servers.
-    pub struct List {
-        pub number: ListNumber,
-        /// The servers, in no particular order.
-        pub servers: Vec<Server>,
-    }
-}
-
 macros::data! {
     /// A backend server as the platform lists it.
     pub struct Server {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,12 +4,14 @@
 //!
 //! Each gateway sends a report several times a second: its version of the configuration document,
 //! its use of quotas and retry budgets, and its load on each server. The leader adds the reports up
-//! in its [`ledger::Ledger`] and replies with a summary: the sums over all other gateways, and a
-//! newer document or list of servers if there is one. A gateway without a recent summary continues
+//! in its [`ledger::Ledger`] and replies with a summary: the sums over the fleet, as changes against
+//! the last summary where they are long, and a newer document or list of servers if there is one. A gateway without a recent summary continues
 //! with its last known state and uses only its share of each quota and budget.
 
 pub mod budget;
 pub mod ledger;
+pub mod listing;
 pub mod message;
 pub mod quota;
+pub mod totals;
 pub mod window;
--- a/src/keeper/aggregator.rs
+++ b/src/keeper/aggregator.rs
@@ -9,6 +9,7 @@
 use crate::clock;
 use crate::document;
 use crate::fleet::ledger;
+use crate::fleet::listing;
 use crate::fleet::message as fleet;
 use crate::id;
 use crate::peer::message;
@@ -54,7 +55,7 @@
     confirmed_at: Option<clock::Millis>,
     ledger: ledger::Ledger,
     configured_version: Option<document::DocumentVersion>,
-    list: Option<fleet::List>,
+    lists: listing::History,
 }
 
 impl Aggregator {
@@ -141,22 +142,20 @@
     }
 
     fn set_list(&self, listed: discovery::Listed) {
-        let mut servers = listed.servers;
-        servers.sort_by(|a, b| a.id.cmp(&b.id));
-        let mut leader_state = self.leader_state();
-        let previous = leader_state.list.as_ref();
-        if previous.is_some_and(|l| l.servers == servers) {
-            return;
+        let list = match listing::List::new(listed.servers) {
+            Ok(list) => list,
+            Err(e) => return log::error!("{e}"),
+        };
+        let (digest, servers) = (list.digest().0, list.servers().len());
+        if self.leader_state().lists.set(list) {
+            log::info!(
+                event = "list",
+                digest = digest,
+                servers = servers,
+                damaged = listed.damaged;
+                "the platform's server list changed"
+            );
         }
-        let number = previous.map_or(fleet::ListNumber::new(1), |l| l.number.next());
-        log::info!(
-            event = "list",
-            number = number.as_u64(),
-            servers = servers.len(),
-            damaged = listed.damaged;
-            "the platform's server list changed"
-        );
-        leader_state.list = Some(fleet::List { number, servers });
     }
 
     fn set_term(&self, leader_term: Option<id::Term>) {
@@ -164,7 +163,7 @@
         if leader_state.term != leader_term {
             *leader_state = LeaderState {
                 term: leader_term,
-                ledger: ledger::Ledger::new(self.quota_window),
+                ledger: ledger::Ledger::new(leader_term.unwrap_or_default(), self.quota_window),
                 ..LeaderState::default()
             };
         }
@@ -195,12 +194,15 @@
         let newer_document = (router_document < current_version)
             .then(|| self.document())
             .flatten();
-        let list = leader_state.list.as_ref();
-        let list = list.filter(|l| router_list != Some((term, l.number)));
+        let list = leader_state.lists.update_for(router_list);
+        let list = list.unwrap_or_else(|e| {
+            log::error!("{e}; the router keeps its list until the next report");
+            None
+        });
         message::Reply::Summary(Box::new(fleet::Summary {
             term,
             document: newer_document,
-            list: list.cloned(),
+            list,
             sums,
             members: self.group.status().addresses,
         }))
--- a/src/router/discovery.rs
+++ b/src/router/discovery.rs
@@ -13,7 +13,7 @@
 const PAGE_TIMEOUT: clock::Millis = clock::Millis::new(1_000);
 
 /// Upper bound of the pages of one list.
-const MAX_PAGES: usize = 64;
+const MAX_PAGES: usize = 1_024;
 
 /// Delay that the error names when a page could not be read.
 const RETRY_DELAY: clock::Millis = clock::Millis::new(500);
@@ -32,7 +32,7 @@
 ///
 /// # Errors
 ///
-/// Fails when a page can't be fetched or decoded, or when there are more than 64 pages.
+/// Fails when a page can't be fetched or decoded, or when there are more than 1024 pages.
 pub async fn read(
     codec: &dyn protocol::Codec,
     settings: &core::ListSettings,
@@ -53,7 +53,7 @@
             return Ok(listed);
         }
     }
-    Err(list_unavailable("it has more than 64 pages"))
+    Err(list_unavailable("it has more than 1024 pages"))
 }
 
 async fn read_page(
--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -7,7 +7,9 @@
 use tokio::time;
 
 use crate::clock;
+use crate::fleet::listing;
 use crate::fleet::message;
+use crate::fleet::totals;
 use crate::id;
 use crate::peer::link;
 use crate::peer::message as peer_message;
@@ -22,9 +24,13 @@
 /// document must be in force.
 const REPORT_TIMEOUT: clock::Millis = clock::Millis::new(350);
 
-/// Delay after a report that was not answered.
+/// Delay after the first report that was not answered; it doubles with each further one.
 const RETRY_DELAY: clock::Millis = clock::Millis::new(60);
 
+/// The delay is doubled at most this many times. Many routers that ask at once keep the control
+/// members from electing a leader.
+const MAX_RETRY_DOUBLINGS: u32 = 2;
+
 /// Time without a summary after which the leader counts as lost and this router reads the
 /// platform's server list itself.
 const SUMMARY_TIMEOUT: clock::Millis = clock::Millis::new(1_500);
@@ -33,6 +39,12 @@
 /// too.
 const LIST_READ_INTERVAL_PER_ROUTER: clock::Millis = clock::Millis::new(250);
 
+/// What a report said of this router, which the summaries that answer it contain.
+struct Reported {
+    spent: sorted::Map<id::ClientAccountId, i64>,
+    loads: sorted::Map<id::BackendServerId, message::Load>,
+}
+
 /// Sends one router's reports and applies the summaries.
 pub struct Reporter {
     core: sync::Arc<core::Core>,
@@ -43,9 +55,10 @@
     members: Vec<net::SocketAddr>,
     /// The member that answered last or was named as leader; `None` after a failure.
     leader: Option<net::SocketAddr>,
-    /// The server list in force and the term of the leader that sent it; `None` for a list read
-    /// without a leader.
-    list: Option<(id::Term, message::ListNumber)>,
+    /// The server list in force.
+    list: Option<listing::List>,
+    /// The fleet's state as of the last summary.
+    view: totals::View,
     /// `None` until the first summary, and again after [`SUMMARY_TIMEOUT`] without one.
     last_summary_at: Option<clock::Millis>,
     /// Earliest time at which this router may read the server list itself.
@@ -54,6 +67,8 @@
     gateways: u32,
     /// Counts up while no leader is known, so that the members are asked in turn.
     next_member: usize,
+    /// Reports in a row that were not answered with a summary.
+    failures: u32,
 }
 
 impl Reporter {
@@ -70,10 +85,12 @@
             members: Vec::new(),
             leader: None,
             list: None,
+            view: totals::View::default(),
             last_summary_at: None,
             next_list_read: clock::Millis::ZERO,
             gateways: 1,
             next_member: rand::random_range(0..64),
+            failures: 0,
         }
     }
 
@@ -100,14 +117,18 @@
             return RETRY_DELAY;
         };
         let report = self.report();
-        let spent = report.spent.clone();
         let losses = report.losses.clone();
+        let reported = Reported {
+            spent: report.spent.clone(),
+            loads: report.loads.clone(),
+        };
         let request = peer_message::Request::Report(Box::new(report));
         let reply = self.links.request(address, &request, REPORT_TIMEOUT).await;
         match reply {
             Ok(peer_message::Reply::Summary(summary)) => {
                 let delay = summary.sums.report_interval;
-                self.apply_summary(address, &spent, *summary);
+                self.failures = 0;
+                self.apply_summary(address, &reported, *summary);
                 return delay;
             }
             Ok(peer_message::Reply::NotLeader(leader)) => {
@@ -121,7 +142,10 @@
         }
         self.core.restore_losses(losses);
         self.check_leader_timeout();
-        RETRY_DELAY
+        let delay = RETRY_DELAY * (1 << self.failures.min(MAX_RETRY_DOUBLINGS));
+        self.failures += 1;
+        // Routers that lost the leader at the same time do not all ask again at the same time.
+        clock::Millis::new(delay.as_u64() * rand::random_range(50..=100) / 100)
     }
 
     fn next_address(&mut self) -> Option<net::SocketAddr> {
@@ -157,7 +181,8 @@
             data_centre: core.settings.data_centre.clone(),
             accepts_callers: directory::is_ready(core),
             document: core.version(),
-            list: self.list,
+            list: self.list.as_ref().map(listing::List::digest),
+            known: self.view.known(),
             gateways,
             spent,
             spent_in_window,
@@ -171,7 +196,7 @@
     fn apply_summary(
         &mut self,
         from: net::SocketAddr,
-        spent: &sorted::Map<id::ClientAccountId, i64>,
+        reported: &Reported,
         summary: message::Summary,
     ) {
         let core = &self.core;
@@ -193,15 +218,14 @@
                 }
             }
         }
-        if let Some(list) = &summary.list {
-            core.balancer().set_list(&list.servers);
-            core::set_timestamp_gauge("buckthorncleat_list_timestamp_seconds");
-            self.list = Some((summary.term, list.number));
-            log::info!(event = "servers", number = list.number.as_u64(), count = list.servers.len(); "new server list from the leader");
+        if let Some(update) = &summary.list {
+            self.update_list(update);
         }
+        self.view.apply(summary.term, &sums.changes);
+        let core = &self.core;
         core.quotas().apply_summary(
             now,
-            spent,
+            &reported.spent,
             &sums.remaining,
             sums.gateways,
             sums.report_interval,
@@ -210,13 +234,37 @@
             .apply_summary(now, sums.attempts, sums.gateways);
         {
             let mut balancer = core.balancer();
-            balancer.set_remote_loads(now, sums.loads);
+            balancer.set_remote_loads(now, self.view.loads_of_others(&reported.loads));
             balancer.set_ejected(sums.unreachable);
         }
-        core.set_fleet(sums.entries, sums.quarantined);
+        core.set_fleet(self.view.entries(), sums.quarantined);
         core.capacity_freed.notify_waiters();
     }
 
+    fn update_list(&mut self, update: &listing::Update) {
+        match listing::List::from_update(self.list.as_ref(), update) {
+            Ok(list) => self.put_list(list, "leader"),
+            Err(e) => {
+                log::warn!("{e}");
+                self.list = None;
+            }
+        }
+    }
+
+    /// Puts a server list in force; `source` says for the log who sent it.
+    fn put_list(&mut self, list: listing::List, source: &str) {
+        self.core.balancer().set_list(list.servers());
+        core::set_timestamp_gauge("buckthorncleat_list_timestamp_seconds");
+        log::info!(
+            event = "servers",
+            digest = list.digest().0,
+            count = list.servers().len(),
+            source = source;
+            "new server list in force"
+        );
+        self.list = Some(list);
+    }
+
     fn check_leader_timeout(&mut self) {
         let now = self.core.clock.now();
         let timed_out = self
@@ -239,12 +287,10 @@
         self.next_list_read = now + delay + clock::Millis::new(rand::random_range(0..500));
         let settings = &self.core.settings.list;
         match discovery::read(&*self.core.codec, settings).await {
-            Ok(listed) => {
-                self.core.balancer().set_list(&listed.servers);
-                core::set_timestamp_gauge("buckthorncleat_list_timestamp_seconds");
-                self.list = None;
-                log::info!(event = "servers", count = listed.servers.len(); "server list read from the platform, as there is no leader");
-            }
+            Ok(listed) => match listing::List::new(listed.servers) {
+                Ok(list) => self.put_list(list, "platform"),
+                Err(e) => log::error!("{e}"),
+            },
             Err(e) => log::warn!("{e}"),
         }
     }
--- a/tests/fleet_ledger.rs
+++ b/tests/fleet_ledger.rs
@@ -2,8 +2,9 @@
 
 use buckthorncleat::clock::Millis;
 use buckthorncleat::fleet::ledger::Ledger;
-use buckthorncleat::fleet::message::{Attempts, Fingerprint, Load, Loss, Report};
-use buckthorncleat::id::{BackendServerId, Incarnation, InstanceId};
+use buckthorncleat::fleet::message::{Attempts, Fingerprint, Load, Loss, Report, Sums};
+use buckthorncleat::fleet::totals::View;
+use buckthorncleat::id::{BackendServerId, Incarnation, InstanceId, Term};
 use buckthorncleat::sorted::Map;
 use buckthorncleat::unit::Tokens;
 
@@ -28,6 +29,7 @@
         accepts_callers: true,
         document: None,
         list: None,
+        known: None,
         gateways: 1,
         spent: Map::new(),
         spent_in_window: Map::new(),
@@ -39,7 +41,14 @@
 }
 
 fn ledger() -> Ledger {
-    Ledger::new(Millis::from_secs(8))
+    Ledger::new(Term::new(1), Millis::from_secs(8))
+}
+
+/// Returns the load of the other gateways, as the sender of `own` gets it without a state before.
+fn load_of_others(sums: &Sums, own: &Report) -> Option<Load> {
+    let mut view = View::default();
+    view.apply(Term::new(1), &sums.changes);
+    view.loads_of_others(&own.loads).get(&server()).copied()
 }
 
 #[test]
@@ -49,7 +58,7 @@
         ledger.report(Millis::ZERO, &name(gateway), report(gateway));
     }
     let sums = ledger.report(Millis::new(100), &name(1), report(1));
-    let load = sums.loads.get(&server()).unwrap();
+    let load = load_of_others(&sums, &report(1)).unwrap();
     assert_eq!((load.requests, load.memory), (5, Tokens::new(5_000)));
     assert_eq!(sums.gateways, 3);
 }
@@ -59,7 +68,7 @@
     let mut ledger = ledger();
     ledger.report(Millis::ZERO, &name(2), report(2));
     let sums = ledger.report(Millis::new(5_000), &name(1), report(1));
-    assert!(sums.loads.is_empty());
+    assert_eq!(load_of_others(&sums, &report(1)), None);
 }
 
 #[test]
--- a/tests/fleet_quota.rs
+++ b/tests/fleet_quota.rs
@@ -6,7 +6,7 @@
 use buckthorncleat::fleet::ledger::Ledger;
 use buckthorncleat::fleet::message::Report;
 use buckthorncleat::fleet::quota::Quotas;
-use buckthorncleat::id::{ClientAccountId, Incarnation, InstanceId};
+use buckthorncleat::id::{ClientAccountId, Incarnation, InstanceId, Term};
 use buckthorncleat::sorted::Map;
 use rand::Rng as _;
 use rand::SeedableRng as _;
@@ -53,7 +53,7 @@
         };
         let mut fleet = Self {
             now: 0,
-            ledger: Ledger::new(WINDOW),
+            ledger: Ledger::new(Term::new(1), WINDOW),
             gateways: (0..GATEWAYS).map(gateway).collect(),
             cut_off: vec![false; GATEWAYS],
             spent: Vec::new(),
@@ -66,7 +66,7 @@
     }
 
     fn elect_another_leader(&mut self) {
-        self.ledger = Ledger::new(WINDOW);
+        self.ledger = Ledger::new(Term::new(1), WINDOW);
         self.ledger.configure(&accounts(RATE));
     }
 
@@ -83,6 +83,7 @@
             accepts_callers: true,
             document: None,
             list: None,
+            known: None,
             gateways: quotas.gateways(),
             spent: quotas.spent(),
             spent_in_window: quotas.spent_in_window(now),
