Placement by headroom and by what is not reported yet

Cause: at 191 gateways loads are 0.2 to 0.4 s old, in which the fleet places some 28 streams; each router took a server within a fixed tolerance of the least busy one, so these fell on the few servers that looked least busy, which refused them.

Change: a router estimates the requests that the others have received since they reported (their rate from the sums, the age of the news and half a report interval), and picks at random such that this many requests poured over the servers from the least busy one on would level them. One rule for decode, prefill and plain servers; the three tolerances are gone. A full queue at the picked plain server no longer hides another with room. The unit test of a burst states its rate now; its bounds are the same.

--- a/src/router/balancer.rs
+++ b/src/router/balancer.rs
@@ -47,18 +47,6 @@
 /// The rest is kept for requests that can still meet it, whichever router receives them.
 const MAX_UTILISATION_PAST_TARGET: f64 = 0.85;
 
-/// A plain server may be picked while its utilisation is at most this much above the lowest one.
-/// The load that other routers add becomes known one report later: if all routers picked the least
-/// loaded server, it would get the requests of the whole fleet in that time. The value is half of
-/// the slots of a small server.
-const PLAIN_TOLERANCE: f64 = 0.5;
-
-/// The same for decode servers: about half of the memory share that one request takes.
-const DECODE_TOLERANCE: f64 = 0.07;
-
-/// The same for prefill servers, as predicted prefill time: half of what one prompt takes.
-const PREFILL_TOLERANCE_MS: f64 = 50.0;
-
 /// Requests that may wait at a server of a plain service, for each of its slots.
 const MAX_QUEUED_PER_SLOT: u32 = 2;
 
@@ -69,6 +57,10 @@
     servers: sorted::Map<id::BackendServerId, Backend>,
     remote_loads: sorted::Map<id::BackendServerId, message::Load>,
     remote_loads_at: clock::Millis,
+    /// Rates at which the other routers receive requests.
+    remote_rates: sorted::Map<document::ServiceId, unit::RequestsPerSecond>,
+    /// Interval between two reports of one router.
+    report_interval: clock::Millis,
     /// Servers that several other routers can't connect to, sorted by id.
     ejected: Vec<id::BackendServerId>,
 }
@@ -170,6 +162,8 @@
             servers: sorted::Map::new(),
             remote_loads: sorted::Map::new(),
             remote_loads_at: clock::Millis::ZERO,
+            remote_rates: sorted::Map::new(),
+            report_interval: clock::Millis::ZERO,
             ejected: Vec::new(),
         }
     }
@@ -199,6 +193,17 @@
         self.remote_loads_at = now;
     }
 
+    /// Sets the rates at which the other routers receive requests, and the interval at which each
+    /// of them reports its loads.
+    pub fn set_remote_rates(
+        &mut self,
+        rates: sorted::Map<document::ServiceId, unit::RequestsPerSecond>,
+        report_interval: clock::Millis,
+    ) {
+        self.remote_rates = rates;
+        self.report_interval = report_interval;
+    }
+
     /// Sets the servers that several other routers can't connect to, sorted by id.
     pub fn set_ejected(&mut self, ejected: Vec<id::BackendServerId>) {
         self.ejected = ejected;
@@ -223,7 +228,7 @@
     ///
     /// # Errors
     ///
-    /// Fails with `Full` when the queue of the chosen server is full, with `NoServer` without a
+    /// Fails with `Full` when the queues of all candidates are full, with `NoServer` without a
     /// candidate.
     pub fn pick_plain(
         &self,
@@ -237,13 +242,18 @@
             f64::from(self.load(backend).requests) / f64::from(backend.server.slots.max(1))
         };
         let score = |backend: &&Backend| utilisation(backend) + self.penalty(backend);
-        let best = pick_near_best(candidates.into_iter(), random, PLAIN_TOLERANCE, score);
-        let best = best.ok_or(PickError::NoServer)?;
-        let max_requests = best.server.slots.max(1) * (1 + MAX_QUEUED_PER_SLOT);
-        if self.load(best).requests >= max_requests {
-            return Err(PickError::Full);
+        let slots = candidates.iter().map(|p| p.server.slots.max(1)).max();
+        let one_request = 1.0 / f64::from(slots.unwrap_or(1));
+        let spread = one_request * (1.0 + self.unseen_requests(now, service));
+        let any = !candidates.is_empty();
+        let with_capacity = candidates
+            .into_iter()
+            .filter(|p| self.load(p).requests < p.server.slots.max(1) * (1 + MAX_QUEUED_PER_SLOT));
+        match pick_by_headroom(with_capacity, random, spread, score) {
+            Some(best) => Ok(self.pick(now, best, utilisation(&best))),
+            None if any => Err(PickError::Full),
+            None => Err(PickError::NoServer),
         }
-        Ok(self.pick(now, best, utilisation(&best)))
     }
 
     /// Picks a decode server among those with the most free capacity.
@@ -277,7 +287,9 @@
         let with_capacity = candidates
             .into_iter()
             .filter(|p| now >= p.full_until && utilisation(p) <= requirements.max_utilisation());
-        match pick_near_best(with_capacity, random, DECODE_TOLERANCE, score) {
+        let unseen = self.unseen_requests(now, &service.id);
+        let spread = utilisation_of(service, one_more) * (1.0 + unseen);
+        match pick_by_headroom(with_capacity, random, spread, score) {
             Some(best) => Ok(self.pick(now, best, utilisation(&best))),
             None if any => Err(PickError::Full),
             None => Err(PickError::NoServer),
@@ -315,7 +327,9 @@
             tokens / backend.prefill_tokens_per_ms * (1.0 + self.penalty(backend))
         };
         let with_capacity = candidates.into_iter().filter(|p| now >= p.full_until);
-        let best = pick_near_best(with_capacity, random, PREFILL_TOLERANCE_MS, time)?;
+        let one_prompt = prompt.as_u64() as f64 / INITIAL_PREFILL_TOKENS_PER_MS;
+        let spread = one_prompt * (1.0 + self.unseen_requests(now, service));
+        let best = pick_by_headroom(with_capacity, random, spread, time)?;
         let time = clock::Millis::new(time(&best) as u64);
         Some(PrefillPick {
             pick: self.pick(now, best, 0.0),
@@ -407,6 +421,15 @@
         load
     }
 
+    /// Estimates how many requests for a service the other routers have received that are not
+    /// contained in the known loads: those of the time since the last summary, and of half a report
+    /// interval before it.
+    fn unseen_requests(&self, now: clock::Millis, service: &document::ServiceId) -> f64 {
+        let rate = self.remote_rates.get(service).copied().unwrap_or_default();
+        let age = (now - self.remote_loads_at).as_secs_f64();
+        rate.as_u64() as f64 * (age + self.report_interval.as_secs_f64() / 2.0)
+    }
+
     fn penalty(&self, backend: &Backend) -> f64 {
         let failures =
             (backend.failure_rate - TOLERATED_FAILURE_RATE).max(0.0) * FAILURE_RATE_PENALTY;
@@ -497,23 +520,40 @@
     unit::Tokens::new(tokens.div_ceil(MEMORY_BLOCK_TOKENS) * MEMORY_BLOCK_TOKENS)
 }
 
-/// Returns one of the servers whose score is at most `tolerance` above the lowest. The choice is
-/// random, so that routers with the same view don't all pick the same server.
-fn pick_near_best<'a>(
+/// Returns a server at random, so that what all routers with this view place until the next summary
+/// makes the scores equal.
+///
+/// `spread` is the sum of what that adds to the scores. Poured over the servers from the lowest
+/// score on, it fills them up to one level; the probability of a server is its share of it.
+fn pick_by_headroom<'a>(
     backends: impl Iterator<Item = &'a Backend>,
     random: u64,
-    tolerance: f64,
+    spread: f64,
     score: impl Fn(&&'a Backend) -> f64,
 ) -> Option<&'a Backend> {
-    let scored: Vec<(f64, &Backend)> = backends.map(|backend| (score(&backend), backend)).collect();
-    let lowest = scored
-        .iter()
-        .map(|(score, _)| *score)
-        .min_by(f64::total_cmp)?;
-    let within: Vec<&Backend> = scored
-        .into_iter()
-        .filter(|(score, _)| *score <= lowest + tolerance)
-        .map(|(_, backend)| backend)
-        .collect();
-    Some(within[(random % within.len() as u64) as usize])
+    let mut scored: Vec<(f64, &Backend)> =
+        backends.map(|backend| (score(&backend), backend)).collect();
+    scored.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut level = scored.first()?.0 + spread;
+    let mut filled = 1;
+    let mut sum = scored[0].0;
+    while filled < scored.len() && scored[filled].0 < level {
+        sum += scored[filled].0;
+        filled += 1;
+        level = (sum + spread) / filled as f64;
+    }
+    let mut point = to_fraction(random) * spread;
+    for (score, backend) in &scored[..filled] {
+        point -= level - score;
+        if point < 0.0 {
+            return Some(backend);
+        }
+    }
+    Some(scored[filled - 1].1)
+}
+
+/// Maps any number to a fraction below 1; close numbers are far apart there.
+fn to_fraction(random: u64) -> f64 {
+    const GOLDEN_RATIO: u64 = 0x9E37_79B9_7F4A_7C15;
+    (random.wrapping_mul(GOLDEN_RATIO) >> 11) as f64 / (1_u64 << 53) as f64
 }
--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -19,6 +19,7 @@
 use crate::router::http_server;
 use crate::router::protocol;
 use crate::sorted;
+use crate::unit;
 
 /// Timeout of a report: several round trips and a disk sync, and short against the time in which a
 /// document must be in force.
@@ -230,10 +231,17 @@
             sums.gateways,
             sums.report_interval,
         );
+        let window_s = core.settings.budget.window.as_secs_f64();
+        let rates = sums.attempts.iter().map(|(service, attempts)| {
+            let rate = (attempts.requests as f64 / window_s).round() as u64;
+            (service.clone(), unit::RequestsPerSecond::new(rate))
+        });
+        let rates = rates.collect();
         core.budget()
             .apply_summary(now, sums.attempts, sums.gateways);
         {
             let mut balancer = core.balancer();
+            balancer.set_remote_rates(rates, sums.report_interval);
             balancer.set_remote_loads(now, self.view.loads_of_others(&reported.loads));
             balancer.set_ejected(sums.unreachable);
         }
--- a/src/unit.rs
+++ b/src/unit.rs
@@ -14,6 +14,10 @@
     /// A rate in model tokens per second.
     TokensPerSecond
 }
+macros::number! {
+    /// A rate in requests per second.
+    RequestsPerSecond
+}
 macros::number! {
     /// A number of bytes.
     Bytes
--- a/tests/router_units.rs
+++ b/tests/router_units.rs
@@ -3,7 +3,7 @@
 use buckthorncleat::clock::Millis;
 use buckthorncleat::document::{
     Account, CallerLimits, Document, DocumentVersion, Engine, Packed, RetryPolicy, Route, Service,
-    Share,
+    ServiceId, Share,
 };
 use buckthorncleat::fleet::message::{Load, Server, ServerState, Stage};
 use buckthorncleat::id::BackendServerId;
@@ -12,7 +12,7 @@
 use buckthorncleat::router::table::{Caller, Table, fingerprint};
 use buckthorncleat::sorted::Map;
 use buckthorncleat::state::model::KeyHash;
-use buckthorncleat::unit::Tokens;
+use buckthorncleat::unit::{RequestsPerSecond, Tokens};
 use proptest::prelude::*;
 use rand::{Rng as _, SeedableRng as _};
 
@@ -421,14 +421,18 @@
     };
     let busy = [(id(1), load(2)), (id(2), load(1)), (id(3), load(2))];
     balancer.set_remote_loads(Millis::ZERO, busy.into_iter().collect::<Map<_, _>>());
-    let service = "model".parse().unwrap();
-    let pick = |random| balancer.pick_plain(Millis::ZERO, &service, &[], random);
+    let service: ServiceId = "model".parse().unwrap();
+    let rate = RequestsPerSecond::new(80);
+    let rates = [(service.clone(), rate)].into_iter().collect::<Map<_, _>>();
+    balancer.set_remote_rates(rates, Millis::ZERO);
+    let pick = |random| balancer.pick_plain(Millis::from_secs(1), &service, &[], random);
     let counts = pick_counts(|random| pick(random).unwrap().id);
     assert!(
         counts[1..].iter().all(|n| (8..40).contains(n)),
         "{counts:?}"
     );
-    // A server with a much higher load than the others gets nothing.
+    // A server with a much higher load than the others gets nothing, when few requests are unseen.
+    balancer.set_remote_rates(Map::new(), Millis::ZERO);
     balancer.set_remote_loads(
         Millis::ZERO,
         [(id(4), load(6))].into_iter().collect::<Map<_, _>>(),
