Routers without a document leave the platform's list to the leader

Cause looked for: serving after all were killed takes 30 s at 300 instances. From the code: each router that found no leader for 1.5 s read the whole list (60 pages at 2,998 servers), 300 of them far beyond the calls that the platform allows, and a refused page made a read begin anew, the leader's too.

--- a/src/router/generate/log_lines.rs
+++ b/src/router/generate/log_lines.rs
@@ -22,6 +22,7 @@
             busy_percent = opened.pick.utilisation_percent,
             report_age_ms = opened.pick.report_age.as_u64(),
             waited_ms = self.waited.as_u64(),
+            reservation_calls = self.reservation_calls,
             prompt_server = self.prefill_server.as_ref().map_or("", |s| s.as_str()),
             expected_memory = self.expected_memory().as_u64(),
             returning = self.req.is_resend(),
@@ -46,6 +47,7 @@
             least_percent = status.min_utilisation_percent,
             report_age_ms = status.report_age.as_u64(),
             memory = memory.as_u64(),
+            reservation_calls = self.reservation_calls,
             waited_ms = req.age().as_u64();
             "no decode server has free capacity; refusing the request"
         );
--- a/src/router/generate/mod.rs
+++ b/src/router/generate/mod.rs
@@ -64,6 +64,8 @@
     attempts: u32,
     /// Number of servers that could not be reached or did not answer a reservation call.
     connect_failures: u32,
+    /// Number of reservation calls.
+    reservation_calls: u32,
     /// Whether an attempt may have run.
     may_have_run: bool,
     /// The exported KV cache of the prompt, as long as no decode server has used it.
@@ -133,6 +135,7 @@
             tried: Vec::new(),
             attempts: 0,
             connect_failures: 0,
+            reservation_calls: 0,
             may_have_run: false,
             export: None,
             prefill_server: None,
@@ -252,6 +255,7 @@
         deadline: clock::Millis,
     ) -> Result<Option<Placement>, Refusal> {
         let (pick, guard) = self.wait_for_server(deadline).await?;
+        self.reservation_calls += 1;
         let req = &self.req;
         let reserved = reserve::reserve(&req.core, &req.service, &pick, guard.load().memory).await;
         let reservation = match reserved {
--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -36,9 +36,8 @@
 /// platform's server list itself.
 const SUMMARY_TIMEOUT: clock::Millis = clock::Millis::new(1_500);
 
-/// Interval between two reads of the server list by one router, for each router that may read it
-/// too.
-const LIST_READ_INTERVAL_PER_ROUTER: clock::Millis = clock::Millis::new(250);
+/// Shortest interval between two reads of the server list by one router.
+const MIN_LIST_READ_INTERVAL: clock::Millis = clock::Millis::new(2_000);
 
 /// What a report said of this router, which the summaries that answer it contain.
 struct Reported {
@@ -280,19 +279,30 @@
             .is_some_and(|at| now >= at + SUMMARY_TIMEOUT);
         if timed_out {
             self.last_summary_at = None;
-            self.next_list_read = now;
+            self.next_list_read = now + random_part(self.list_read_interval());
             log::warn!(event = "leader_lost"; "no leader answers; serving with the last known state");
         }
     }
 
-    /// Reads the platform's server list while there is no leader that sends it.
+    /// Returns the interval in which all routers may read the server list once.
+    fn list_read_interval(&self) -> clock::Millis {
+        let servers = self.list.as_ref().map_or(0, |l| l.servers().len());
+        let calls_per_second = self.core.settings.list.calls_per_second;
+        discovery::read_interval(self.gateways, servers, calls_per_second)
+    }
+
+    /// Reads the platform's server list while there is no leader that sends it. A router without a
+    /// document can't serve anyway, and leaves the calls to the next leader.
     async fn read_list_without_leader(&mut self) {
         let now = self.core.clock.now();
-        if self.last_summary_at.is_some() || now < self.next_list_read.max(SUMMARY_TIMEOUT) {
+        if self.last_summary_at.is_some()
+            || now < self.next_list_read
+            || self.core.version().is_none()
+        {
             return;
         }
-        let delay = LIST_READ_INTERVAL_PER_ROUTER * u64::from(self.gateways.max(8));
-        self.next_list_read = now + delay + clock::Millis::new(rand::random_range(0..500));
+        let interval = self.list_read_interval().max(MIN_LIST_READ_INTERVAL);
+        self.next_list_read = now + interval + random_part(interval);
         let settings = &self.core.settings.list;
         match discovery::read(&*self.core.codec, settings).await {
             Ok(listed) => match listing::List::new(listed.servers) {
@@ -303,3 +313,8 @@
         }
     }
 }
+
+/// Returns a random part of a time.
+fn random_part(time: clock::Millis) -> clock::Millis {
+    clock::Millis::new(rand::random_range(0..=time.as_u64()))
+}
--- a/src/router/reserve.rs
+++ b/src/router/reserve.rs
@@ -53,6 +53,9 @@
         .codec
         .write_reserve(memory, RESERVATION_TTL.min(max_ttl));
     let called = call_server(core, pick, call).await;
+    let status = called.as_ref().map_or(0, |(status, _)| status.as_u16());
+    metrics::counter!("buckthorncleat_reservation_calls_total", "status" => status.to_string())
+        .increment(1);
     let (status, body) = match called {
         Ok(answer) => answer,
         Err(failure) => {
--- a/tests/router_units.rs
+++ b/tests/router_units.rs
@@ -8,6 +8,7 @@
 use buckthorncleat::fleet::message::{Load, Server, ServerState, Stage};
 use buckthorncleat::id::BackendServerId;
 use buckthorncleat::router::balancer::{Balancer, Outcome, PickError, Requirements, memory_for};
+use buckthorncleat::router::discovery::read_interval;
 use buckthorncleat::router::events::Splitter;
 use buckthorncleat::router::table::{Caller, Table, fingerprint};
 use buckthorncleat::sorted::Map;
@@ -478,6 +479,17 @@
     );
 }
 
+/// The leader is lost: the routers' own reads of the platform's list stay within the allowed rate,
+/// also at 300 routers and 3,000 servers, so that the next leader can read it.
+#[test]
+fn routers_without_a_leader_leave_calls_to_the_next_one() {
+    for (routers, servers, rate) in [(9, 15, 40.0), (191, 83, 610.0), (300, 2_998, 910.0)] {
+        let interval = read_interval(routers, servers, rate).as_secs_f64();
+        let calls = f64::from(routers) * servers.div_ceil(50) as f64;
+        assert!(calls / interval <= rate * 0.51, "{routers} routers");
+    }
+}
+
 /// Guards against work for a server that several other routers can't connect to, while there is
 /// another one.
 #[test]
