The ledger forgets no service that a stored report names

A sum of zero was dropped, also while a stored report named the service with no requests; the next report of that gateway subtracted from nothing.

Change: counts of zero are neither added nor subtracted. Test in fleet_ledger, which panicked before.

--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -161,12 +161,10 @@
         }
         let entry = report.accepts_callers.then_some(&report.data_centre);
         self.totals.set_entry(now, report.address, entry);
-        for (service, count) in report.attempts.iter() {
-            let sum = self
-                .attempts
-                .get_or_insert_with(service.clone(), Default::default);
-            sum.requests += count.requests;
-            sum.retries += count.retries;
+        for (service, count) in report.attempts.iter().filter(|(_, c)| !c.is_zero()) {
+            self.attempts
+                .get_or_insert_with(service.clone(), Default::default)
+                .add(*count);
         }
         let received = Gateway {
             report,
@@ -208,13 +206,12 @@
     }
 
     fn remove_attempts(&mut self, report: &message::Report) {
-        for (service, count) in report.attempts.iter() {
+        for (service, count) in report.attempts.iter().filter(|(_, c)| !c.is_zero()) {
             let sum = self.attempts.get_mut(service);
-            let sum = sum.expect("every stored report is contained in the sums");
-            sum.requests -= count.requests;
-            sum.retries -= count.retries;
+            sum.expect("every stored report is contained in the sums")
+                .subtract(*count);
         }
-        self.attempts.retain(|_, sum| *sum != Default::default());
+        self.attempts.retain(|_, sum| !sum.is_zero());
     }
 
     fn record_spending(
@@ -311,11 +308,10 @@
         let own = self.gateways.get(asker);
         for (service, count) in own.into_iter().flat_map(|g| g.report.attempts.iter()) {
             if let Some(sum) = attempts.get_mut(service) {
-                sum.requests -= count.requests;
-                sum.retries -= count.retries;
+                sum.subtract(*count);
             }
         }
-        attempts.retain(|_, sum| *sum != Default::default());
+        attempts.retain(|_, sum| !sum.is_zero());
         message::Sums {
             report_interval: self.report_interval(),
             changes: self.totals.changes_since(known),
@@ -389,6 +385,23 @@
     }
 }
 
+impl message::Attempts {
+    fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.retries += other.retries;
+    }
+
+    /// Subtracts a part of these attempts.
+    fn subtract(&mut self, part: Self) {
+        self.requests -= part.requests;
+        self.retries -= part.retries;
+    }
+
+    fn is_zero(self) -> bool {
+        self == Self::default()
+    }
+}
+
 impl message::Load {
     pub fn add(&mut self, other: Self) {
         self.requests += other.requests;
--- a/tests/fleet_ledger.rs
+++ b/tests/fleet_ledger.rs
@@ -196,3 +196,30 @@
     let late = ledger.report(Millis::from_secs(20), &name(1), report(1));
     assert!(late.attempts.get(&"s".parse().unwrap()).is_none());
 }
+
+/// The traffic ends, and a gateway whose document no longer has the service reports nothing of it,
+/// while another one still reports that it had no requests.
+#[test]
+fn attempts_that_have_left_the_window_are_subtracted_once() {
+    let mut ledger = ledger();
+    let with_requests = |gateway, requests| Report {
+        attempts: [(
+            "s".parse().unwrap(),
+            Attempts {
+                requests,
+                retries: 0,
+            },
+        )]
+        .into_iter()
+        .collect(),
+        ..report(gateway)
+    };
+    ledger.report(Millis::ZERO, &name(1), with_requests(1, 0));
+    ledger.report(Millis::ZERO, &name(2), with_requests(2, 5));
+    ledger.report(Millis::new(100), &name(2), report(2));
+    ledger.report(Millis::new(100), &name(1), with_requests(1, 0));
+    ledger.report(Millis::new(200), &name(1), with_requests(1, 3));
+    let sums = ledger.report(Millis::new(200), &name(2), with_requests(2, 0));
+    let attempts = sums.attempts.get(&"s".parse().unwrap());
+    assert_eq!(attempts.map(|a| a.requests), Some(3));
+}
