--- a/src/router/generate/mod.rs
+++ b/src/router/generate/mod.rs
@@ -359,7 +359,7 @@
             mut reservation,
         } = placement;
         let pick = &pick;
-        if self.resume_after.is_none() && self.attempts == 0 && self.export.is_none() {
+        if self.attempts == 0 && self.export.is_none() {
             self.export = prefill::run(&self.req).await;
             self.prefill_server = self.export.as_ref().map(|e| e.server.clone());
         }
--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -253,6 +253,8 @@
             Ok(list) => self.put_list(list, "leader"),
             Err(e) => {
                 log::warn!("{e}");
+                // The next report names no list, so that the whole one comes. Placement keeps the
+                // servers known so far.
                 self.list = None;
             }
         }
