--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -25,13 +25,9 @@
 /// document must be in force.
 const REPORT_TIMEOUT: clock::Millis = clock::Millis::new(350);
 
-/// Delay after the first report that was not answered; it doubles with each further one.
+/// Longest delay after a report that was not answered; the shortest is half of it.
 const RETRY_DELAY: clock::Millis = clock::Millis::new(60);
 
-/// The delay is doubled at most this many times. Many routers that ask at once keep the control
-/// members from electing a leader.
-const MAX_RETRY_DOUBLINGS: u32 = 2;
-
 /// Time without a summary after which the leader counts as lost and this router reads the
 /// platform's server list itself.
 const SUMMARY_TIMEOUT: clock::Millis = clock::Millis::new(1_500);
@@ -67,8 +63,6 @@
     gateways: u32,
     /// Counts up while no leader is known, so that the members are asked in turn.
     next_member: usize,
-    /// Reports in a row that were not answered with a summary.
-    failures: u32,
 }
 
 impl Reporter {
@@ -90,7 +84,6 @@
             next_list_read: clock::Millis::ZERO,
             gateways: 1,
             next_member: rand::random_range(0..64),
-            failures: 0,
         }
     }
 
@@ -127,7 +120,6 @@
         match reply {
             Ok(peer_message::Reply::Summary(summary)) => {
                 let delay = summary.sums.report_interval;
-                self.failures = 0;
                 self.apply_summary(address, &reported, *summary);
                 return delay;
             }
@@ -142,10 +134,8 @@
         }
         self.core.restore_losses(losses);
         self.check_leader_timeout();
-        let delay = RETRY_DELAY * (1 << self.failures.min(MAX_RETRY_DOUBLINGS));
-        self.failures += 1;
         // Routers that lost the leader at the same time do not all ask again at the same time.
-        clock::Millis::new(delay.as_u64() * rand::random_range(50..=100) / 100)
+        clock::Millis::new(RETRY_DELAY.as_u64() * rand::random_range(50..=100) / 100)
     }
 
     fn next_address(&mut self) -> Option<net::SocketAddr> {
--- a/tests/router_fleet.rs
+++ b/tests/router_fleet.rs
@@ -109,15 +109,9 @@
                 }
                 end != now_ms
             });
-            for router in 0..self.routers {
+            for (router, balancer) in balancers.iter_mut().enumerate() {
                 if (now_ms + 2 * router as u64).is_multiple_of(self.report_interval_ms) {
-                    self.exchange(
-                        now,
-                        router,
-                        &mut balancers[router],
-                        &mut reported,
-                        per_second,
-                    );
+                    self.exchange(now, router, balancer, &mut reported, per_second);
                 }
             }
             if rng.random_range(0..1_000) < per_second {
