--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,8 +5,9 @@
 //! Each gateway sends a report several times a second: its version of the configuration document,
 //! its use of quotas and retry budgets, and its load on each server. The leader adds the reports up
 //! in its [`ledger::Ledger`] and replies with a summary: the sums over the fleet, as changes against
-//! the last summary where they are long, and a newer document or list of servers if there is one. A gateway without a recent summary continues
-//! with its last known state and uses only its share of each quota and budget.
+//! the last summary where they are long, and a newer document or list of servers if there is one. A
+//! gateway without a recent summary continues with its last known state and uses only its share of
+//! each quota and budget.
 
 pub mod budget;
 pub mod ledger;
--- a/src/router/balancer.rs
+++ b/src/router/balancer.rs
@@ -523,8 +523,8 @@
 /// Returns a server at random, so that what all routers with this view place until the next summary
 /// makes the scores equal.
 ///
-/// `spread` is the sum of what that adds to the scores. Poured over the servers from the lowest
-/// score on, it fills them up to one level; the probability of a server is its share of it.
+/// `spread` is the sum of what that adds to the scores. Distributed from the lowest score on, it
+/// raises some servers to the same level; the probability of a server is its part of `spread`.
 fn pick_by_headroom<'a>(
     backends: impl Iterator<Item = &'a Backend>,
     random: u64,
@@ -535,21 +535,21 @@
         backends.map(|backend| (score(&backend), backend)).collect();
     scored.sort_by(|a, b| a.0.total_cmp(&b.0));
     let mut level = scored.first()?.0 + spread;
-    let mut filled = 1;
+    let mut raised = 1;
     let mut sum = scored[0].0;
-    while filled < scored.len() && scored[filled].0 < level {
-        sum += scored[filled].0;
-        filled += 1;
-        level = (sum + spread) / filled as f64;
+    while raised < scored.len() && scored[raised].0 < level {
+        sum += scored[raised].0;
+        raised += 1;
+        level = (sum + spread) / raised as f64;
     }
     let mut point = to_fraction(random) * spread;
-    for (score, backend) in &scored[..filled] {
+    for (score, backend) in &scored[..raised] {
         point -= level - score;
         if point < 0.0 {
             return Some(backend);
         }
     }
-    Some(scored[filled - 1].1)
+    Some(scored[raised - 1].1)
 }
 
 /// Maps any number to a fraction below 1; close numbers are far apart there.
