The choice by headroom is a module of its own; one model service for two tests

Cause: read again as a newcomer: balancer.rs had grown to 559 lines, and a pure choice stood among the state of servers; two new tests wrote the same service.

--- a/src/router/balancer.rs
+++ b/src/router/balancer.rs
@@ -6,6 +6,7 @@
 use crate::document;
 use crate::fleet::message;
 use crate::id;
+use crate::router::headroom;
 use crate::sorted;
 use crate::unit;
 
@@ -249,7 +250,7 @@
         let with_capacity = candidates
             .into_iter()
             .filter(|p| self.load(p).requests < p.server.slots.max(1) * (1 + MAX_QUEUED_PER_SLOT));
-        match pick_by_headroom(with_capacity, random, spread, score) {
+        match headroom::pick(with_capacity, random, spread, score) {
             Some(best) => Ok(self.pick(now, best, utilisation(&best))),
             None if any => Err(PickError::Full),
             None => Err(PickError::NoServer),
@@ -289,7 +290,7 @@
             .filter(|p| now >= p.full_until && utilisation(p) <= requirements.max_utilisation());
         let unseen = self.unseen_requests(now, &service.id);
         let spread = utilisation_of(service, one_more) * (1.0 + unseen);
-        match pick_by_headroom(with_capacity, random, spread, score) {
+        match headroom::pick(with_capacity, random, spread, score) {
             Some(best) => Ok(self.pick(now, best, utilisation(&best))),
             None if any => Err(PickError::Full),
             None => Err(PickError::NoServer),
@@ -329,7 +330,7 @@
         let with_capacity = candidates.into_iter().filter(|p| now >= p.full_until);
         let one_prompt = prompt.as_u64() as f64 / INITIAL_PREFILL_TOKENS_PER_MS;
         let spread = one_prompt * (1.0 + self.unseen_requests(now, service));
-        let best = pick_by_headroom(with_capacity, random, spread, time)?;
+        let best = headroom::pick(with_capacity, random, spread, time)?;
         let time = clock::Millis::new(time(&best) as u64);
         Some(PrefillPick {
             pick: self.pick(now, best, 0.0),
@@ -519,41 +520,3 @@
     let tokens = prompt.as_u64() + output.as_u64();
     unit::Tokens::new(tokens.div_ceil(MEMORY_BLOCK_TOKENS) * MEMORY_BLOCK_TOKENS)
 }
-
-/// Returns a server at random, so that what all routers with this view place until the next summary
-/// makes the scores equal.
-///
-/// `spread` is the sum of what that adds to the scores. Distributed from the lowest score on, it
-/// raises some servers to the same level; the probability of a server is its part of `spread`.
-fn pick_by_headroom<'a>(
-    backends: impl Iterator<Item = &'a Backend>,
-    random: u64,
-    spread: f64,
-    score: impl Fn(&&'a Backend) -> f64,
-) -> Option<&'a Backend> {
-    let mut scored: Vec<(f64, &Backend)> =
-        backends.map(|backend| (score(&backend), backend)).collect();
-    scored.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let mut level = scored.first()?.0 + spread;
-    let mut raised = 1;
-    let mut sum = scored[0].0;
-    while raised < scored.len() && scored[raised].0 < level {
-        sum += scored[raised].0;
-        raised += 1;
-        level = (sum + spread) / raised as f64;
-    }
-    let mut point = to_fraction(random) * spread;
-    for (score, backend) in &scored[..raised] {
-        point -= level - score;
-        if point < 0.0 {
-            return Some(backend);
-        }
-    }
-    Some(scored[raised - 1].1)
-}
-
-/// Maps any number to a fraction below 1; close numbers are far apart there.
-fn to_fraction(random: u64) -> f64 {
-    const GOLDEN_RATIO: u64 = 0x9E37_79B9_7F4A_7C15;
-    (random.wrapping_mul(GOLDEN_RATIO) >> 11) as f64 / (1_u64 << 53) as f64
-}
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -9,6 +9,7 @@
 pub mod discovery;
 pub mod events;
 pub mod generate;
+mod headroom;
 pub mod http_server;
 pub mod in_flight;
 pub mod output;
--- a/tests/router_fleet.rs
+++ b/tests/router_fleet.rs
@@ -1,8 +1,10 @@
 //! Many routers that place streams on the same decode servers, each with the real balancer and with
 //! news of the others that is old. No network: time steps of a millisecond and seeded arrivals.
 
+#[path = "support/model_service.rs"]
+mod model_service;
+
 use buckthorncleat::clock::Millis;
-use buckthorncleat::document::{Engine, Service};
 use buckthorncleat::fleet::message::{Load, Server, ServerState, Stage};
 use buckthorncleat::id::BackendServerId;
 use buckthorncleat::router::balancer::{Balancer, Outcome, Requirements};
@@ -11,8 +13,9 @@
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
+use model_service::{SERVER_MEMORY, service};
+
 const SERVERS: usize = 48;
-const SERVER_MEMORY: u64 = 29_450;
 const STREAM_MEMORY: u64 = 4_000;
 const STREAM_TIME_MS: u64 = 2_000;
 const END_MS: u64 = 30_000;
@@ -56,19 +59,6 @@
     }
 }
 
-fn service() -> Service {
-    Service {
-        id: "model".parse().unwrap(),
-        connections: 1_300,
-        engine: Some(Engine {
-            slots: 32,
-            memory: Tokens::new(SERVER_MEMORY),
-            export_ttl: Millis::new(500),
-            max_reservation_ttl: Millis::new(2_000),
-        }),
-    }
-}
-
 fn new_balancer() -> Balancer {
     let server = |number| Server {
         id: server_id(number),
--- a/tests/router_memory.rs
+++ b/tests/router_memory.rs
@@ -1,16 +1,18 @@
 //! A burst of streams at decode servers whose memory is full: what reservations must leave free so
 //! that running streams can grow. No network: steps of one event, seeded arrivals.
 
-use buckthorncleat::clock::Millis;
-use buckthorncleat::document::{Engine, Service};
+#[path = "support/model_service.rs"]
+mod model_service;
+
 use buckthorncleat::router::output;
 use buckthorncleat::unit::Tokens;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution as _, LogNormal};
 
+use model_service::{SERVER_MEMORY, service};
+
 const SERVERS: usize = 10;
-const SERVER_MEMORY: u64 = 29_450;
 const TOKENS_PER_EVENT: u64 = 11;
 /// One event of every stream takes 46 ms; a minute is played.
 const STEPS: usize = 1_300;
@@ -96,19 +98,6 @@
     figures
 }
 
-fn service() -> Service {
-    Service {
-        id: "model".parse().unwrap(),
-        connections: 1_300,
-        engine: Some(Engine {
-            slots: 32,
-            memory: Tokens::new(SERVER_MEMORY),
-            export_ttl: Millis::new(500),
-            max_reservation_ttl: Millis::new(2_000),
-        }),
-    }
-}
-
 /// Running streams grow into memory that newer streams were given, and these are preempted. With
 /// room for one mean output beside each reservation at most half as many are, and that costs fewer
 /// streams than it saves from being preempted.
