stream_end says how the server's answer was framed and where it ended

Change: the fields framing and inside_event in stream_end; events::Position follows the events of a stream without buffering them. No outcome changes. Measured: router_units a_blank_line_ends_an_event_with_any_line_ends passes.

--- a/src/router/events.rs
+++ b/src/router/events.rs
@@ -1,4 +1,4 @@
-//! Splits a byte stream into server-sent events.
+//! Splits a byte stream into server-sent events, and follows where in an event it is.
 
 use bytes::Buf as _;
 use bytes::Bytes;
@@ -69,6 +69,50 @@
     }
 }
 
+/// Where a byte stream is in its events. Lines end with CR, LF, or both.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Position {
+    line: Line,
+    /// Whether the last byte was a CR; an LF after it belongs to the same line end.
+    after_cr: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Line {
+    /// Between two events: nothing but blank lines since the last one, or since the start.
+    #[default]
+    Between,
+    /// At the start of a line of an event.
+    Start,
+    /// Within a line of an event.
+    Within,
+}
+
+impl Position {
+    /// Moves over the next bytes of the stream.
+    pub fn advance(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.step(*byte);
+        }
+    }
+
+    /// Returns whether an event has begun and its blank line has not come yet.
+    pub fn is_inside_event(self) -> bool {
+        self.line != Line::Between
+    }
+
+    fn step(&mut self, byte: u8) {
+        let ends_crlf = self.after_cr && byte == b'\n';
+        self.after_cr = byte == b'\r';
+        self.line = match (byte, self.line) {
+            _ if ends_crlf => self.line,
+            (b'\r' | b'\n', Line::Within) => Line::Start,
+            (b'\r' | b'\n', Line::Start | Line::Between) => Line::Between,
+            _ => Line::Within,
+        };
+    }
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|b| *b == b'\n');
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
--- a/src/router/generate/log_lines.rs
+++ b/src/router/generate/log_lines.rs
@@ -102,6 +102,8 @@
             request = self.req.log_id(),
             route = self.req.route.name.as_str(),
             outcome = outcome,
+            framing = stats.framing.map_or("", upstream::Framing::as_str),
+            inside_event = stats.inside_event,
             tries = self.attempts,
             first_event_ms = first_event.as_u64(),
             longest_pause_ms = stats.longest_pause.as_u64(),
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -29,6 +29,10 @@
     last_at: Option<clock::Millis>,
     /// Longest time between two of them.
     pub longest_pause: clock::Millis,
+    /// Framing of the last server's answer.
+    pub framing: Option<upstream::Framing>,
+    /// Whether that answer ended, or broke off, inside an event.
+    pub inside_event: bool,
 }
 
 impl Stats {
@@ -64,6 +68,7 @@
     let mut splitter = events::Splitter::default();
     let mut stats = Stats::default();
     let outcome = loop {
+        stats.framing = Some(opened.answer.framing);
         let relayed = if resumes {
             relay_events(&mut stream, &mut opened, &tx, &mut splitter, &mut stats).await
         } else {
@@ -147,10 +152,13 @@
     tx: &body::Sender,
     stats: &mut Stats,
 ) -> Relayed {
+    let mut position = events::Position::default();
     let mut chunk = opened.first_chunk.take();
     while let Some(bytes) = chunk {
         stats.record(stream.req.core.clock.now());
         update_memory_estimate(stream, opened, stats.chunks);
+        position.advance(&bytes);
+        stats.inside_event = position.is_inside_event();
         if tx.send(Ok(bytes)).await.is_err() {
             return Relayed::CallerGone;
         }
@@ -187,6 +195,7 @@
                 return Relayed::CallerGone;
             }
         }
+        stats.inside_event = splitter.has_partial_event();
         chunk = match next_chunk(stream, opened, tx, idle_timeout).await {
             Ok(chunk) => chunk,
             Err(end) => return end,
--- a/src/router/upstream.rs
+++ b/src/router/upstream.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body as hyper_body;
 use hyper::client::conn::http1;
+use hyper::header;
 use hyper_util::rt;
 use tokio::net::TcpStream;
 use tokio::task;
@@ -51,11 +52,49 @@
     }
 }
 
+/// What marks the end of an answer's body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// The `Content-Length`.
+    Length,
+    /// The last chunk.
+    Chunked,
+    /// The end of the connection, which a server that stops early causes too.
+    UntilClose,
+}
+
+impl Framing {
+    fn from_headers(headers: &hyper::HeaderMap) -> Self {
+        let encodings = headers.get_all(header::TRANSFER_ENCODING);
+        let is_chunked = |value: &header::HeaderValue| {
+            let last = value.as_bytes().rsplit(|b| *b == b',').next();
+            last.is_some_and(|name| name.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+        };
+        if encodings.iter().next_back().is_some_and(is_chunked) {
+            Self::Chunked
+        } else if headers.contains_key(header::CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::UntilClose
+        }
+    }
+
+    /// Returns the name in the log.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until close",
+        }
+    }
+}
+
 /// The head of an answer and the connection from which its body is read.
 #[derive(Debug)]
 pub struct Answer {
     pub status: hyper::StatusCode,
     pub headers: hyper::HeaderMap,
+    pub framing: Framing,
     body: hyper_body::Incoming,
     _connection: Connection,
 }
@@ -123,6 +162,7 @@
     let (head, body) = response.map_err(|_| Failure::Broken)?.into_parts();
     Ok(Answer {
         status: head.status,
+        framing: Framing::from_headers(&head.headers),
         headers: head.headers,
         body,
         _connection: connection,
--- a/tests/router_units.rs
+++ b/tests/router_units.rs
@@ -9,7 +9,7 @@
 use buckthorncleat::id::BackendServerId;
 use buckthorncleat::router::balancer::{Balancer, Outcome, PickError, Requirements, memory_for};
 use buckthorncleat::router::discovery::read_interval;
-use buckthorncleat::router::events::Splitter;
+use buckthorncleat::router::events::{Position, Splitter};
 use buckthorncleat::router::table::{Caller, Table, fingerprint};
 use buckthorncleat::sorted::Map;
 use buckthorncleat::state::model::KeyHash;
@@ -196,6 +196,33 @@
     assert!(!splitter.has_partial_event());
 }
 
+/// Returns whether a stream that ends after these bytes ends inside an event.
+fn ends_inside_event(bytes: &str) -> bool {
+    let mut whole = Position::default();
+    whole.advance(bytes.as_bytes());
+    let mut bytewise = Position::default();
+    for byte in bytes.as_bytes() {
+        bytewise.advance(&[*byte]);
+    }
+    assert_eq!(whole, bytewise, "{bytes:?}");
+    whole.is_inside_event()
+}
+
+#[test]
+fn a_blank_line_ends_an_event_with_any_line_ends() {
+    for end in ["\n", "\r\n", "\r"] {
+        let event = format!("id: 1{end}data: x{end}");
+        assert!(ends_inside_event("id: 1"), "{end:?}");
+        assert!(ends_inside_event(&event), "{end:?}");
+        let complete = format!("{event}{end}");
+        assert!(!ends_inside_event(&complete), "{end:?}");
+        assert!(!ends_inside_event(&format!("{complete}{end}")), "{end:?}");
+        assert!(ends_inside_event(&format!("{complete}i")), "{end:?}");
+    }
+    assert!(!ends_inside_event(""));
+    assert!(!ends_inside_event(": a comment\n\n"));
+}
+
 fn server(number: u8, stage: Option<Stage>) -> Server {
     Server {
         id: id(number),
