Chunks that are ready when a body is truncated reach the caller

Callers saw: a broken stream without the events that had arrived together with its end; at times a 200 with no event at all. Cause: hyper drops what it has buffered when a body fails, and the relay queues the truncation right behind the last chunks. Change: a truncated body is pending once, so that hyper flushes, and fails at the next poll.

--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -10,7 +10,7 @@
 
 /// Ends a streamed body early: the connection is closed without the final chunk, so that the caller
 /// sees the response as incomplete. Holds the reason.
-#[derive(Debug, thiserror::Error)]
+#[derive(Clone, Debug, thiserror::Error)]
 #[error("response truncated: {0}")]
 pub struct Truncated(pub &'static str);
 
@@ -24,6 +24,8 @@
     Full(Option<Bytes>),
     /// A body streamed in chunks; complete when the sender is dropped without a [`Truncated`].
     Chunks(mpsc::Receiver<Result<Bytes, Truncated>>),
+    /// A streamed body that ends early once its chunks have been flushed.
+    Ending(Truncated),
 }
 
 impl Body {
@@ -47,10 +49,18 @@
         self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<body::Frame<Bytes>, Truncated>>> {
-        let chunk = match self.get_mut() {
+        let body = self.get_mut();
+        let chunk = match body {
             Self::Full(bytes) => bytes.take().map(Ok),
             Self::Chunks(rx) => task::ready!(rx.poll_recv(cx)),
+            Self::Ending(truncated) => Some(Err(truncated.clone())),
         };
+        if let (Self::Chunks(_), Some(Err(truncated))) = (&*body, &chunk) {
+            // hyper drops what it has not flushed when a body fails, and flushes when it is pending.
+            *body = Self::Ending(truncated.clone());
+            cx.waker().wake_by_ref();
+            return task::Poll::Pending;
+        }
         task::Poll::Ready(chunk.map(|c| c.map(body::Frame::data)))
     }
 
@@ -63,7 +73,7 @@
             Self::Full(bytes) => {
                 body::SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
             }
-            Self::Chunks(_) => body::SizeHint::default(),
+            Self::Chunks(_) | Self::Ending(_) => body::SizeHint::default(),
         }
     }
 }
