A stream that ends inside an event has been broken off

Callers saw: a 200 with a short body that was framed as complete (ORDER), on routes that may not be resumed. Cause: relay_chunks took every regular end of the body for the end of the stream. An answer with neither a length nor chunks ends with its connection, and a crash ends that too. Class: an end marker that a failure produces as well, taken without a look at the content. Answers of another content type keep the end of their framing. Why this works: the blank line that ends an event can't be produced by a failure, whatever the framing; the routes that resume streams have decided so already.

--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -167,6 +167,9 @@
             Err(end) => return end,
         };
     }
+    if stats.inside_event && opened.answer.is_event_stream() {
+        return Relayed::Lost(upstream::Failure::Broken);
+    }
     Relayed::Complete
 }
 
--- a/src/router/upstream.rs
+++ b/src/router/upstream.rs
@@ -178,7 +178,18 @@
         response
     }
 
-    /// Returns the next chunk of the body, or `None` after its regular end.
+    /// Returns whether the body consists of events, as it also does without a `Content-Type` on a
+    /// route that streams.
+    pub fn is_event_stream(&self) -> bool {
+        let content_type = self.headers.get(header::CONTENT_TYPE);
+        content_type.is_none_or(|value| {
+            let essence = value.as_bytes().split(|b| *b == b';').next();
+            essence.is_some_and(|e| e.trim_ascii().eq_ignore_ascii_case(b"text/event-stream"))
+        })
+    }
+
+    /// Returns the next chunk of the body, or `None` after its regular end. With
+    /// [`Framing::UntilClose`], that may also be the end of a server that stopped early.
     ///
     /// # Errors
     ///
