One place decides whether an answer may end: for both request paths and both interfaces

The end of a body was judged in the relay of streams only; a plain answer of events that ended inside one was relayed as complete, with Content-Length, and the own interface's client took any regular end too. The splitter of events had a second idea of an event's end: a blank line more after the last event counted as half an event, and lines that end with CR never made one. Change: http::progress follows a body and says whether it may end; upstream::Answer and backend::client::Streaming ask it, so that streams, plain calls, prefills and reservations of the router and all calls of the own interface share the rule. The splitter uses its position.

--- a/src/backend/client.rs
+++ b/src/backend/client.rs
@@ -15,6 +15,7 @@
 use tokio::time;
 
 use crate::clock;
+use crate::http::progress;
 use crate::macros;
 
 const CONNECT_TIMEOUT: clock::Millis = clock::Millis::new(700);
@@ -61,6 +62,7 @@
 pub struct Streaming {
     pub status: hyper::StatusCode,
     pub headers: hyper::HeaderMap,
+    progress: progress::Progress,
     body: body::Incoming,
     connection: pin::Pin<Box<Connection>>,
     ended: bool,
@@ -79,7 +81,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when the connection breaks before the end of the body.
+    /// Fails when the connection breaks before the end of the body, or a stream of events ends
+    /// inside one.
     pub async fn next(&mut self) -> Option<Result<Bytes, Failure>> {
         loop {
             let frame = tokio::select! {
@@ -90,9 +93,16 @@
                     continue;
                 }
             };
-            return match frame? {
+            let Some(frame) = frame else {
+                let broken = || Failure::Broken("the stream ended inside an event".into());
+                return (!self.progress.may_end()).then(|| Err(broken()));
+            };
+            return match frame {
                 Ok(frame) => match frame.into_data() {
-                    Ok(data) => Some(Ok(data)),
+                    Ok(data) => {
+                        self.progress.advance(&data);
+                        Some(Ok(data))
+                    }
                     Err(_) => continue,
                 },
                 Err(e) => Some(Err(Failure::Broken(e.to_string()))),
@@ -171,6 +181,7 @@
     let (parts, body) = response.into_parts();
     Ok(Streaming {
         status: parts.status,
+        progress: progress::Progress::new(&parts.headers),
         headers: parts.headers,
         body,
         connection,
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,3 +4,4 @@
 pub mod body;
 pub mod caller;
 pub mod hop;
+pub mod progress;
--- a/src/router/generate/mod.rs
+++ b/src/router/generate/mod.rs
@@ -430,12 +430,8 @@
             guard.finish(balancer::Outcome::Failed);
             return Attempt::Failed(answer.to_response(body::Body::from_bytes(bytes)));
         }
+        answer.expect_events();
         let first_chunk = match time::timeout(left.as_duration(), answer.next_chunk()).await {
-            // Without a last chunk or a length, no event at all can't be told from a lost server.
-            Ok(Ok(None)) if answer.framing == upstream::Framing::UntilClose => {
-                self.record_lost_server(pick, guard, upstream::Failure::Broken);
-                return Attempt::Lost;
-            }
             Ok(Ok(first_chunk)) => first_chunk,
             Ok(Err(failure)) => {
                 self.record_lost_server(pick, guard, failure);
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -5,6 +5,7 @@
 
 use crate::clock;
 use crate::http::body;
+use crate::http::progress;
 use crate::router::balancer;
 use crate::router::events;
 use crate::router::generate;
@@ -29,10 +30,8 @@
     last_at: Option<clock::Millis>,
     /// Longest time between two of them.
     pub longest_pause: clock::Millis,
-    /// Framing of the last server's answer.
-    pub framing: Option<upstream::Framing>,
-    /// Whether that answer ended, or broke off, inside an event.
-    pub inside_event: bool,
+    /// How far the last server's answer was read.
+    pub progress: Option<progress::Progress>,
 }
 
 impl Stats {
@@ -68,12 +67,12 @@
     let mut splitter = events::Splitter::default();
     let mut stats = Stats::default();
     let outcome = loop {
-        stats.framing = Some(opened.answer.framing);
         let relayed = if resumes {
             relay_events(&mut stream, &mut opened, &tx, &mut splitter, &mut stats).await
         } else {
             relay_chunks(&stream, &mut opened, &tx, &mut stats).await
         };
+        stats.progress = Some(*opened.answer.progress());
         let failure = match relayed {
             Relayed::Complete => {
                 opened.guard.finish(balancer::Outcome::Succeeded);
@@ -90,7 +89,7 @@
         if !resumes {
             break abort_body(&tx, "server broke off").await;
         }
-        splitter.clear();
+        splitter = events::Splitter::default();
         opened = match resume(&mut stream, &tx).await {
             Some(next) => next,
             None => break abort_body(&tx, "no server to go on").await,
@@ -152,13 +151,10 @@
     tx: &body::Sender,
     stats: &mut Stats,
 ) -> Relayed {
-    let mut position = events::Position::default();
     let mut chunk = opened.first_chunk.take();
     while let Some(bytes) = chunk {
         stats.record(stream.req.core.clock.now());
         update_memory_estimate(stream, opened, stats.chunks);
-        position.advance(&bytes);
-        stats.inside_event = position.is_inside_event();
         if tx.send(Ok(bytes)).await.is_err() {
             return Relayed::CallerGone;
         }
@@ -167,9 +163,6 @@
             Err(end) => return end,
         };
     }
-    if stats.inside_event && opened.answer.is_event_stream() {
-        return Relayed::Lost(upstream::Failure::Broken);
-    }
     Relayed::Complete
 }
 
@@ -198,14 +191,14 @@
                 return Relayed::CallerGone;
             }
         }
-        stats.inside_event = splitter.has_partial_event();
         chunk = match next_chunk(stream, opened, tx, idle_timeout).await {
             Ok(chunk) => chunk,
             Err(end) => return end,
         };
     }
-    if splitter.has_partial_event() {
-        return Relayed::Lost(upstream::Failure::Broken);
+    let rest = splitter.take_rest();
+    if !rest.is_empty() && tx.send(Ok(rest)).await.is_err() {
+        return Relayed::CallerGone;
     }
     Relayed::Complete
 }
--- a/src/router/upstream.rs
+++ b/src/router/upstream.rs
@@ -9,7 +9,6 @@
 use http_body_util::BodyExt as _;
 use hyper::body as hyper_body;
 use hyper::client::conn::http1;
-use hyper::header;
 use hyper_util::rt;
 use tokio::net::TcpStream;
 use tokio::task;
@@ -18,6 +17,7 @@
 use crate::clock;
 use crate::http::body;
 use crate::http::hop;
+use crate::http::progress;
 use crate::router::balancer;
 use crate::router::request;
 
@@ -52,49 +52,12 @@
     }
 }
 
-/// What marks the end of an answer's body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Framing {
-    /// The `Content-Length`.
-    Length,
-    /// The last chunk.
-    Chunked,
-    /// The end of the connection, which a server that stops early causes too.
-    UntilClose,
-}
-
-impl Framing {
-    fn from_headers(headers: &hyper::HeaderMap) -> Self {
-        let encodings = headers.get_all(header::TRANSFER_ENCODING);
-        let is_chunked = |value: &header::HeaderValue| {
-            let last = value.as_bytes().rsplit(|b| *b == b',').next();
-            last.is_some_and(|name| name.trim_ascii().eq_ignore_ascii_case(b"chunked"))
-        };
-        if encodings.iter().next_back().is_some_and(is_chunked) {
-            Self::Chunked
-        } else if headers.contains_key(header::CONTENT_LENGTH) {
-            Self::Length
-        } else {
-            Self::UntilClose
-        }
-    }
-
-    /// Returns the name in the log.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Length => "length",
-            Self::Chunked => "chunked",
-            Self::UntilClose => "until close",
-        }
-    }
-}
-
 /// The head of an answer and the connection from which its body is read.
 #[derive(Debug)]
 pub struct Answer {
     pub status: hyper::StatusCode,
     pub headers: hyper::HeaderMap,
-    pub framing: Framing,
+    progress: progress::Progress,
     body: hyper_body::Incoming,
     _connection: Connection,
 }
@@ -162,7 +125,7 @@
     let (head, body) = response.map_err(|_| Failure::Broken)?.into_parts();
     Ok(Answer {
         status: head.status,
-        framing: Framing::from_headers(&head.headers),
+        progress: progress::Progress::new(&head.headers),
         headers: head.headers,
         body,
         _connection: connection,
@@ -178,29 +141,29 @@
         response
     }
 
-    /// Returns whether the body consists of events, as it also does without a `Content-Type` on a
-    /// route that streams.
-    pub fn is_event_stream(&self) -> bool {
-        let content_type = self.headers.get(header::CONTENT_TYPE);
-        content_type.is_none_or(|value| {
-            let essence = value.as_bytes().split(|b| *b == b';').next();
-            essence.is_some_and(|e| e.trim_ascii().eq_ignore_ascii_case(b"text/event-stream"))
-        })
+    /// Returns how far the body has been read.
+    pub fn progress(&self) -> &progress::Progress {
+        &self.progress
+    }
+
+    /// Takes the body for events if it has no `Content-Type`.
+    pub fn expect_events(&mut self) {
+        self.progress.expect_events();
     }
 
-    /// Returns the next chunk of the body, or `None` after its regular end. With
-    /// [`Framing::UntilClose`], that may also be the end of a server that stopped early.
+    /// Returns the next chunk of the body, or `None` after its regular end.
     ///
     /// # Errors
     ///
-    /// Fails when the connection breaks before that.
+    /// Fails when the connection breaks before that, or a stream of events ends inside one.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
             match self.body.frame().await {
-                None => return Ok(None),
-                Some(Err(_)) => return Err(Failure::Broken),
+                None if self.progress.may_end() => return Ok(None),
+                None | Some(Err(_)) => return Err(Failure::Broken),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.progress.advance(&data);
                         return Ok(Some(data));
                     }
                 }
--- a/tests/router_units.rs
+++ b/tests/router_units.rs
@@ -9,7 +9,7 @@
 use buckthorncleat::id::BackendServerId;
 use buckthorncleat::router::balancer::{Balancer, Outcome, PickError, Requirements, memory_for};
 use buckthorncleat::router::discovery::read_interval;
-use buckthorncleat::router::events::{Position, Splitter};
+use buckthorncleat::router::events::Splitter;
 use buckthorncleat::router::table::{Caller, Table, fingerprint};
 use buckthorncleat::sorted::Map;
 use buckthorncleat::state::model::KeyHash;
@@ -180,10 +180,21 @@
         }
         prop_assert_eq!(ids, (1..=20).collect::<Vec<u64>>());
         prop_assert_eq!(whole, text);
-        prop_assert!(!splitter.has_partial_event());
+        prop_assert!(splitter.take_rest().is_empty());
     }
 }
 
+#[test]
+fn events_end_with_a_blank_line_of_any_line_ends() {
+    let mut splitter = Splitter::default();
+    assert!(splitter.push(b"id: 1\rdata: a\r\rid: 2\r\n\r\n\n: note\n\n\n"));
+    let events: Vec<_> = std::iter::from_fn(|| splitter.next_event()).collect();
+    let ids: Vec<_> = events.iter().map(|event| event.id).collect();
+    assert_eq!(ids, [Some(1), Some(2), None]);
+    assert_eq!(events[1].bytes, "id: 2\r\n\r\n");
+    assert_eq!(splitter.take_rest(), "\n");
+}
+
 #[test]
 fn a_partial_event_is_not_returned() {
     let mut splitter = Splitter::default();
@@ -191,36 +202,8 @@
     let event = splitter.next_event().unwrap();
     assert_eq!(event.id, Some(1));
     assert!(splitter.next_event().is_none());
-    assert!(splitter.has_partial_event());
-    splitter.clear();
-    assert!(!splitter.has_partial_event());
-}
-
-/// Returns whether a stream that ends after these bytes ends inside an event.
-fn ends_inside_event(bytes: &str) -> bool {
-    let mut whole = Position::default();
-    whole.advance(bytes.as_bytes());
-    let mut bytewise = Position::default();
-    for byte in bytes.as_bytes() {
-        bytewise.advance(&[*byte]);
-    }
-    assert_eq!(whole, bytewise, "{bytes:?}");
-    whole.is_inside_event()
-}
-
-#[test]
-fn a_blank_line_ends_an_event_with_any_line_ends() {
-    for end in ["\n", "\r\n", "\r"] {
-        let event = format!("id: 1{end}data: x{end}");
-        assert!(ends_inside_event("id: 1"), "{end:?}");
-        assert!(ends_inside_event(&event), "{end:?}");
-        let complete = format!("{event}{end}");
-        assert!(!ends_inside_event(&complete), "{end:?}");
-        assert!(!ends_inside_event(&format!("{complete}{end}")), "{end:?}");
-        assert!(ends_inside_event(&format!("{complete}i")), "{end:?}");
-    }
-    assert!(!ends_inside_event(""));
-    assert!(!ends_inside_event(": a comment\n\n"));
+    assert_eq!(splitter.take_rest(), "id: 2\ndata");
+    assert!(splitter.take_rest().is_empty());
 }
 
 fn server(number: u8, stage: Option<Stage>) -> Server {
