--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -109,25 +109,35 @@
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!("caller connection: {e}");
     }
-    let service = service::service_fn(|req| {
+    let ends_with_connection = sync::atomic::AtomicBool::new(false);
+    let service = service::service_fn(|req: hyper::Request<_>| {
+        let is_old = req.version() < hyper::Version::HTTP_11;
+        ends_with_connection.store(is_old, sync::atomic::Ordering::Relaxed);
         let handler = sync::Arc::clone(&handler);
         async move { Ok::<_, convert::Infallible>(handler.handle(req).await) }
     });
-    let mut connection = pin::pin!(
-        http1::Builder::new()
-            .timer(rt::TokioTimer::new())
-            .header_read_timeout(IDLE_TIMEOUT.as_duration())
-            .max_buf_size(MAX_HEAD_BYTES)
-            .serve_connection(rt::TokioIo::new(stream), service)
-    );
+    let mut connection = http1::Builder::new()
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT.as_duration())
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(rt::TokioIo::new(stream), service);
+    let mut running = pin::Pin::new(&mut connection);
     let result = tokio::select! {
-        result = connection.as_mut() => result,
+        result = running.as_mut() => result,
         () = until_closing(&mut phase) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            running.as_mut().graceful_shutdown();
+            running.await
         }
     };
-    if let Err(e) = result {
-        log::debug!("caller connection: {e}");
+    let Err(e) = result else {
+        return;
+    };
+    log::debug!("caller connection: {e}");
+    // Without chunks, the end of the connection is the end of the answer, so that only a reset tells
+    // the caller that the answer is truncated.
+    if ends_with_connection.load(sync::atomic::Ordering::Relaxed)
+        && let Err(e) = connection.into_parts().io.into_inner().set_zero_linger()
+    {
+        log::debug!("caller connection: can't reset it: {e}");
     }
 }
