Servers that leave, and servers that ask for no calls, get none

Cause: neither Server-Leaving nor the Retry-After of a server's 503 was read. A leaving server got work until the list showed it; a server that wanted no calls got reservations and retries. Change: router::availability holds all that a router knows of a server's availability as one closed set of states (open, full, ejected, reopening, quiet, leaving), with one function that says whether a server may be picked for a purpose and one that says whether a call that was decided on may still be sent. router::call is the one place from which calls go to servers; it asks before it connects and again before the first byte, and reads each answer's head, whatever its status. A withdrawn call is decided on again. A leaving mark holds against older lists and ends with a later start, another address, or ten seconds out of the list; routers share it with their reports. After a quiet time one call goes first and twice as many after each accepted one. Requests that no server takes in time are refused at once, with the first end and a spread.

--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -320,17 +320,38 @@
             attempts,
             quarantined: self.quarantined(),
             unreachable: self.unreachable(now, asker),
+            leaving: self.leaving(now, asker),
         }
     }
 
+    /// Returns the servers that told a gateway other than `asker` that they are leaving, sorted.
+    fn leaving(&self, now: clock::Millis, asker: &id::InstanceId) -> Vec<id::BackendServerId> {
+        let others = self.fresh_gateways(now, asker);
+        let mut leaving: Vec<_> = others.flat_map(|g| g.report.leaving.clone()).collect();
+        leaving.sort();
+        leaving.dedup();
+        leaving
+    }
+
+    /// Returns the gateways other than `asker` that have not missed several reports.
+    fn fresh_gateways<'a>(
+        &'a self,
+        now: clock::Millis,
+        asker: &'a id::InstanceId,
+    ) -> impl Iterator<Item = &'a Gateway> {
+        let max_age = self.report_interval() * MAX_MISSED_REPORTS;
+        let others = self.gateways.iter().filter(move |(id, _)| *id != asker);
+        others
+            .map(|(_, gateway)| gateway)
+            .filter(move |g| now < g.received_at + max_age)
+    }
+
     /// Returns the servers that at least [`MIN_REPORTERS`] gateways other than `asker` can't reach,
     /// from at least [`MIN_REPORTER_DATA_CENTRES`] data centres, sorted.
     fn unreachable(&self, now: clock::Millis, asker: &id::InstanceId) -> Vec<id::BackendServerId> {
-        let fresh = |g: &Gateway| now < g.received_at + self.report_interval() * MAX_MISSED_REPORTS;
-        let others = self.gateways.iter().filter(|(id, _)| *id != asker);
+        let others = self.fresh_gateways(now, asker);
         let mut reported: Vec<(&id::BackendServerId, &id::DataCentre)> = others
-            .filter(|(_, g)| fresh(g))
-            .flat_map(|(_, g)| {
+            .flat_map(|g| {
                 g.report
                     .unreachable
                     .iter()
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -47,6 +47,8 @@
         pub losses: Vec<Loss>,
         /// Servers that the gateway recently failed to reach.
         pub unreachable: Vec<id::BackendServerId>,
+        /// Listed servers that told this gateway that they are leaving.
+        pub leaving: Vec<id::BackendServerId>,
     }
 }
 
@@ -114,6 +116,8 @@
         pub quarantined: Vec<Fingerprint>,
         /// Servers that several other gateways can't reach, sorted.
         pub unreachable: Vec<id::BackendServerId>,
+        /// Servers that told another gateway that they are leaving, sorted.
+        pub leaving: Vec<id::BackendServerId>,
     }
 }
 
@@ -132,9 +136,16 @@
         pub state: ServerState,
         /// The stage that a model server is limited to.
         pub stage: Option<Stage>,
+        /// When this incarnation started; `None` when the list does not say.
+        pub started_at: Option<StartTime>,
     }
 }
 
+macros::number! {
+    /// The time of day at which a server started, by its own clock, in milliseconds since 1970.
+    StartTime
+}
+
 macros::data! {copy
     /// Whether a server takes new work.
     pub enum ServerState {
--- a/src/router/balancer.rs
+++ b/src/router/balancer.rs
@@ -6,10 +6,14 @@
 use crate::document;
 use crate::fleet::message;
 use crate::id;
+use crate::router::availability;
 use crate::router::headroom;
+use crate::router::protocol;
 use crate::sorted;
 use crate::unit;
 
+pub use crate::router::availability::Outcome;
+
 /// Model servers allocate KV memory in blocks of this size.
 const MEMORY_BLOCK_TOKENS: u64 = 16;
 
@@ -19,21 +23,6 @@
 /// Weight of the newest sample in the exponential moving averages of failures and prefill speed.
 const SAMPLE_WEIGHT: f64 = 0.1;
 
-/// Ejection after the first connect failure, broken connection or timeout; it doubles with each
-/// further one in a row.
-const MIN_EJECTION: clock::Millis = clock::Millis::new(250);
-
-/// Upper bound of an ejection; a crashed server is usually back within some seconds.
-const MAX_EJECTION: clock::Millis = clock::Millis::new(4_000);
-
-/// How long a server that refused work for lack of capacity gets no new streams; within this time
-/// some of its running streams end.
-const FULL_BACKOFF: clock::Millis = clock::Millis::new(120);
-
-/// How long a server whose address or role differs from the server list gets no work; the list lags
-/// behind by about this time.
-const MISDIRECTED_EJECTION: clock::Millis = clock::Millis::new(1_000);
-
 /// Failure rate up to which a server gets no penalty, since some requests fail at any server.
 const TOLERATED_FAILURE_RATE: f64 = 0.25;
 
@@ -64,18 +53,15 @@
     report_interval: clock::Millis,
     /// Servers that several other routers can't connect to, sorted by id.
     ejected: Vec<id::BackendServerId>,
+    /// Servers that told another router that they are leaving, sorted by id.
+    leaving: Vec<id::BackendServerId>,
 }
 
 #[derive(Debug)]
 struct Backend {
     server: message::Server,
-    listed: bool,
+    availability: availability::Availability,
     own_load: message::Load,
-    consecutive_failures: u32,
-    /// Whether the last failure was a connection that could not be opened.
-    connect_failed: bool,
-    ejected_until: clock::Millis,
-    full_until: clock::Millis,
     failure_rate: f64,
     prefill_tokens_per_ms: f64,
 }
@@ -95,6 +81,11 @@
 pub enum PickError {
     /// All candidates are at capacity.
     Full,
+    /// All candidates have asked this router for no calls; the first one takes them again at this
+    /// time.
+    Quiet { until: clock::Millis },
+    /// All candidates are leaving.
+    Leaving,
     /// There is no candidate.
     NoServer,
 }
@@ -102,10 +93,9 @@
 /// State of a service's decode servers, logged when none could be picked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DecodeStatus {
-    /// Number of candidates among the decode servers.
+    /// Number of listed decode servers.
     pub servers: usize,
-    /// Those that did not refuse work for lack of capacity a moment ago; lost and ejected servers
-    /// are counted only when there is no other server.
+    /// Those that may be picked now, if they have the memory.
     pub available: usize,
     /// The lowest utilisation among the available servers, in percent.
     pub min_utilisation_percent: u32,
@@ -133,19 +123,6 @@
     }
 }
 
-/// How work at a server ended, as far as it says something about the server's health.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    Succeeded,
-    /// The server answered with an error of its own.
-    Failed,
-    /// The connection broke or the server did not answer in time.
-    Lost,
-    ConnectFailed,
-    /// Says nothing about the server: the caller left, or the server was at capacity.
-    Neutral,
-}
-
 /// A prefill server and the predicted time of the prefill.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PrefillPick {
@@ -166,22 +143,24 @@
             remote_rates: sorted::Map::new(),
             report_interval: clock::Millis::ZERO,
             ejected: Vec::new(),
+            leaving: Vec::new(),
         }
     }
 
     /// Replaces the server list. Servers that are no longer listed get no more work.
-    pub fn set_list(&mut self, servers: &[message::Server]) {
-        self.servers
-            .values_mut()
-            .for_each(|backend| backend.listed = false);
+    pub fn set_list(&mut self, now: clock::Millis, servers: &[message::Server]) {
+        self.prune(now);
+        for backend in self.servers.values_mut() {
+            backend.availability.unlist(now);
+        }
         for server in servers {
             let backend = self
                 .servers
                 .get_or_insert_with(server.id.clone(), || Backend::new(server.clone()));
+            backend.availability.list(&backend.server, server);
             backend.server = server.clone();
-            backend.listed = true;
         }
-        self.prune();
+        self.prune(now);
     }
 
     /// Sets the load that the other routers have on each server.
@@ -210,13 +189,30 @@
         self.ejected = ejected;
     }
 
+    /// Sets the servers that told another router that they are leaving, sorted by id.
+    pub fn set_leaving(&mut self, leaving: Vec<id::BackendServerId>) {
+        self.leaving = leaving;
+    }
+
     /// Returns the servers that are ejected because this router could not connect to them.
     pub fn unreachable(&self, now: clock::Millis) -> Vec<id::BackendServerId> {
-        let servers = self.servers.iter();
-        servers
-            .filter(|(_, p)| p.connect_failed && now < p.ejected_until)
-            .map(|(id, _)| id.clone())
-            .collect()
+        self.ids_where(|availability| availability.is_unreachable(now))
+    }
+
+    /// Returns the servers that told this router that they are leaving.
+    pub fn leaving(&self) -> Vec<id::BackendServerId> {
+        self.ids_where(availability::Availability::says_leaving)
+    }
+
+    fn ids_where(
+        &self,
+        condition: impl Fn(&availability::Availability) -> bool,
+    ) -> Vec<id::BackendServerId> {
+        let matching = self
+            .servers
+            .iter()
+            .filter(|(_, p)| condition(&p.availability));
+        matching.map(|(id, _)| id.clone()).collect()
     }
 
     /// Returns the load that this router has on each server where it has requests.
@@ -229,8 +225,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with `Full` when the queues of all candidates are full, with `NoServer` without a
-    /// candidate.
+    /// Fails with `Full` when the queues of all candidates are full, with `Quiet` when they want no
+    /// calls, with `Leaving` when they are leaving, with `NoServer` without a candidate.
     pub fn pick_plain(
         &self,
         now: clock::Millis,
@@ -238,7 +234,7 @@
         tried: &[id::BackendServerId],
         random: u64,
     ) -> Result<Pick, PickError> {
-        let candidates = self.candidates(now, service, None, tried);
+        let candidates = self.candidates(now, service, availability::Purpose::Plain, tried)?;
         let utilisation = |backend: &&Backend| {
             f64::from(self.load(backend).requests) / f64::from(backend.server.slots.max(1))
         };
@@ -246,14 +242,12 @@
         let slots = candidates.iter().map(|p| p.server.slots.max(1)).max();
         let one_request = 1.0 / f64::from(slots.unwrap_or(1));
         let spread = one_request * (1.0 + self.unseen_requests(now, service));
-        let any = !candidates.is_empty();
         let with_capacity = candidates
             .into_iter()
             .filter(|p| self.load(p).requests < p.server.slots.max(1) * (1 + MAX_QUEUED_PER_SLOT));
         match headroom::pick(with_capacity, random, spread, score) {
             Some(best) => Ok(self.pick(now, best, utilisation(&best))),
-            None if any => Err(PickError::Full),
-            None => Err(PickError::NoServer),
+            None => Err(PickError::Full),
         }
     }
 
@@ -261,8 +255,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with `Full` when no candidate has the required capacity, with `NoServer` without a
-    /// candidate.
+    /// Fails with `Full` when no candidate has the required capacity, with `Quiet` when they want no
+    /// calls, with `Leaving` when they are leaving, with `NoServer` without a candidate.
     pub fn pick_decode(
         &self,
         now: clock::Millis,
@@ -271,8 +265,7 @@
         tried: &[id::BackendServerId],
         random: u64,
     ) -> Result<Pick, PickError> {
-        let stage = Some(message::Stage::Decode);
-        let candidates = self.candidates(now, &service.id, stage, tried);
+        let candidates = self.candidates(now, &service.id, availability::Purpose::Decode, tried)?;
         let one_more = message::Load {
             requests: 1,
             memory: requirements.memory,
@@ -284,29 +277,28 @@
             utilisation_of(service, load)
         };
         let score = |backend: &&Backend| utilisation(backend) + self.penalty(backend);
-        let any = !candidates.is_empty();
         let with_capacity = candidates
             .into_iter()
-            .filter(|p| now >= p.full_until && utilisation(p) <= requirements.max_utilisation());
+            .filter(|p| utilisation(p) <= requirements.max_utilisation());
         let unseen = self.unseen_requests(now, &service.id);
         let spread = utilisation_of(service, one_more) * (1.0 + unseen);
         match headroom::pick(with_capacity, random, spread, score) {
             Some(best) => Ok(self.pick(now, best, utilisation(&best))),
-            None if any => Err(PickError::Full),
-            None => Err(PickError::NoServer),
+            None => Err(PickError::Full),
         }
     }
 
     /// Returns the state of a service's decode servers, for the log.
     pub fn decode_status(&self, now: clock::Millis, service: &document::Service) -> DecodeStatus {
-        let stage = Some(message::Stage::Decode);
-        let candidates = self.candidates(now, &service.id, stage, &[]);
+        let purpose = availability::Purpose::Decode;
+        let listed = self.matching(&service.id, purpose, &[]);
+        let available = self.candidates(now, &service.id, purpose, &[]);
+        let available = available.unwrap_or_default();
         let percent = |p: &&Backend| to_percent(utilisation_of(service, self.load(p)));
-        let available = candidates.iter().filter(|p| now >= p.full_until);
         DecodeStatus {
-            servers: candidates.len(),
-            available: available.clone().count(),
-            min_utilisation_percent: available.map(percent).min().unwrap_or_default(),
+            servers: listed.count(),
+            available: available.len(),
+            min_utilisation_percent: available.iter().map(percent).min().unwrap_or_default(),
             report_age: now - self.remote_loads_at,
         }
     }
@@ -321,16 +313,15 @@
         tried: &[id::BackendServerId],
         random: u64,
     ) -> Option<PrefillPick> {
-        let stage = Some(message::Stage::Prefill);
-        let candidates = self.candidates(now, service, stage, tried);
+        let purpose = availability::Purpose::Prefill;
+        let candidates = self.candidates(now, service, purpose, tried).ok()?;
         let time = |backend: &&Backend| {
             let tokens = (self.load(backend).prompts + prompt).as_u64() as f64;
             tokens / backend.prefill_tokens_per_ms * (1.0 + self.penalty(backend))
         };
-        let with_capacity = candidates.into_iter().filter(|p| now >= p.full_until);
         let one_prompt = prompt.as_u64() as f64 / INITIAL_PREFILL_TOKENS_PER_MS;
         let spread = one_prompt * (1.0 + self.unseen_requests(now, service));
-        let best = headroom::pick(with_capacity, random, spread, time)?;
+        let best = headroom::pick(candidates.into_iter(), random, spread, time)?;
         let time = clock::Millis::new(time(&best) as u64);
         Some(PrefillPick {
             pick: self.pick(now, best, 0.0),
@@ -360,7 +351,7 @@
             backend.own_load.prompts = backend.own_load.prompts.saturating_sub(load.prompts);
             backend.record_outcome(now, outcome);
         }
-        self.prune();
+        self.prune(now);
     }
 
     /// Records how long a server took for a number of prompt tokens.
@@ -380,7 +371,7 @@
     /// capacity.
     pub fn mark_full(&mut self, now: clock::Millis, id: &id::BackendServerId) {
         if let Some(backend) = self.servers.get_mut(id) {
-            backend.full_until = now + FULL_BACKOFF;
+            backend.availability.mark_full(now);
         }
     }
 
@@ -388,13 +379,84 @@
     /// was not the listed one.
     pub fn mark_misdirected(&mut self, now: clock::Millis, id: &id::BackendServerId) {
         if let Some(backend) = self.servers.get_mut(id) {
-            backend.ejected_until = now + MISDIRECTED_EJECTION;
+            backend.availability.mark_misdirected(now);
+        }
+    }
+
+    /// Begins a call to a server that was picked before; returns what [`Self::end_call`] needs.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the server's state when that does not allow the call any more.
+    pub fn begin_call(
+        &mut self,
+        now: clock::Millis,
+        id: &id::BackendServerId,
+        purpose: availability::Purpose,
+    ) -> Result<bool, availability::State> {
+        let state = self.state(now, id);
+        if !state.may_send(purpose) {
+            return Err(state);
+        }
+        let backend = self.servers.get_mut(id);
+        Ok(backend.is_some_and(|b| b.availability.begin_call()))
+    }
+
+    /// Ends a call to a server.
+    pub fn end_call(&mut self, id: &id::BackendServerId, counted: bool) {
+        if let Some(backend) = self.servers.get_mut(id) {
+            backend.availability.end_call(counted);
         }
     }
 
-    fn prune(&mut self) {
-        self.servers
-            .retain(|_, backend| backend.listed || backend.own_load.requests > 0);
+    /// Applies what the head of an answer says of its server; returns what is new.
+    pub fn record_answer(
+        &mut self,
+        now: clock::Millis,
+        id: &id::BackendServerId,
+        answer: &protocol::ServerAnswer,
+    ) -> Option<availability::Change> {
+        let backend = self.servers.get_mut(id)?;
+        let started_at = backend.server.started_at;
+        backend.availability.record_answer(now, started_at, answer)
+    }
+
+    /// Returns the state of a server; one that is not known is leaving.
+    pub fn state(&self, now: clock::Millis, id: &id::BackendServerId) -> availability::State {
+        let backend = self.servers.get(id);
+        backend.map_or(availability::State::Leaving, |b| {
+            self.with_news(b, b.availability.state(now))
+        })
+    }
+
+    /// Returns the state of a server for a call that has begun already.
+    pub fn state_under_call(
+        &self,
+        now: clock::Millis,
+        id: &id::BackendServerId,
+    ) -> availability::State {
+        let backend = self.servers.get(id);
+        backend.map_or(availability::State::Leaving, |b| {
+            self.with_news(b, b.availability.state_under_call(now))
+        })
+    }
+
+    /// Returns the state that follows from this router's view and the other routers' news.
+    fn with_news(&self, backend: &Backend, state: availability::State) -> availability::State {
+        let contains = |ids: &[id::BackendServerId]| ids.binary_search(&backend.server.id).is_ok();
+        match state {
+            _ if contains(&self.leaving) => availability::State::Leaving,
+            availability::State::Open | availability::State::Full if contains(&self.ejected) => {
+                availability::State::Ejected
+            }
+            state => state,
+        }
+    }
+
+    fn prune(&mut self, now: clock::Millis) {
+        self.servers.retain(|_, backend| {
+            backend.availability.is_kept(now) || backend.own_load.requests > 0
+        });
     }
 
     fn pick(&self, now: clock::Millis, backend: &Backend, utilisation: f64) -> Pick {
@@ -406,11 +468,6 @@
         }
     }
 
-    /// Returns whether several other routers can't connect to the server.
-    fn is_ejected(&self, backend: &Backend) -> bool {
-        self.ejected.binary_search(&backend.server.id).is_ok()
-    }
-
     fn load(&self, backend: &Backend) -> message::Load {
         let mut load = backend.own_load;
         load.add(
@@ -438,32 +495,63 @@
         failures + if remote { REMOTE_PENALTY } else { 0.0 }
     }
 
-    /// Returns the ready servers that match. Ejected ones are returned only when all matching
-    /// servers are ejected.
+    /// Returns the servers of a service that fit a purpose, whatever their state.
+    fn matching(
+        &self,
+        service: &document::ServiceId,
+        purpose: availability::Purpose,
+        tried: &[id::BackendServerId],
+    ) -> impl Iterator<Item = &Backend> {
+        let stage = purpose.stage();
+        self.servers.values().filter(move |backend| {
+            let server = &backend.server;
+            server.service == *service
+                && (stage.is_none() || server.stage == stage)
+                && !tried.contains(&server.id)
+        })
+    }
+
+    /// Returns the servers that may be picked now. Ejected ones are returned only when no other
+    /// server can be picked.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `Full` when a server takes work once it has capacity again, with `Quiet` when all
+    /// want no calls, with `Leaving` when all are leaving, with `NoServer` when there is none.
     fn candidates(
         &self,
         now: clock::Millis,
         service: &document::ServiceId,
-        stage: Option<message::Stage>,
+        purpose: availability::Purpose,
         tried: &[id::BackendServerId],
-    ) -> Vec<&Backend> {
-        let fits = |backend: &&Backend| {
-            backend.listed
-                && backend.server.state == message::ServerState::Ready
-                && backend.server.service == *service
-                && (stage.is_none() || backend.server.stage == stage)
-                && !tried.contains(&backend.server.id)
-        };
-        let matching: Vec<&Backend> = self.servers.values().filter(fits).collect();
-        let healthy: Vec<&Backend> = matching
-            .iter()
-            .copied()
-            .filter(|p| now >= p.ejected_until && !self.is_ejected(p))
-            .collect();
-        if healthy.is_empty() {
-            matching
+    ) -> Result<Vec<&Backend>, PickError> {
+        let (mut open, mut last_resort) = (Vec::new(), Vec::new());
+        let (mut is_any_busy, mut is_any_leaving) = (false, false);
+        let mut quiet_until: Option<clock::Millis> = None;
+        for backend in self.matching(service, purpose, tried) {
+            let state = self.with_news(backend, backend.availability.state(now));
+            match state.admission(purpose) {
+                availability::Admission::Now => open.push(backend),
+                availability::Admission::LastResort => last_resort.push(backend),
+                availability::Admission::WhenFree => is_any_busy = true,
+                availability::Admission::From(at) => {
+                    quiet_until = Some(quiet_until.map_or(at, |first| first.min(at)));
+                }
+                availability::Admission::Never => is_any_leaving = true,
+            }
+        }
+        if !open.is_empty() {
+            Ok(open)
+        } else if is_any_busy {
+            Err(PickError::Full)
+        } else if !last_resort.is_empty() {
+            Ok(last_resort)
         } else {
-            healthy
+            Err(match quiet_until {
+                Some(until) => PickError::Quiet { until },
+                None if is_any_leaving => PickError::Leaving,
+                None => PickError::NoServer,
+            })
         }
     }
 }
@@ -472,12 +560,8 @@
     fn new(server: message::Server) -> Self {
         Self {
             server,
-            listed: true,
+            availability: availability::Availability::default(),
             own_load: message::Load::default(),
-            consecutive_failures: 0,
-            connect_failed: false,
-            ejected_until: clock::Millis::ZERO,
-            full_until: clock::Millis::ZERO,
             failure_rate: 0.0,
             prefill_tokens_per_ms: INITIAL_PREFILL_TOKENS_PER_MS,
         }
@@ -490,14 +574,7 @@
             Outcome::Failed | Outcome::Lost | Outcome::ConnectFailed => 1.0,
         };
         self.failure_rate += (sample - self.failure_rate) * SAMPLE_WEIGHT;
-        self.connect_failed = outcome == Outcome::ConnectFailed;
-        if outcome == Outcome::Succeeded || outcome == Outcome::Failed {
-            self.consecutive_failures = 0;
-            return;
-        }
-        let ejection = MIN_EJECTION * (1 << self.consecutive_failures.min(8));
-        self.consecutive_failures += 1;
-        self.ejected_until = now + ejection.min(MAX_EJECTION);
+        self.availability.record_outcome(now, outcome);
     }
 }
 
--- /dev/null
+++ b/src/router/call.rs
@@ -0,0 +1,106 @@
+//! Makes calls to backend servers: only to those that may get them, and with a look at what each
+//! answer says of its server.
+
+use std::sync;
+
+use bytes::Bytes;
+
+use crate::clock;
+use crate::id;
+use crate::router::availability;
+use crate::router::balancer;
+use crate::router::core;
+use crate::router::protocol;
+use crate::router::upstream;
+
+/// A call that is under way; dropping it ends the call.
+struct Guard {
+    core: sync::Arc<core::Core>,
+    server: id::BackendServerId,
+    /// Whether the call counts as one after a quiet time.
+    counted: bool,
+}
+
+impl Guard {
+    fn begin(
+        core: &sync::Arc<core::Core>,
+        pick: &balancer::Pick,
+        purpose: availability::Purpose,
+    ) -> Result<Self, upstream::Failure> {
+        let begun = core
+            .balancer()
+            .begin_call(core.clock.now(), &pick.id, purpose);
+        let counted = begun.map_err(|state| withdrawn(pick, purpose, state))?;
+        Ok(Self {
+            core: sync::Arc::clone(core),
+            server: pick.id.clone(),
+            counted,
+        })
+    }
+
+    /// Checks once more, when the connection is open, that the server may get the call.
+    fn check(
+        &self,
+        pick: &balancer::Pick,
+        purpose: availability::Purpose,
+    ) -> Result<(), upstream::Failure> {
+        let balancer = self.core.balancer();
+        let state = balancer.state_under_call(self.core.clock.now(), &self.server);
+        drop(balancer);
+        if state.may_send(purpose) {
+            Ok(())
+        } else {
+            Err(withdrawn(pick, purpose, state))
+        }
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.core.balancer().end_call(&self.server, self.counted);
+        if self.counted {
+            self.core.capacity_freed.notify_waiters();
+        }
+    }
+}
+
+/// Sends a request to a server and returns the head of its answer, decoded and with the body to
+/// read; `timeout` covers the time until the head, after the connection is open.
+///
+/// # Errors
+///
+/// Fails with `Withdrawn` when the server must not get the call by now, with `NotSent` when the
+/// request can't have reached it, with another failure when it may have.
+pub async fn send(
+    core: &sync::Arc<core::Core>,
+    pick: &balancer::Pick,
+    purpose: availability::Purpose,
+    req: hyper::Request<http_body_util::Full<Bytes>>,
+    timeout: clock::Millis,
+) -> Result<(protocol::ServerAnswer, upstream::Answer), upstream::Failure> {
+    let guard = Guard::begin(core, pick, purpose)?;
+    let stream = upstream::connect(pick.address, timeout).await?;
+    guard.check(pick, purpose)?;
+    let answer = upstream::exchange(stream, req, timeout).await?;
+    let head = core.codec.read_server_head(answer.status, &answer.headers);
+    core.record_answer(&pick.id, &head);
+    Ok((head, answer))
+}
+
+/// Logs and counts a call that was decided on and is not sent.
+fn withdrawn(
+    pick: &balancer::Pick,
+    purpose: availability::Purpose,
+    state: availability::State,
+) -> upstream::Failure {
+    metrics::counter!("buckthorncleat_withdrawn_calls_total", "state" => state.as_str())
+        .increment(1);
+    log::info!(
+        event = "call_withdrawn",
+        server = pick.id.as_str(),
+        purpose = purpose.as_str(),
+        state = state.as_str();
+        "the server takes no calls since it was picked; picking another one"
+    );
+    upstream::Failure::Withdrawn
+}
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -14,6 +14,7 @@
 use crate::fleet::message;
 use crate::fleet::quota;
 use crate::id;
+use crate::router::availability;
 use crate::router::balancer;
 use crate::router::output;
 use crate::router::protocol;
@@ -188,6 +189,44 @@
         self.balancer().mark_misdirected(self.clock.now(), server);
     }
 
+    /// Returns whether a server wants no calls at present. It may be tried again after that.
+    pub fn is_quiet(&self, server: &id::BackendServerId) -> bool {
+        let state = self.balancer().state(self.clock.now(), server);
+        matches!(state, availability::State::Quiet { .. })
+    }
+
+    /// Returns the outcome of work that a server ended with an error of its own; one by which it
+    /// asks for no calls is no failure.
+    pub fn failure_outcome(&self, server: &id::BackendServerId) -> availability::Outcome {
+        if self.is_quiet(server) {
+            availability::Outcome::Neutral
+        } else {
+            availability::Outcome::Failed
+        }
+    }
+
+    /// Applies what the head of an answer says of its server; logs and counts what is new.
+    pub fn record_answer(&self, server: &id::BackendServerId, answer: &protocol::ServerAnswer) {
+        let now = self.clock.now();
+        let change = self.balancer().record_answer(now, server, answer);
+        match change {
+            None => {}
+            Some(availability::Change::Leaving) => {
+                metrics::counter!("buckthorncleat_servers_leaving_total").increment(1);
+                log::info!(event = "server_leaving", server = server.as_str(); "a server says that it is leaving; sending it nothing new");
+            }
+            Some(availability::Change::Quiet { until }) => {
+                metrics::counter!("buckthorncleat_servers_quiet_total").increment(1);
+                log::info!(
+                    event = "server_quiet",
+                    server = server.as_str(),
+                    quiet_ms = (until - now).as_u64();
+                    "a server wants no calls for a time; sending it nothing until then"
+                );
+            }
+        }
+    }
+
     /// Returns the estimate of tokens per event.
     pub fn tokens_per_event(&self) -> sync::MutexGuard<'_, output::TokensPerEvent> {
         lock(&self.tokens_per_event)
--- a/src/router/generate/mod.rs
+++ b/src/router/generate/mod.rs
@@ -13,7 +13,9 @@
 use crate::fleet::message;
 use crate::http::body;
 use crate::id;
+use crate::router::availability;
 use crate::router::balancer;
+use crate::router::call;
 use crate::router::in_flight;
 use crate::router::output;
 use crate::router::prefill;
@@ -103,6 +105,8 @@
     /// The server's own error, as a complete answer.
     Failed(request::Response),
     NotRun,
+    /// The server takes no calls since it was picked; nothing was sent.
+    Withdrawn,
     /// The connection failed; the request may have run.
     Lost,
 }
@@ -175,8 +179,11 @@
                     draw_retry_after(retry_after::Cause::StreamsFull),
                 )));
             }
-            self.tried.push(pick.id.clone());
-            match self.attempt(placement).await {
+            let attempt = self.attempt(placement).await;
+            if !matches!(attempt, Attempt::Withdrawn) && !self.req.core.is_quiet(&pick.id) {
+                self.tried.push(pick.id.clone());
+            }
+            match attempt {
                 Attempt::Opened(opened) => return Ok(Ok(opened)),
                 Attempt::Failed(response) => {
                     self.may_have_run = true;
@@ -186,7 +193,7 @@
                         return Ok(Err(response));
                     }
                 }
-                Attempt::NotRun => {}
+                Attempt::NotRun | Attempt::Withdrawn => {}
                 Attempt::Lost => self.may_have_run = true,
             }
         }
@@ -269,6 +276,7 @@
                 req.core.mark_full(&pick.id);
                 return Ok(None);
             }
+            reserve::Outcome::Withdrawn => return Ok(None),
             reserve::Outcome::Misdirected => {
                 guard.finish(balancer::Outcome::Neutral);
                 req.core.mark_misdirected(&pick.id);
@@ -322,20 +330,18 @@
                     let guard = in_flight::Guard::new(&req.core, &pick.id, load);
                     return Ok((pick, guard));
                 }
-                Err(balancer::PickError::NoServer) => {
-                    return Err(Refusal::NotRun(
-                        "no server",
-                        draw_retry_after(retry_after::Cause::ServersFailed),
-                    ));
-                }
-                Err(balancer::PickError::Full) if now >= deadline => {
-                    self.log_no_room(now, load.memory);
-                    return Err(Refusal::NotRun(
-                        "servers full",
-                        draw_retry_after(retry_after::Cause::StreamsFull),
+                Err(balancer::PickError::Quiet { until }) if until.max(now) < deadline => {}
+                Err(balancer::PickError::Full) if now < deadline => {}
+                Err(error) => {
+                    if error == balancer::PickError::Full {
+                        self.log_no_room(now, load.memory);
+                    }
+                    return Err(Refusal::no_server(
+                        now,
+                        error,
+                        retry_after::Cause::StreamsFull,
                     ));
                 }
-                Err(balancer::PickError::Full) => {}
             }
             let wait = POLL_INTERVAL.min(deadline - now).max(clock::Millis::new(1));
             // A timeout also starts the next search.
@@ -356,7 +362,7 @@
         let Placement {
             pick,
             guard,
-            mut reservation,
+            reservation,
         } = placement;
         let pick = &pick;
         if self.attempts == 0 && self.export.is_none() {
@@ -372,17 +378,24 @@
             },
             None => protocol::Work::Run,
         };
-        let reservation = reservation.as_mut().map(reserve::Guard::take);
-        let server_req =
-            self.req
-                .server_request(pick, work, self.resume_after, reservation.as_ref());
+        let reserved = reservation.as_ref().and_then(reserve::Guard::reservation);
+        let server_req = self
+            .req
+            .server_request(pick, work, self.resume_after, reserved);
         let timeout = self.first_event_timeout();
         let deadline = self.req.core.clock.now() + timeout;
-        let answer = upstream::send(pick.address, server_req, timeout).await;
-        let answer = answer.and_then(|answer| {
-            self.req
-                .execution(&answer)
-                .map(|execution| (execution, answer))
+        let purpose = availability::Purpose::Decode;
+        let sent = call::send(&self.req.core, pick, purpose, server_req, timeout).await;
+        if matches!(sent, Err(upstream::Failure::Withdrawn)) {
+            // The reservation is released, and the request goes to another server.
+            return Attempt::Withdrawn;
+        }
+        if let Some(reservation) = reservation {
+            reservation.forget();
+        }
+        let answer = sent.and_then(|(head, answer)| {
+            let execution = self.req.execution(&head)?;
+            Ok((execution, answer))
         });
         match answer {
             Ok((protocol::Execution::Ran, answer)) => {
@@ -399,7 +412,7 @@
                 self.log_not_run(pick, execution, export.is_some());
                 Attempt::NotRun
             }
-            Err(upstream::Failure::NotSent) => {
+            Err(upstream::Failure::NotSent | upstream::Failure::Withdrawn) => {
                 self.connect_failures += 1;
                 guard.finish(balancer::Outcome::ConnectFailed);
                 Attempt::NotRun
@@ -427,7 +440,7 @@
                 self.record_lost_server(pick, guard, upstream::Failure::Broken);
                 return Attempt::Lost;
             };
-            guard.finish(balancer::Outcome::Failed);
+            guard.finish(self.req.core.failure_outcome(&pick.id));
             return Attempt::Failed(answer.to_response(body::Body::from_bytes(bytes)));
         }
         answer.expect_events();
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -3,7 +3,9 @@
 //! A platform's messages are encoded and decoded by a [`protocol::Codec`]; this module works with
 //! types of this crate.
 
+pub mod availability;
 pub mod balancer;
+mod call;
 pub mod core;
 pub mod directory;
 pub mod discovery;
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -1,11 +1,15 @@
 //! Serves requests with one complete answer.
 
+use tokio::time;
+
 use crate::clock;
 use crate::fleet::budget;
 use crate::fleet::message;
 use crate::http::body;
 use crate::id;
+use crate::router::availability;
 use crate::router::balancer;
+use crate::router::call;
 use crate::router::in_flight;
 use crate::router::protocol;
 use crate::router::request;
@@ -19,6 +23,9 @@
 /// No attempt begins with less time than this.
 const MIN_ATTEMPT_TIME: clock::Millis = clock::Millis::new(5);
 
+/// Longest time between two searches for a server that takes one call at a time.
+const POLL_INTERVAL: clock::Millis = clock::Millis::new(20);
+
 /// State of a request over its attempts.
 #[derive(Default)]
 struct Progress {
@@ -39,11 +46,10 @@
 pub async fn serve(req: request::Request) -> Result<request::Response, Refusal> {
     let mut progress = Progress::default();
     loop {
-        let pick = match pick_server(&req, &progress) {
+        let pick = match next_server(&req, &progress).await {
             Ok(pick) => pick,
             Err(refusal) => return progress.finish(&req, refusal),
         };
-        progress.tried.push(pick.id.clone());
         if let Some(response) = attempt(&req, &pick, &mut progress).await {
             req.log_served(request::Served::Answered, &pick, progress.attempts);
             return Ok(response);
@@ -51,8 +57,11 @@
     }
 }
 
-/// Picks the server for the next attempt, if another one is allowed.
-fn pick_server(req: &request::Request, progress: &Progress) -> Result<balancer::Pick, Refusal> {
+/// Returns the server for the next attempt, if another one is allowed.
+async fn next_server(
+    req: &request::Request,
+    progress: &Progress,
+) -> Result<balancer::Pick, Refusal> {
     if req.time_left() < MIN_ATTEMPT_TIME {
         return Err(Refusal::NotRun(
             "no time left",
@@ -69,21 +78,7 @@
             draw_retry_after(retry_after::Cause::ServersFailed),
         ));
     }
-    let now = req.core.clock.now();
-    let random = rand::random();
-    let balancer = req.core.balancer();
-    let pick = balancer.pick_plain(now, &req.service.id, &progress.tried, random);
-    drop(balancer);
-    let pick = pick.map_err(|error| match error {
-        balancer::PickError::Full => Refusal::NotRun(
-            "servers full",
-            draw_retry_after(retry_after::Cause::PlainFull),
-        ),
-        balancer::PickError::NoServer => Refusal::NotRun(
-            "no server",
-            draw_retry_after(retry_after::Cause::ServersFailed),
-        ),
-    })?;
+    let pick = wait_for_server(req, &progress.tried).await?;
     if progress.attempts > 0 && !req.take_retry(budget::Purpose::Required) {
         return Err(Refusal::NotRun(
             "no retry budget",
@@ -93,6 +88,38 @@
     Ok(pick)
 }
 
+/// Picks a server. When all want no calls for a time, waits for the first one, if the request can
+/// still be served then.
+async fn wait_for_server(
+    req: &request::Request,
+    tried: &[id::BackendServerId],
+) -> Result<balancer::Pick, Refusal> {
+    let latest_start = req.deadline - req.route.target_latency;
+    loop {
+        // Register for notification before the search, so that no change in between is missed.
+        let freed = req.core.capacity_freed.notified();
+        let now = req.core.clock.now();
+        let picked = req
+            .core
+            .balancer()
+            .pick_plain(now, &req.service.id, tried, rand::random());
+        let error = match picked {
+            Ok(pick) => return Ok(pick),
+            Err(error) => error,
+        };
+        let until = match error {
+            balancer::PickError::Quiet { until } if until.max(now) < latest_start => until,
+            _ => {
+                let cause = retry_after::Cause::PlainFull;
+                return Err(Refusal::no_server(now, error, cause));
+            }
+        };
+        let wait = (until - now).max(POLL_INTERVAL);
+        // A timeout also starts the next search.
+        let _ = time::timeout(wait.as_duration(), freed).await;
+    }
+}
+
 /// Makes one attempt; `None` means that another one may follow.
 async fn attempt(
     req: &request::Request,
@@ -109,9 +136,10 @@
     let failure = match result {
         Ok((protocol::Execution::Ran, response)) => {
             progress.attempts += 1;
+            progress.tried.push(pick.id.clone());
             let failed = response.status().is_server_error();
             guard.finish(if failed {
-                balancer::Outcome::Failed
+                req.core.failure_outcome(&pick.id)
             } else {
                 balancer::Outcome::Succeeded
             });
@@ -127,14 +155,19 @@
         }
         Ok((execution, _)) => {
             progress.attempts += 1;
+            if !req.core.is_quiet(&pick.id) {
+                progress.tried.push(pick.id.clone());
+            }
             guard.finish(balancer::Outcome::Neutral);
             if execution == protocol::Execution::Misdirected {
                 req.core.mark_misdirected(&pick.id);
             }
             return None;
         }
+        Err(upstream::Failure::Withdrawn) => return None,
         Err(failure) => failure,
     };
+    progress.tried.push(pick.id.clone());
     log::info!(
         event = "attempt_failed",
         request = req.log_id(),
@@ -182,8 +215,9 @@
 ) -> Result<(protocol::Execution, request::Response), upstream::Failure> {
     let deadline = req.core.clock.now() + timeout;
     let server_req = req.server_request(pick, protocol::Work::Run, req.caller.resume_after, None);
-    let mut answer = upstream::send(pick.address, server_req, timeout).await?;
-    let execution = req.execution(&answer)?;
+    let purpose = availability::Purpose::Plain;
+    let (head, mut answer) = call::send(&req.core, pick, purpose, server_req, timeout).await?;
+    let execution = req.execution(&head)?;
     let left = deadline - req.core.clock.now();
     let bytes = answer.read_to_end(left).await?;
     Ok((execution, answer.to_response(body::Body::from_bytes(bytes))))
--- a/src/router/prefill.rs
+++ b/src/router/prefill.rs
@@ -6,7 +6,9 @@
 use crate::fleet::budget;
 use crate::fleet::message;
 use crate::id;
+use crate::router::availability;
 use crate::router::balancer;
+use crate::router::call;
 use crate::router::in_flight;
 use crate::router::protocol;
 use crate::router::request;
@@ -45,6 +47,8 @@
     Done(Exported),
     /// The server could not be reached; nothing was sent.
     ConnectFailed(id::BackendServerId),
+    /// The server takes no calls since it was picked; nothing was sent.
+    Withdrawn(id::BackendServerId),
     /// The server refused the request.
     Refused(id::BackendServerId),
     /// No prefill was attempted, or it failed, or its result is unknown.
@@ -57,7 +61,7 @@
     while tried.len() < MAX_PREFILL_SERVERS {
         match attempt(req, &tried).await {
             Outcome::Done(exported) => return Some(exported),
-            Outcome::ConnectFailed(server) => tried.push(server),
+            Outcome::ConnectFailed(server) | Outcome::Withdrawn(server) => tried.push(server),
             // A server that refused has received the request, so the next server is one attempt
             // more.
             Outcome::Refused(server) if req.take_retry(budget::Purpose::Optional) => {
@@ -132,6 +136,7 @@
             Outcome::Refused(picked.pick.id)
         }
         Err(upstream::Failure::NotSent) => Outcome::ConnectFailed(picked.pick.id),
+        Err(upstream::Failure::Withdrawn) => Outcome::Withdrawn(picked.pick.id),
         Ok(Reply::Done(_) | Reply::Failed) | Err(_) => Outcome::Unavailable,
     }
 }
@@ -151,8 +156,9 @@
     timeout: clock::Millis,
 ) -> Result<Reply, upstream::Failure> {
     let server_req = req.server_request(pick, protocol::Work::Prefill, None, None);
-    let mut answer = upstream::send(pick.address, server_req, timeout).await?;
-    if req.execution(&answer)? != protocol::Execution::Ran {
+    let purpose = availability::Purpose::Prefill;
+    let (head, mut answer) = call::send(&req.core, pick, purpose, server_req, timeout).await?;
+    if req.execution(&head)? != protocol::Execution::Ran {
         return Ok(Reply::Refused);
     }
     if !answer.status.is_success() {
--- a/src/router/protocol.rs
+++ b/src/router/protocol.rs
@@ -189,6 +189,12 @@
     pub execution: Execution,
     /// The request id in the answer, if it has one.
     pub request_id: Option<String>,
+    /// Whether the server took the call on: neither refused it nor failed.
+    pub accepted: bool,
+    /// Whether the server says that it is leaving: it completes what it runs and wants nothing new.
+    pub is_leaving: bool,
+    /// For how long the server wants no calls from this router; `None` when it does not say.
+    pub quiet: Option<clock::Millis>,
 }
 
 /// Whether a server that answered ran the request.
--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -161,9 +161,13 @@
                 quotas.spent_in_window(now),
             )
         };
-        let (loads, unreachable) = {
+        let (loads, unreachable, leaving) = {
             let balancer = core.balancer();
-            (balancer.loads(), balancer.unreachable(now))
+            (
+                balancer.loads(),
+                balancer.unreachable(now),
+                balancer.leaving(),
+            )
         };
         message::Report {
             incarnation: self.links.identity().incarnation,
@@ -180,6 +184,7 @@
             loads,
             losses: core.take_losses(),
             unreachable,
+            leaving,
         }
     }
 
@@ -233,6 +238,7 @@
             balancer.set_remote_rates(rates, sums.report_interval);
             balancer.set_remote_loads(now, self.view.loads_of_others(&reported.loads));
             balancer.set_ejected(sums.unreachable);
+            balancer.set_leaving(sums.leaving);
         }
         core.set_fleet(self.view.entries(), sums.quarantined);
         core.capacity_freed.notify_waiters();
@@ -252,7 +258,8 @@
 
     /// Puts a server list in force; `source` says for the log who sent it.
     fn put_list(&mut self, list: listing::List, source: &str) {
-        self.core.balancer().set_list(list.servers());
+        let now = self.core.clock.now();
+        self.core.balancer().set_list(now, list.servers());
         core::set_timestamp_gauge("buckthorncleat_list_timestamp_seconds");
         log::info!(
             event = "servers",
--- a/src/router/request/mod.rs
+++ b/src/router/request/mod.rs
@@ -285,23 +285,19 @@
         req
     }
 
-    /// Reads from the head of a server's answer whether the request ran.
+    /// Returns whether the request ran, by the head of a server's answer.
     ///
     /// # Errors
     ///
     /// Fails with `Broken` if the answer names another request id.
     pub fn execution(
         &self,
-        answer: &upstream::Answer,
+        head: &protocol::ServerAnswer,
     ) -> Result<protocol::Execution, upstream::Failure> {
-        let answer_head = self
-            .core
-            .codec
-            .read_server_head(answer.status, &answer.headers);
         let is_same_request =
-            answer_head.request_id.is_none() || answer_head.request_id == self.caller.request_id;
+            head.request_id.is_none() || head.request_id == self.caller.request_id;
         if is_same_request {
-            Ok(answer_head.execution)
+            Ok(head.execution)
         } else {
             Err(upstream::Failure::Broken)
         }
--- a/src/router/request/refusal.rs
+++ b/src/router/request/refusal.rs
@@ -2,8 +2,10 @@
 
 use crate::clock;
 use crate::http::body;
+use crate::router::balancer;
 use crate::router::protocol;
 use crate::router::request;
+use crate::router::retry_after;
 
 /// Why a request ends without a server's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +30,25 @@
 }
 
 impl Refusal {
+    /// Returns the refusal of a request for which no server can be picked; `full` is the cause when
+    /// all are at capacity.
+    pub fn no_server(
+        now: clock::Millis,
+        error: balancer::PickError,
+        full: retry_after::Cause,
+    ) -> Self {
+        let (reason, cause) = match error {
+            balancer::PickError::Quiet { until } => {
+                let delay = retry_after::delay_after(until - now, rand::random());
+                return Self::NotRun("servers want no calls", delay);
+            }
+            balancer::PickError::Full => ("servers full", full),
+            balancer::PickError::Leaving => ("servers leaving", retry_after::Cause::ServersLeaving),
+            balancer::PickError::NoServer => ("no server", retry_after::Cause::ServersFailed),
+        };
+        Self::NotRun(reason, request::draw_retry_after(cause))
+    }
+
     pub const fn status(self) -> hyper::StatusCode {
         match self {
             Self::NotRun(..) => hyper::StatusCode::SERVICE_UNAVAILABLE,
--- a/src/router/retry_after.rs
+++ b/src/router/retry_after.rs
@@ -18,6 +18,12 @@
 /// after this time.
 const SERVERS_FAILED: Range = Range::new(250, 200);
 
+/// All servers of a service are leaving: the time in which a list with their successors arrives.
+const SERVERS_LEAVING: Range = Range::new(800, 800);
+
+/// Shortest range over which callers return after a known time.
+const MIN_SPREAD: clock::Millis = clock::Millis::new(250);
+
 /// The router has no document or no server list yet: the time of one or two reports.
 const NOT_READY: Range = Range::new(300, 200);
 
@@ -30,6 +36,8 @@
     PlainFull,
     /// No server could be reached, or those that were tried failed.
     ServersFailed,
+    /// All servers are leaving.
+    ServersLeaving,
     /// The router has no document or no usable route, or must not run the request.
     NotReady,
 }
@@ -53,7 +61,15 @@
         Cause::StreamsFull => STREAMS_FULL,
         Cause::PlainFull => PLAIN_FULL,
         Cause::ServersFailed => SERVERS_FAILED,
+        Cause::ServersLeaving => SERVERS_LEAVING,
         Cause::NotReady => NOT_READY,
     };
     clock::Millis::new(range.min_ms + random % range.spread_ms)
 }
+
+/// Returns the delay when capacity is certain not to come within `wait`: up to a quarter more, so
+/// that not all callers return when it comes; `random` is any random number.
+pub fn delay_after(wait: clock::Millis, random: u64) -> clock::Millis {
+    let spread = clock::Millis::new(wait.as_u64() / 4).max(MIN_SPREAD);
+    wait + clock::Millis::new(random % spread.as_u64())
+}
--- a/src/router/upstream.rs
+++ b/src/router/upstream.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body as hyper_body;
 use hyper::client::conn::http1;
+use hyper::header;
 use hyper_util::rt;
 use tokio::net::TcpStream;
 use tokio::task;
@@ -34,6 +35,9 @@
     /// The connection could not be opened: no byte of the request was sent.
     #[error("not sent")]
     NotSent,
+    /// The server takes no calls since it was picked: no byte of the request was sent.
+    #[error("withdrawn")]
+    Withdrawn,
     /// The connection broke, or the answer can't be parsed.
     #[error("broken off")]
     Broken,
@@ -47,6 +51,7 @@
     pub const fn outcome(self) -> balancer::Outcome {
         match self {
             Self::NotSent => balancer::Outcome::ConnectFailed,
+            Self::Withdrawn => balancer::Outcome::Neutral,
             Self::Broken | Self::TimedOut => balancer::Outcome::Lost,
         }
     }
@@ -81,8 +86,8 @@
     }
 }
 
-/// Sends a request to a server and returns the head of its answer; `timeout` covers the time until
-/// the head, after the connection is open.
+/// Sends a request over a connection of its own and returns the head of the answer; `timeout` covers
+/// the time until the head, after the connection is open.
 ///
 /// # Errors
 ///
@@ -93,6 +98,19 @@
     req: hyper::Request<http_body_util::Full<Bytes>>,
     timeout: clock::Millis,
 ) -> Result<Answer, Failure> {
+    let stream = connect(address, timeout).await?;
+    exchange(stream, req, timeout).await
+}
+
+/// Opens a connection, within `timeout` and at most 200 ms.
+///
+/// # Errors
+///
+/// Fails with `NotSent`.
+pub async fn connect(
+    address: net::SocketAddr,
+    timeout: clock::Millis,
+) -> Result<TcpStream, Failure> {
     let connecting = TcpStream::connect(address);
     let connect_timeout = timeout.min(CONNECT_TIMEOUT).as_duration();
     let stream = match time::timeout(connect_timeout, connecting).await {
@@ -103,13 +121,26 @@
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!("connection to {address}: {e}");
     }
-    match time::timeout(timeout.as_duration(), exchange(stream, req)).await {
+    Ok(stream)
+}
+
+/// Sends a request over an open connection and returns the head of the answer within `timeout`.
+///
+/// # Errors
+///
+/// See [`send`].
+pub async fn exchange(
+    stream: TcpStream,
+    req: hyper::Request<http_body_util::Full<Bytes>>,
+    timeout: clock::Millis,
+) -> Result<Answer, Failure> {
+    match time::timeout(timeout.as_duration(), exchange_untimed(stream, req)).await {
         Ok(result) => result,
         Err(_) => Err(Failure::TimedOut),
     }
 }
 
-async fn exchange(
+async fn exchange_untimed(
     stream: TcpStream,
     req: hyper::Request<http_body_util::Full<Bytes>>,
 ) -> Result<Answer, Failure> {
@@ -138,6 +169,10 @@
         let mut response = hyper::Response::new(body);
         *response.status_mut() = self.status;
         *response.headers_mut() = hop::end_to_end(&self.headers);
+        if self.status == hyper::StatusCode::SERVICE_UNAVAILABLE {
+            // It is the server's own, and not true for the whole service.
+            response.headers_mut().remove(header::RETRY_AFTER);
+        }
         response
     }
 
--- a/tests/fleet_quota.rs
+++ b/tests/fleet_quota.rs
@@ -91,6 +91,7 @@
             loads: Map::new(),
             losses: Vec::new(),
             unreachable: Vec::new(),
+            leaving: Vec::new(),
         };
         let spent = report.spent.clone();
         let name: InstanceId = format!("gateway-{gateway}").parse().unwrap();
