Servers that lose calls are left alone by the whole fleet

Cause: only servers out of reach were shared among routers. Change: reports say how the calls of the last two seconds ended, by server; the leader finds servers that lose half of their calls while the fleet as a whole does not, and hands them out with those out of reach.

--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -2,6 +2,7 @@
 
 use crate::clock;
 use crate::document;
+use crate::fleet::failing;
 use crate::fleet::message;
 use crate::fleet::quota;
 use crate::fleet::totals;
@@ -65,6 +66,7 @@
     /// The sums of the attempts of all gateways and previous incarnations.
     attempts: sorted::Map<document::ServiceId, message::Attempts>,
     next_expiry: clock::Millis,
+    failing: failing::Failing,
     /// The last reports of gateways that have restarted since; their attempts still count.
     previous_incarnations: Vec<Gateway>,
     /// The highest number of gateways that a previous leader counted, taken from the reports.
@@ -138,6 +140,7 @@
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
             self.expire(now);
+            self.find_failing(now);
         }
         self.sums(now, from, known.map(|(_, sequence)| sequence))
     }
@@ -324,34 +327,39 @@
         }
     }
 
+    fn find_failing(&mut self, now: clock::Millis) {
+        let min_centres = self.data_centres().min(MIN_REPORTER_DATA_CENTRES);
+        let mut failing = std::mem::take(&mut self.failing);
+        let reports = self.fresh_gateways(now).map(|(_, g)| &g.report);
+        failing.update(now, reports, min_centres);
+        self.failing = failing;
+    }
+
     /// Returns the servers that told a gateway other than `asker` that they are leaving, sorted.
     fn leaving(&self, now: clock::Millis, asker: &id::InstanceId) -> Vec<id::BackendServerId> {
-        let others = self.fresh_gateways(now, asker);
-        let mut leaving: Vec<_> = others.flat_map(|g| g.report.leaving.clone()).collect();
+        let others = self.fresh_gateways(now).filter(|(id, _)| *id != asker);
+        let mut leaving: Vec<_> = others.flat_map(|(_, g)| g.report.leaving.clone()).collect();
         leaving.sort();
         leaving.dedup();
         leaving
     }
 
-    /// Returns the gateways other than `asker` that have not missed several reports.
-    fn fresh_gateways<'a>(
-        &'a self,
+    /// Returns the gateways that have not missed several reports.
+    fn fresh_gateways(
+        &self,
         now: clock::Millis,
-        asker: &'a id::InstanceId,
-    ) -> impl Iterator<Item = &'a Gateway> {
+    ) -> impl Iterator<Item = (&id::InstanceId, &Gateway)> {
         let max_age = self.report_interval() * MAX_MISSED_REPORTS;
-        let others = self.gateways.iter().filter(move |(id, _)| *id != asker);
-        others
-            .map(|(_, gateway)| gateway)
-            .filter(move |g| now < g.received_at + max_age)
+        let gateways = self.gateways.iter();
+        gateways.filter(move |(_, g)| now < g.received_at + max_age)
     }
 
     /// Returns the servers that at least [`MIN_REPORTERS`] gateways other than `asker` can't reach,
-    /// from at least [`MIN_REPORTER_DATA_CENTRES`] data centres, sorted.
+    /// from at least [`MIN_REPORTER_DATA_CENTRES`] data centres, and the failing ones, sorted.
     fn unreachable(&self, now: clock::Millis, asker: &id::InstanceId) -> Vec<id::BackendServerId> {
-        let others = self.fresh_gateways(now, asker);
+        let others = self.fresh_gateways(now).filter(|(id, _)| *id != asker);
         let mut reported: Vec<(&id::BackendServerId, &id::DataCentre)> = others
-            .flat_map(|g| {
+            .flat_map(|(_, g)| {
                 g.report
                     .unreachable
                     .iter()
@@ -360,14 +368,17 @@
             .collect();
         reported.sort();
         let min_centres = self.data_centres().min(MIN_REPORTER_DATA_CENTRES);
-        reported
+        let unreachable = reported
             .chunk_by(|a, b| a.0 == b.0)
             .filter(|reports| {
                 let reporting_centres = 1 + reports.windows(2).filter(|w| w[0].1 != w[1].1).count();
                 reports.len() >= MIN_REPORTERS && reporting_centres >= min_centres
             })
-            .map(|reports| reports[0].0.clone())
-            .collect()
+            .map(|reports| reports[0].0);
+        let mut ejected: Vec<_> = unreachable.chain(self.failing.servers()).cloned().collect();
+        ejected.sort();
+        ejected.dedup();
+        ejected
     }
 
     /// Counts the data centres that have gateways.
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -47,7 +47,9 @@
         pub losses: Vec<Loss>,
         /// Servers that the gateway recently failed to reach.
         pub unreachable: Vec<id::BackendServerId>,
-        /// Listed servers that told this gateway that they are leaving.
+        /// How the gateway's calls to each server ended lately.
+        pub endings: sorted::Map<id::BackendServerId, Endings>,
+        /// Servers that told this gateway that they are leaving.
         pub leaving: Vec<id::BackendServerId>,
     }
 }
@@ -62,6 +64,16 @@
     }
 }
 
+macros::data! {copy
+    /// How calls to a server ended.
+    #[derive(Default)]
+    pub struct Endings {
+        pub calls: u32,
+        /// The calls whose connection broke, or that got no answer in time.
+        pub lost: u32,
+    }
+}
+
 macros::data! {copy
     /// The work that a server was given.
     #[derive(Default)]
@@ -114,7 +126,8 @@
         pub attempts: sorted::Map<document::ServiceId, Attempts>,
         /// Requests that must not run any more.
         pub quarantined: Vec<Fingerprint>,
-        /// Servers that several other gateways can't reach, sorted.
+        /// Servers that several other gateways can't reach, or that lose the calls of several,
+        /// sorted.
         pub unreachable: Vec<id::BackendServerId>,
         /// Servers that told another gateway that they are leaving, sorted.
         pub leaving: Vec<id::BackendServerId>,
--- a/src/router/balancer.rs
+++ b/src/router/balancer.rs
@@ -1,5 +1,6 @@
 //! Selects the backend server for each request, by load, data centre and recent failures.
 
+use std::collections;
 use std::net;
 
 use crate::clock;
@@ -37,6 +38,12 @@
 /// The rest is kept for requests that can still meet it, whichever router receives them.
 const MAX_UTILISATION_PAST_TARGET: f64 = 0.85;
 
+/// How long the ending of a call is reported.
+const ENDINGS_WINDOW: clock::Millis = clock::Millis::from_secs(2);
+
+/// Upper bound of the endings that are kept for one server.
+const MAX_ENDINGS: usize = 64;
+
 /// Requests that may wait at a server of a plain service, for each of its slots.
 const MAX_QUEUED_PER_SLOT: u32 = 2;
 
@@ -51,7 +58,7 @@
     remote_rates: sorted::Map<document::ServiceId, unit::RequestsPerSecond>,
     /// Interval between two reports of one router.
     report_interval: clock::Millis,
-    /// Servers that several other routers can't connect to, sorted by id.
+    /// Servers that several other routers can't connect to or lose calls at, sorted by id.
     ejected: Vec<id::BackendServerId>,
     /// Servers that told another router that they are leaving, sorted by id.
     leaving: Vec<id::BackendServerId>,
@@ -61,6 +68,8 @@
 struct Backend {
     server: message::Server,
     availability: availability::Availability,
+    /// When the last calls ended, and whether they were lost; oldest first.
+    endings: collections::VecDeque<(clock::Millis, bool)>,
     own_load: message::Load,
     failure_rate: f64,
     prefill_tokens_per_ms: f64,
@@ -184,7 +193,7 @@
         self.report_interval = report_interval;
     }
 
-    /// Sets the servers that several other routers can't connect to, sorted by id.
+    /// Sets the servers that several other routers can't connect to or lose calls at, sorted by id.
     pub fn set_ejected(&mut self, ejected: Vec<id::BackendServerId>) {
         self.ejected = ejected;
     }
@@ -199,6 +208,16 @@
         self.ids_where(|availability| availability.is_unreachable(now))
     }
 
+    /// Returns how this router's calls of the last two seconds ended, for each server that had some.
+    pub fn endings(
+        &self,
+        now: clock::Millis,
+    ) -> sorted::Map<id::BackendServerId, message::Endings> {
+        let servers = self.servers.iter();
+        let endings = servers.map(|(id, p)| (id.clone(), p.recent_endings(now)));
+        endings.filter(|(_, e)| e.calls > 0).collect()
+    }
+
     /// Returns the servers that told this router that they are leaving.
     pub fn leaving(&self) -> Vec<id::BackendServerId> {
         self.ids_where(availability::Availability::says_leaving)
@@ -561,6 +580,7 @@
         Self {
             server,
             availability: availability::Availability::default(),
+            endings: collections::VecDeque::new(),
             own_load: message::Load::default(),
             failure_rate: 0.0,
             prefill_tokens_per_ms: INITIAL_PREFILL_TOKENS_PER_MS,
@@ -575,6 +595,22 @@
         };
         self.failure_rate += (sample - self.failure_rate) * SAMPLE_WEIGHT;
         self.availability.record_outcome(now, outcome);
+        self.endings.push_back((now, outcome == Outcome::Lost));
+        if self.endings.len() > MAX_ENDINGS {
+            self.endings.pop_front();
+        }
+    }
+
+    /// Returns how the calls of the last two seconds ended.
+    fn recent_endings(&self, now: clock::Millis) -> message::Endings {
+        let recent = self.endings.iter();
+        let recent = recent.filter(|(at, _)| now < *at + ENDINGS_WINDOW);
+        recent.fold(message::Endings::default(), |sum, (_, lost)| {
+            message::Endings {
+                calls: sum.calls + 1,
+                lost: sum.lost + u32::from(*lost),
+            }
+        })
     }
 }
 
--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -161,11 +161,12 @@
                 quotas.spent_in_window(now),
             )
         };
-        let (loads, unreachable, leaving) = {
+        let (loads, unreachable, endings, leaving) = {
             let balancer = core.balancer();
             (
                 balancer.loads(),
                 balancer.unreachable(now),
+                balancer.endings(now),
                 balancer.leaving(),
             )
         };
@@ -184,6 +185,7 @@
             loads,
             losses: core.take_losses(),
             unreachable,
+            endings,
             leaving,
         }
     }
--- a/tests/fleet_ledger.rs
+++ b/tests/fleet_ledger.rs
@@ -37,6 +37,7 @@
         loads: [(server(), load)].into_iter().collect(),
         losses: Vec::new(),
         unreachable: Vec::new(),
+        endings: Map::new(),
         leaving: Vec::new(),
     }
 }
@@ -127,6 +128,7 @@
     Report {
         data_centre: data_centre.parse().unwrap(),
         unreachable: vec![server()],
+        endings: Map::new(),
         leaving: Vec::new(),
         ..report(gateway)
     }
--- a/tests/fleet_quota.rs
+++ b/tests/fleet_quota.rs
@@ -91,6 +91,7 @@
             loads: Map::new(),
             losses: Vec::new(),
             unreachable: Vec::new(),
+            endings: Map::new(),
             leaving: Vec::new(),
         };
         let spent = report.spent.clone();
--- a/tests/fleet_totals.rs
+++ b/tests/fleet_totals.rs
@@ -48,6 +48,7 @@
             loads: self.loads.clone(),
             losses: Vec::new(),
             unreachable: Vec::new(),
+            endings: Map::new(),
             leaving: Vec::new(),
         }
     }
