The balancer's view of one server and the choice among states are modules of their own

Change: router::backend, availability::pickable, message::Report::idle; no behaviour. Measured: the tests of router and fleet pass as before.

--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -54,6 +54,34 @@
     }
 }
 
+impl Report {
+    /// Makes the report of a gateway that accepts callers and knows and does nothing.
+    pub fn idle(
+        incarnation: id::Incarnation,
+        address: net::SocketAddr,
+        data_centre: id::DataCentre,
+    ) -> Self {
+        Self {
+            incarnation,
+            address,
+            data_centre,
+            accepts_callers: true,
+            document: None,
+            list: None,
+            known: None,
+            gateways: 1,
+            spent: sorted::Map::new(),
+            spent_in_window: sorted::Map::new(),
+            attempts: sorted::Map::new(),
+            loads: sorted::Map::new(),
+            losses: Vec::new(),
+            unreachable: Vec::new(),
+            endings: sorted::Map::new(),
+            leaving: Vec::new(),
+        }
+    }
+}
+
 macros::data! {copy
     /// The requests for a service and their retries.
     #[derive(Default)]
--- a/src/router/availability.rs
+++ b/src/router/availability.rs
@@ -135,6 +135,60 @@
     }
 }
 
+/// Why no server could be picked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PickError {
+    /// All candidates are at capacity.
+    Full,
+    /// All candidates have asked this router for no calls; the first one takes them again at this
+    /// time.
+    Quiet { until: clock::Millis },
+    /// All candidates are leaving.
+    Leaving,
+    /// There is no candidate.
+    NoServer,
+}
+
+/// Returns the servers that may be picked for a purpose now. Ejected ones are returned only when no
+/// other server can be picked.
+///
+/// # Errors
+///
+/// Fails with `Full` when a server takes work once it has capacity again, with `Quiet` when all want
+/// no calls, with `Leaving` when all are leaving, with `NoServer` when there is none.
+pub fn pickable<T>(
+    servers: impl Iterator<Item = (T, State)>,
+    purpose: Purpose,
+) -> Result<Vec<T>, PickError> {
+    let (mut open, mut last_resort) = (Vec::new(), Vec::new());
+    let (mut is_any_busy, mut is_any_leaving) = (false, false);
+    let mut quiet_until: Option<clock::Millis> = None;
+    for (server, state) in servers {
+        match state.admission(purpose) {
+            Admission::Now => open.push(server),
+            Admission::LastResort => last_resort.push(server),
+            Admission::WhenFree => is_any_busy = true,
+            Admission::From(at) => {
+                quiet_until = Some(quiet_until.map_or(at, |first| first.min(at)));
+            }
+            Admission::Never => is_any_leaving = true,
+        }
+    }
+    if !open.is_empty() {
+        Ok(open)
+    } else if is_any_busy {
+        Err(PickError::Full)
+    } else if !last_resort.is_empty() {
+        Ok(last_resort)
+    } else {
+        Err(match quiet_until {
+            Some(until) => PickError::Quiet { until },
+            None if is_any_leaving => PickError::Leaving,
+            None => PickError::NoServer,
+        })
+    }
+}
+
 /// What a server's answer changed in its availability.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
--- a/src/router/balancer.rs
+++ b/src/router/balancer.rs
@@ -1,6 +1,5 @@
 //! Selects the backend server for each request, by load, data centre and recent failures.
 
-use std::collections;
 use std::net;
 
 use crate::clock;
@@ -8,29 +7,18 @@
 use crate::fleet::message;
 use crate::id;
 use crate::router::availability;
+use crate::router::backend;
 use crate::router::headroom;
 use crate::router::protocol;
 use crate::sorted;
 use crate::unit;
 
 pub use crate::router::availability::Outcome;
+pub use crate::router::availability::PickError;
 
 /// Model servers allocate KV memory in blocks of this size.
 const MEMORY_BLOCK_TOKENS: u64 = 16;
 
-/// Assumed prefill speed of a server until its first prefill was measured.
-const INITIAL_PREFILL_TOKENS_PER_MS: f64 = 30.0;
-
-/// Weight of the newest sample in the exponential moving averages of failures and prefill speed.
-const SAMPLE_WEIGHT: f64 = 0.1;
-
-/// Failure rate up to which a server gets no penalty, since some requests fail at any server.
-const TOLERATED_FAILURE_RATE: f64 = 0.25;
-
-/// Penalty for the part of a failure rate above [`TOLERATED_FAILURE_RATE`], as a factor; the
-/// product is compared with utilisation.
-const FAILURE_RATE_PENALTY: f64 = 4.0;
-
 /// Penalty for a server in another data centre, as a share of its capacity.
 const REMOTE_PENALTY: f64 = 0.02;
 
@@ -38,12 +26,6 @@
 /// The rest is kept for requests that can still meet it, whichever router receives them.
 const MAX_UTILISATION_PAST_TARGET: f64 = 0.85;
 
-/// How long the ending of a call is reported.
-const ENDINGS_WINDOW: clock::Millis = clock::Millis::from_secs(2);
-
-/// Upper bound of the endings that are kept for one server.
-const MAX_ENDINGS: usize = 64;
-
 /// Requests that may wait at a server of a plain service, for each of its slots.
 const MAX_QUEUED_PER_SLOT: u32 = 2;
 
@@ -51,7 +33,7 @@
 #[derive(Debug)]
 pub struct Balancer {
     data_centre: id::DataCentre,
-    servers: sorted::Map<id::BackendServerId, Backend>,
+    servers: sorted::Map<id::BackendServerId, backend::Backend>,
     remote_loads: sorted::Map<id::BackendServerId, message::Load>,
     remote_loads_at: clock::Millis,
     /// Rates at which the other routers receive requests.
@@ -64,17 +46,6 @@
     leaving: Vec<id::BackendServerId>,
 }
 
-#[derive(Debug)]
-struct Backend {
-    server: message::Server,
-    availability: availability::Availability,
-    /// When the last calls ended, and whether they were lost; oldest first.
-    endings: collections::VecDeque<(clock::Millis, bool)>,
-    own_load: message::Load,
-    failure_rate: f64,
-    prefill_tokens_per_ms: f64,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pick {
     pub id: id::BackendServerId,
@@ -85,20 +56,6 @@
     pub report_age: clock::Millis,
 }
 
-/// Why no server could be picked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PickError {
-    /// All candidates are at capacity.
-    Full,
-    /// All candidates have asked this router for no calls; the first one takes them again at this
-    /// time.
-    Quiet { until: clock::Millis },
-    /// All candidates are leaving.
-    Leaving,
-    /// There is no candidate.
-    NoServer,
-}
-
 /// State of a service's decode servers, logged when none could be picked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DecodeStatus {
@@ -165,7 +122,7 @@
         for server in servers {
             let backend = self
                 .servers
-                .get_or_insert_with(server.id.clone(), || Backend::new(server.clone()));
+                .get_or_insert_with(server.id.clone(), || backend::Backend::new(server.clone()));
             backend.availability.list(&backend.server, server);
             backend.server = server.clone();
         }
@@ -254,10 +211,10 @@
         random: u64,
     ) -> Result<Pick, PickError> {
         let candidates = self.candidates(now, service, availability::Purpose::Plain, tried)?;
-        let utilisation = |backend: &&Backend| {
+        let utilisation = |backend: &&backend::Backend| {
             f64::from(self.load(backend).requests) / f64::from(backend.server.slots.max(1))
         };
-        let score = |backend: &&Backend| utilisation(backend) + self.penalty(backend);
+        let score = |backend: &&backend::Backend| utilisation(backend) + self.penalty(backend);
         let slots = candidates.iter().map(|p| p.server.slots.max(1)).max();
         let one_request = 1.0 / f64::from(slots.unwrap_or(1));
         let spread = one_request * (1.0 + self.unseen_requests(now, service));
@@ -290,12 +247,12 @@
             memory: requirements.memory,
             ..message::Load::default()
         };
-        let utilisation = |backend: &&Backend| {
+        let utilisation = |backend: &&backend::Backend| {
             let mut load = self.load(backend);
             load.add(one_more);
             utilisation_of(service, load)
         };
-        let score = |backend: &&Backend| utilisation(backend) + self.penalty(backend);
+        let score = |backend: &&backend::Backend| utilisation(backend) + self.penalty(backend);
         let with_capacity = candidates
             .into_iter()
             .filter(|p| utilisation(p) <= requirements.max_utilisation());
@@ -313,7 +270,7 @@
         let listed = self.matching(&service.id, purpose, &[]);
         let available = self.candidates(now, &service.id, purpose, &[]);
         let available = available.unwrap_or_default();
-        let percent = |p: &&Backend| to_percent(utilisation_of(service, self.load(p)));
+        let percent = |p: &&backend::Backend| to_percent(utilisation_of(service, self.load(p)));
         DecodeStatus {
             servers: listed.count(),
             available: available.len(),
@@ -334,11 +291,11 @@
     ) -> Option<PrefillPick> {
         let purpose = availability::Purpose::Prefill;
         let candidates = self.candidates(now, service, purpose, tried).ok()?;
-        let time = |backend: &&Backend| {
+        let time = |backend: &&backend::Backend| {
             let tokens = (self.load(backend).prompts + prompt).as_u64() as f64;
             tokens / backend.prefill_tokens_per_ms * (1.0 + self.penalty(backend))
         };
-        let one_prompt = prompt.as_u64() as f64 / INITIAL_PREFILL_TOKENS_PER_MS;
+        let one_prompt = prompt.as_u64() as f64 / backend::INITIAL_PREFILL_TOKENS_PER_MS;
         let spread = one_prompt * (1.0 + self.unseen_requests(now, service));
         let best = headroom::pick(candidates.into_iter(), random, spread, time)?;
         let time = clock::Millis::new(time(&best) as u64);
@@ -381,8 +338,7 @@
         took: clock::Millis,
     ) {
         if let Some(backend) = self.servers.get_mut(id) {
-            let rate = tokens.as_u64() as f64 / took.as_u64().max(1) as f64;
-            backend.prefill_tokens_per_ms += (rate - backend.prefill_tokens_per_ms) * SAMPLE_WEIGHT;
+            backend.record_prefill(tokens, took);
         }
     }
 
@@ -461,7 +417,11 @@
     }
 
     /// Returns the state that follows from this router's view and the other routers' news.
-    fn with_news(&self, backend: &Backend, state: availability::State) -> availability::State {
+    fn with_news(
+        &self,
+        backend: &backend::Backend,
+        state: availability::State,
+    ) -> availability::State {
         let contains = |ids: &[id::BackendServerId]| ids.binary_search(&backend.server.id).is_ok();
         match state {
             _ if contains(&self.leaving) => availability::State::Leaving,
@@ -478,7 +438,7 @@
         });
     }
 
-    fn pick(&self, now: clock::Millis, backend: &Backend, utilisation: f64) -> Pick {
+    fn pick(&self, now: clock::Millis, backend: &backend::Backend, utilisation: f64) -> Pick {
         Pick {
             id: backend.server.id.clone(),
             address: backend.server.address,
@@ -487,7 +447,7 @@
         }
     }
 
-    fn load(&self, backend: &Backend) -> message::Load {
+    fn load(&self, backend: &backend::Backend) -> message::Load {
         let mut load = backend.own_load;
         load.add(
             self.remote_loads
@@ -507,11 +467,9 @@
         rate.as_u64() as f64 * (age + self.report_interval.as_secs_f64() / 2.0)
     }
 
-    fn penalty(&self, backend: &Backend) -> f64 {
-        let failures =
-            (backend.failure_rate - TOLERATED_FAILURE_RATE).max(0.0) * FAILURE_RATE_PENALTY;
+    fn penalty(&self, backend: &backend::Backend) -> f64 {
         let remote = backend.server.data_centre != self.data_centre;
-        failures + if remote { REMOTE_PENALTY } else { 0.0 }
+        backend.failure_penalty() + if remote { REMOTE_PENALTY } else { 0.0 }
     }
 
     /// Returns the servers of a service that fit a purpose, whatever their state.
@@ -520,7 +478,7 @@
         service: &document::ServiceId,
         purpose: availability::Purpose,
         tried: &[id::BackendServerId],
-    ) -> impl Iterator<Item = &Backend> {
+    ) -> impl Iterator<Item = &backend::Backend> {
         let stage = purpose.stage();
         self.servers.values().filter(move |backend| {
             let server = &backend.server;
@@ -543,74 +501,10 @@
         service: &document::ServiceId,
         purpose: availability::Purpose,
         tried: &[id::BackendServerId],
-    ) -> Result<Vec<&Backend>, PickError> {
-        let (mut open, mut last_resort) = (Vec::new(), Vec::new());
-        let (mut is_any_busy, mut is_any_leaving) = (false, false);
-        let mut quiet_until: Option<clock::Millis> = None;
-        for backend in self.matching(service, purpose, tried) {
-            let state = self.with_news(backend, backend.availability.state(now));
-            match state.admission(purpose) {
-                availability::Admission::Now => open.push(backend),
-                availability::Admission::LastResort => last_resort.push(backend),
-                availability::Admission::WhenFree => is_any_busy = true,
-                availability::Admission::From(at) => {
-                    quiet_until = Some(quiet_until.map_or(at, |first| first.min(at)));
-                }
-                availability::Admission::Never => is_any_leaving = true,
-            }
-        }
-        if !open.is_empty() {
-            Ok(open)
-        } else if is_any_busy {
-            Err(PickError::Full)
-        } else if !last_resort.is_empty() {
-            Ok(last_resort)
-        } else {
-            Err(match quiet_until {
-                Some(until) => PickError::Quiet { until },
-                None if is_any_leaving => PickError::Leaving,
-                None => PickError::NoServer,
-            })
-        }
-    }
-}
-
-impl Backend {
-    fn new(server: message::Server) -> Self {
-        Self {
-            server,
-            availability: availability::Availability::default(),
-            endings: collections::VecDeque::new(),
-            own_load: message::Load::default(),
-            failure_rate: 0.0,
-            prefill_tokens_per_ms: INITIAL_PREFILL_TOKENS_PER_MS,
-        }
-    }
-
-    fn record_outcome(&mut self, now: clock::Millis, outcome: Outcome) {
-        let sample = match outcome {
-            Outcome::Neutral => return,
-            Outcome::Succeeded => 0.0,
-            Outcome::Failed | Outcome::Lost | Outcome::ConnectFailed => 1.0,
-        };
-        self.failure_rate += (sample - self.failure_rate) * SAMPLE_WEIGHT;
-        self.availability.record_outcome(now, outcome);
-        self.endings.push_back((now, outcome == Outcome::Lost));
-        if self.endings.len() > MAX_ENDINGS {
-            self.endings.pop_front();
-        }
-    }
-
-    /// Returns how the calls of the last two seconds ended.
-    fn recent_endings(&self, now: clock::Millis) -> message::Endings {
-        let recent = self.endings.iter();
-        let recent = recent.filter(|(at, _)| now < *at + ENDINGS_WINDOW);
-        recent.fold(message::Endings::default(), |sum, (_, lost)| {
-            message::Endings {
-                calls: sum.calls + 1,
-                lost: sum.lost + u32::from(*lost),
-            }
-        })
+    ) -> Result<Vec<&backend::Backend>, PickError> {
+        let servers = self.matching(service, purpose, tried);
+        let with_state = servers.map(|b| (b, self.with_news(b, b.availability.state(now))));
+        availability::pickable(with_state, purpose)
     }
 }
 
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -4,6 +4,7 @@
 //! types of this crate.
 
 pub mod availability;
+mod backend;
 pub mod balancer;
 mod call;
 pub mod core;
--- a/tests/fleet_failing.rs
+++ b/tests/fleet_failing.rs
@@ -41,22 +41,12 @@
 
 fn report(gateway: usize, endings: Map<BackendServerId, Endings>) -> Report {
     Report {
-        incarnation: Incarnation::new(1),
-        address: ([10, 1, 0, gateway as u8], 80).into(),
-        data_centre: ["a", "b"][gateway % 2].parse().unwrap(),
-        accepts_callers: true,
-        document: None,
-        list: None,
-        known: None,
-        gateways: 1,
-        spent: Map::new(),
-        spent_in_window: Map::new(),
-        attempts: Map::new(),
-        loads: Map::new(),
-        losses: Vec::new(),
-        unreachable: Vec::new(),
         endings,
-        leaving: Vec::new(),
+        ..Report::idle(
+            Incarnation::new(1),
+            ([10, 1, 0, gateway as u8], 80).into(),
+            ["a", "b"][gateway % 2].parse().unwrap(),
+        )
     }
 }
 
--- a/tests/fleet_ledger.rs
+++ b/tests/fleet_ledger.rs
@@ -23,22 +23,12 @@
         prompts: Tokens::new(0),
     };
     Report {
-        incarnation: Incarnation::new(1),
-        address: ([10, 0, 0, gateway], 80).into(),
-        data_centre: "a".parse().unwrap(),
-        accepts_callers: true,
-        document: None,
-        list: None,
-        known: None,
-        gateways: 1,
-        spent: Map::new(),
-        spent_in_window: Map::new(),
-        attempts: Map::new(),
         loads: [(server(), load)].into_iter().collect(),
-        losses: Vec::new(),
-        unreachable: Vec::new(),
-        endings: Map::new(),
-        leaving: Vec::new(),
+        ..Report::idle(
+            Incarnation::new(1),
+            ([10, 0, 0, gateway], 80).into(),
+            "a".parse().unwrap(),
+        )
     }
 }
 
--- a/tests/fleet_quota.rs
+++ b/tests/fleet_quota.rs
@@ -77,22 +77,14 @@
         let now = Millis::new(self.now);
         let quotas = &mut self.gateways[gateway];
         let report = Report {
-            incarnation: Incarnation::new(1),
-            address: ([10, 0, 0, 1], 80).into(),
-            data_centre: "a".parse().unwrap(),
-            accepts_callers: true,
-            document: None,
-            list: None,
-            known: None,
             gateways: quotas.gateways(),
             spent: quotas.spent(),
             spent_in_window: quotas.spent_in_window(now),
-            attempts: Map::new(),
-            loads: Map::new(),
-            losses: Vec::new(),
-            unreachable: Vec::new(),
-            endings: Map::new(),
-            leaving: Vec::new(),
+            ..Report::idle(
+                Incarnation::new(1),
+                ([10, 0, 0, 1], 80).into(),
+                "a".parse().unwrap(),
+            )
         };
         let spent = report.spent.clone();
         let name: InstanceId = format!("gateway-{gateway}").parse().unwrap();
--- a/tests/fleet_totals.rs
+++ b/tests/fleet_totals.rs
@@ -34,22 +34,14 @@
 
     fn report(&self) -> Report {
         Report {
-            incarnation: Incarnation::new(1),
-            address: ([10, 0, 0, self.number], 80).into(),
-            data_centre: "klang-a".parse().unwrap(),
             accepts_callers: self.accepts_callers,
-            document: None,
-            list: None,
             known: self.view.known(),
-            gateways: 1,
-            spent: Map::new(),
-            spent_in_window: Map::new(),
-            attempts: Map::new(),
             loads: self.loads.clone(),
-            losses: Vec::new(),
-            unreachable: Vec::new(),
-            endings: Map::new(),
-            leaving: Vec::new(),
+            ..Report::idle(
+                Incarnation::new(1),
+                ([10, 0, 0, self.number], 80).into(),
+                "klang-a".parse().unwrap(),
+            )
         }
     }
 
