--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 //! each quota and budget.
 
 pub mod budget;
+pub mod call_limit;
 pub mod failing;
 pub mod ledger;
 pub mod listing;
--- a/src/router/backend.rs
+++ b/src/router/backend.rs
@@ -3,6 +3,7 @@
 use std::collections;
 
 use crate::clock;
+use crate::fleet::call_limit;
 use crate::fleet::message;
 use crate::router::availability;
 use crate::unit;
@@ -31,6 +32,8 @@
 pub struct Backend {
     pub server: message::Server,
     pub availability: availability::Availability,
+    /// The limit of calls that the server's answers to this router named.
+    pub limit: call_limit::NamedLimit,
     /// When the last calls ended, and whether they were lost; oldest first.
     endings: collections::VecDeque<(clock::Millis, bool)>,
     pub own_load: message::Load,
@@ -43,6 +46,7 @@
         Self {
             server,
             availability: availability::Availability::default(),
+            limit: call_limit::NamedLimit::default(),
             endings: collections::VecDeque::new(),
             own_load: message::Load::default(),
             failure_rate: 0.0,
--- a/src/router/balancer.rs
+++ b/src/router/balancer.rs
@@ -4,6 +4,7 @@
 
 use crate::clock;
 use crate::document;
+use crate::fleet::call_limit;
 use crate::fleet::message;
 use crate::id;
 use crate::router::availability;
@@ -396,6 +397,37 @@
         backend.availability.record_answer(now, started_at, answer)
     }
 
+    /// Applies what an answer says of its server's limit of calls; returns the limit that holds if
+    /// that changed, where the inner `None` is no limit.
+    pub fn record_limit(
+        &mut self,
+        now: clock::Millis,
+        id: &id::BackendServerId,
+        limit: protocol::Limit,
+    ) -> Option<Option<unit::CallRate>> {
+        let backend = self.servers.get_mut(id)?;
+        let rate = match limit {
+            protocol::Limit::Unlimited => None,
+            protocol::Limit::Calls(rate) => Some(rate),
+            protocol::Limit::Unreadable => return None,
+        };
+        let before = backend.limit.rate(now);
+        if rate.is_some() || before.is_some() {
+            backend.limit.record(call_limit::Said { at: now, rate });
+        }
+        let after = backend.limit.rate(now);
+        (after != before).then_some(after)
+    }
+
+    /// Returns the limit of calls that a server's answers to this router named; `None` without one.
+    pub fn named_limit(
+        &self,
+        now: clock::Millis,
+        id: &id::BackendServerId,
+    ) -> Option<unit::CallRate> {
+        self.servers.get(id)?.limit.rate(now)
+    }
+
     /// Returns the state of a server; one that is not known is leaving.
     pub fn state(&self, now: clock::Millis, id: &id::BackendServerId) -> availability::State {
         let backend = self.servers.get(id);
--- a/src/router/call.rs
+++ b/src/router/call.rs
@@ -81,12 +81,21 @@
     let guard = Guard::begin(core, pick, purpose)?;
     let stream = upstream::connect(pick.address, timeout).await?;
     guard.check(pick, purpose)?;
+    count_call(core, pick, purpose);
     let answer = upstream::exchange(stream, req, timeout).await?;
     let head = core.codec.read_server_head(answer.status, &answer.headers);
     core.record_answer(&pick.id, &head);
     Ok((head, answer))
 }
 
+/// Counts a call by its purpose, and whether the server has named a limit of calls.
+fn count_call(core: &core::Core, pick: &balancer::Pick, purpose: availability::Purpose) {
+    let limit = core.balancer().named_limit(core.clock.now(), &pick.id);
+    let limited = if limit.is_some() { "true" } else { "false" };
+    metrics::counter!("buckthorncleat_server_calls_total", "purpose" => purpose.as_str(), "limited" => limited)
+        .increment(1);
+}
+
 /// Logs and counts a call that was decided on and is not sent.
 fn withdrawn(
     pick: &balancer::Pick,
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -208,6 +208,10 @@
     /// Applies what the head of an answer says of its server; logs and counts what is new.
     pub fn record_answer(&self, server: &id::BackendServerId, answer: &protocol::ServerAnswer) {
         let now = self.clock.now();
+        // An answer from another server at the address says nothing of this one.
+        if answer.execution != protocol::Execution::Misdirected {
+            self.record_limit(now, server, answer.limit);
+        }
         let change = self.balancer().record_answer(now, server, answer);
         match change {
             None => {}
@@ -227,6 +231,24 @@
         }
     }
 
+    fn record_limit(
+        &self,
+        now: clock::Millis,
+        server: &id::BackendServerId,
+        limit: protocol::Limit,
+    ) {
+        let Some(limit) = self.balancer().record_limit(now, server, limit) else {
+            return;
+        };
+        metrics::counter!("buckthorncleat_server_limits_total").increment(1);
+        log::info!(
+            event = "server_limit",
+            server = server.as_str(),
+            limit = limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+            "a server names another limit of calls from all routers"
+        );
+    }
+
     /// Returns the estimate of tokens per event.
     pub fn tokens_per_event(&self) -> sync::MutexGuard<'_, output::TokensPerEvent> {
         lock(&self.tokens_per_event)
--- a/src/router/protocol.rs
+++ b/src/router/protocol.rs
@@ -195,6 +195,18 @@
     pub is_leaving: bool,
     /// For how long the server wants no calls from this router; `None` when it does not say.
     pub quiet: Option<clock::Millis>,
+    /// What the server says of the calls that it takes from all routers together.
+    pub limit: Limit,
+}
+
+/// A server's limit of calls from all routers together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Limit {
+    /// The server names no limit, which ends one that it named before.
+    Unlimited,
+    Calls(unit::CallRate),
+    /// The server names a limit that can't be decoded, which changes nothing.
+    Unreadable,
 }
 
 /// Whether a server that answered ran the request.
--- a/src/unit.rs
+++ b/src/unit.rs
@@ -1,9 +1,12 @@
 //! Types for sizes and rates.
 
+use std::fmt;
 use std::iter;
 use std::ops;
+use std::str;
 
 use crate::clock;
+use crate::error;
 use crate::macros;
 
 macros::number! {
@@ -32,6 +35,13 @@
     Pieces
 }
 
+macros::data! {copy
+    /// A rate in calls per second, kept in thousandths of a call.
+    #[derive(Default)]
+    #[serde(transparent)]
+    pub struct CallRate(u64);
+}
+
 /// The number of tokens whose KV cache fits in one piece of engine memory.
 pub const PIECE_TOKENS: u64 = 4096;
 
@@ -86,3 +96,36 @@
         clock::Millis::new((size.as_u64() as u128 * 1000).div_ceil(rate as u128) as u64)
     }
 }
+
+impl CallRate {
+    /// Makes a rate from thousandths of a call per second.
+    pub const fn from_millicalls(rate: u64) -> Self {
+        Self(rate)
+    }
+
+    /// Returns the thousandths of a call per second.
+    pub const fn as_millicalls(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for CallRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} calls/s", self.0 as f64 / 1000.0)
+    }
+}
+
+impl str::FromStr for CallRate {
+    type Err = error::Error;
+
+    /// Parses a decimal number of calls per second; a number above what the type holds becomes its
+    /// largest value.
+    fn from_str(s: &str) -> error::Result<Self> {
+        let parsed: Option<f64> = s.strip_suffix("calls/s").unwrap_or(s).trim().parse().ok();
+        let valid = parsed.filter(|rate| *rate >= 0.0);
+        let rate = valid.ok_or_else(|| {
+            error::Error::bad_value("call rate", s, "use calls per second such as `4.1`")
+        })?;
+        Ok(Self((rate * 1000.0) as u64))
+    }
+}
--- a/tests/router_availability.rs
+++ b/tests/router_availability.rs
@@ -6,7 +6,7 @@
 use buckthorncleat::id::BackendServerId;
 use buckthorncleat::router::availability::{Change, Outcome, Purpose, State};
 use buckthorncleat::router::balancer::{Balancer, Pick, PickError, Requirements};
-use buckthorncleat::router::protocol::{Execution, ServerAnswer};
+use buckthorncleat::router::protocol::{Execution, Limit, ServerAnswer};
 use buckthorncleat::router::retry_after;
 use buckthorncleat::unit::Tokens;
 
@@ -59,6 +59,7 @@
         accepted: true,
         is_leaving: false,
         quiet: None,
+        limit: Limit::Unlimited,
     }
 }
 
