Time for which the machine was suspended counts for every lease

Cause: the clock of the process was CLOCK_MONOTONIC, which stands still while a machine is suspended. A leader that was suspended for seconds took its last confirmation for fresh and went on to answer reports and reads; a router took its last summary for fresh and spent from quotas that others had used up meanwhile. Found by reading, for the operators' story of a process that was paused and acted on a permission that had run out. Change: clock::Clock reads CLOCK_BOOTTIME (crate nix). It is the only clock of the library, so confirmations, quotas, retry budgets, ejections and deadlines count suspended time. Sleeps of tokio stay as they are: they wake up later, and what they wake up to check reads the clock. Result: builds; a suspended machine can't be made in a test here.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -89,31 +89,47 @@
     }
 }
 
-/// The monotonic clock of this process.
+/// The clock of this process. It is monotonic and counts the time for which the machine was
+/// suspended, so that nothing that has expired meanwhile is taken for valid.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: time::Instant,
+    /// Time from the start of the machine to that of the clock.
+    origin: time::Duration,
 }
 
 impl Clock {
     /// Makes a clock that reads zero now.
+    ///
+    /// # Panics
+    ///
+    /// Panics on a system without `CLOCK_BOOTTIME`.
     pub fn start() -> Self {
         Self {
-            origin: time::Instant::now(),
+            origin: since_boot(),
         }
     }
 
     /// Returns the time since the clock was started.
     pub fn now(&self) -> Millis {
-        Millis(self.origin.elapsed().as_millis() as u64)
+        Millis(since_boot().saturating_sub(self.origin).as_millis() as u64)
     }
 
-    /// Converts a point in time to the type that tokio's timers take.
+    /// Converts a point in time to the type that tokio's timers take, which do not count the time
+    /// for which the machine is suspended.
     pub fn instant_at(&self, at: Millis) -> time::Instant {
-        self.origin + at.as_duration()
+        time::Instant::now() + (at - self.now()).as_duration()
     }
 }
 
+/// Returns the time since the machine was started, including that for which it was suspended.
+fn since_boot() -> time::Duration {
+    let since_boot = nix::time::ClockId::CLOCK_BOOTTIME.now();
+    since_boot.map_or_else(
+        |e| panic!("the system has no CLOCK_BOOTTIME ({e}): use Linux 2.6.39 or later"),
+        time::Duration::from,
+    )
+}
+
 /// Returns the wall-clock time in milliseconds since 1970; 0 if it is before 1970.
 ///
 /// Use it for logs and events only: the wall clock may be set back. Use [`Clock`] for timeouts.
