Calls to servers that name a limit need a permit from the leader

Callers saw: a server in need that named 4 calls a second for all instances got 29 to 37 calls in 4 s (LIMIT), so that it was kept from recovering. Cause: routers chose servers by load only and did not read the limit. The class of fault: a bound over the whole fleet that each process keeps by itself or not at all. Change: the leader keeps a schedule for each limited server (fleet::permit) and issues a permit for each call, valid for 250 ms from the question on and checked again right before the first byte. A router that was told by an answer, or by the leader's summaries, asks before each call: plain, retried, prefill, decode. Reservations and releases are left out at limited servers. A new leader issues none until those of its predecessor have expired. Work goes to servers without a limit first; a caller that no server takes in time is refused at once with a time to return from the leader's schedule, which counts those that were told to return already.

--- a/src/control/handler.rs
+++ b/src/control/handler.rs
@@ -30,6 +30,7 @@
             message::Request::Ping => message::Reply::Accepted,
             message::Request::Watch(_)
             | message::Request::Report(_)
+            | message::Request::Permit(_)
             | message::Request::Limiter(_)
             | message::Request::HandOver(_)
             | message::Request::Scheduler(_) => message::Reply::Unsupported,
--- a/src/fleet/call_limit.rs
+++ b/src/fleet/call_limit.rs
@@ -3,6 +3,7 @@
 use std::collections;
 
 use crate::clock;
+use crate::macros;
 use crate::unit;
 
 /// How long the lowest limit holds that answers named at about the same time: answers cross each
@@ -75,3 +76,26 @@
         self.said.back().copied()
     }
 }
+
+macros::data! {copy
+    /// What an answer said of its server's limit, in a message between processes.
+    pub struct News {
+        /// The time from the answer to the sending of the message.
+        pub age: clock::Millis,
+        /// The limit; `None` when the server named none.
+        pub rate: Option<unit::CallRate>,
+    }
+}
+
+impl NamedLimit {
+    /// Returns what answers said within `max_age`, and with that everything that holds.
+    pub fn news(&self, now: clock::Millis, max_age: clock::Millis) -> Vec<News> {
+        let is_recent = self.last().is_some_and(|last| now < last.at + max_age);
+        let said = self.said.iter().filter(|_| is_recent);
+        let news = said.map(|s| News {
+            age: now - s.at,
+            rate: s.rate,
+        });
+        news.collect()
+    }
+}
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -4,6 +4,7 @@
 use crate::document;
 use crate::fleet::failing;
 use crate::fleet::message;
+use crate::fleet::permit;
 use crate::fleet::quota;
 use crate::fleet::totals;
 use crate::fleet::window;
@@ -67,6 +68,7 @@
     attempts: sorted::Map<document::ServiceId, message::Attempts>,
     next_expiry: clock::Millis,
     failing: failing::Failing,
+    permits: permit::Issuer,
     /// The last reports of gateways that have restarted since; their attempts still count.
     previous_incarnations: Vec<Gateway>,
     /// The highest number of gateways that a previous leader counted, taken from the reports.
@@ -136,15 +138,43 @@
         self.record_gateway_count(now, report.gateways);
         self.record_losses(now, &report.losses);
         let known = report.known.filter(|(term, _)| *term == self.term);
+        let sent_at = self.own_time(report.sent_at);
+        self.permits.hear(now, sent_at, &report.limits);
         self.store(now, from, report);
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
             self.expire(now);
             self.find_failing(now);
+            self.update_limits(now);
         }
         self.sums(now, from, known.map(|(_, sequence)| sequence))
     }
 
+    /// Answers a question for permits.
+    pub fn ask(&mut self, now: clock::Millis, ask: &permit::Ask) -> permit::Answer {
+        let sent_at = self.own_time(ask.sent_at);
+        self.permits.ask(now, sent_at, ask)
+    }
+
+    /// Returns a time of this leader; `None` if it is of another one.
+    fn own_time(&self, time: Option<permit::LeaderTime>) -> Option<clock::Millis> {
+        time.filter(|t| t.term == self.term).map(|t| t.at)
+    }
+
+    /// Brings the limits in the totals up to date.
+    fn update_limits(&mut self, now: clock::Millis) {
+        self.permits.expire(now);
+        let limits: sorted::Map<_, _> = self.permits.limits(now).collect();
+        for server in self.totals.limited() {
+            if !limits.contains(&&server) {
+                self.totals.set_limit(now, &server, None);
+            }
+        }
+        for (server, rate) in limits.iter() {
+            self.totals.set_limit(now, server, *rate);
+        }
+    }
+
     /// Replaces the last report of a gateway and updates the totals.
     fn store(&mut self, now: clock::Millis, from: &id::InstanceId, report: message::Report) {
         let none = sorted::Map::new();
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -4,7 +4,9 @@
 
 use crate::clock;
 use crate::document;
+use crate::fleet::call_limit;
 use crate::fleet::listing;
+use crate::fleet::permit;
 use crate::fleet::totals;
 use crate::id;
 use crate::macros;
@@ -51,6 +53,10 @@
         pub endings: sorted::Map<id::BackendServerId, Endings>,
         /// Servers that told this gateway that they are leaving.
         pub leaving: Vec<id::BackendServerId>,
+        /// What the answers of servers said of their limits of calls lately.
+        pub limits: Vec<(id::BackendServerId, call_limit::News)>,
+        /// The leader's time when the report was sent; `None` before the first summary.
+        pub sent_at: Option<permit::LeaderTime>,
     }
 }
 
@@ -78,6 +84,8 @@
             unreachable: Vec::new(),
             endings: sorted::Map::new(),
             leaving: Vec::new(),
+            limits: Vec::new(),
+            sent_at: None,
         }
     }
 }
@@ -128,6 +136,8 @@
     /// The leader's reply to a report.
     pub struct Summary {
         pub term: id::Term,
+        /// The leader's time when it answered.
+        pub time: clock::Millis,
         /// The configuration document, if it is newer than the one in the report.
         pub document: Option<document::Packed>,
         /// Makes the newest list of servers of the one in the report, if they differ.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 pub mod ledger;
 pub mod listing;
 pub mod message;
+pub mod permit;
 pub mod quota;
 pub mod totals;
 pub mod window;
--- a/src/fleet/totals.rs
+++ b/src/fleet/totals.rs
@@ -10,6 +10,7 @@
 use crate::id;
 use crate::macros;
 use crate::sorted;
+use crate::unit;
 
 /// How long the removal of an entry or load is kept. A gateway that has not reported for that long
 /// gets everything anew.
@@ -33,6 +34,8 @@
         pub entries: Vec<(net::SocketAddr, Option<id::DataCentre>)>,
         /// The loads of all gateways together.
         pub loads: Vec<(id::BackendServerId, message::Load)>,
+        /// The limits of calls that servers name, and `None` for those that no longer do.
+        pub limits: Vec<(id::BackendServerId, Option<unit::CallRate>)>,
     }
 }
 
@@ -44,6 +47,7 @@
     forgotten: Sequence,
     entries: sorted::Map<net::SocketAddr, Tracked<Option<id::DataCentre>>>,
     loads: sorted::Map<id::BackendServerId, Tracked<message::Load>>,
+    limits: sorted::Map<id::BackendServerId, Tracked<Option<unit::CallRate>>>,
 }
 
 /// A value with its last change.
@@ -102,6 +106,25 @@
         self.loads.insert(server.clone(), load);
     }
 
+    /// Sets a server's limit of calls; `None` when it names none.
+    pub fn set_limit(
+        &mut self,
+        now: clock::Millis,
+        server: &id::BackendServerId,
+        rate: Option<unit::CallRate>,
+    ) {
+        if self.limits.get(server).and_then(|l| l.value) != rate {
+            let limit = self.track(now, rate);
+            self.limits.insert(server.clone(), limit);
+        }
+    }
+
+    /// Returns the servers whose limit is set.
+    pub fn limited(&self) -> Vec<id::BackendServerId> {
+        let limits = self.limits.iter().filter(|(_, l)| l.value.is_some());
+        limits.map(|(server, _)| server.clone()).collect()
+    }
+
     fn track<T>(&mut self, now: clock::Millis, value: T) -> Tracked<T> {
         self.sequence = self.sequence.next();
         Tracked {
@@ -126,6 +149,8 @@
         let idle = message::Load::default();
         self.loads
             .retain(|_, l| keep(l.value == idle, l.changed, l.changed_at));
+        self.limits
+            .retain(|_, l| keep(l.value.is_none(), l.changed, l.changed_at));
         self.forgotten = forgotten;
     }
 
@@ -136,11 +161,13 @@
         let is_new = |changed: Sequence| known.is_none_or(|k| changed > k);
         let entries = self.entries.iter().filter(|(_, e)| is_new(e.changed));
         let loads = self.loads.iter().filter(|(_, l)| is_new(l.changed));
+        let limits = self.limits.iter().filter(|(_, l)| is_new(l.changed));
         Changes {
             whole: known.is_none(),
             sequence: self.sequence,
             entries: entries.map(|(a, e)| (*a, e.value.clone())).collect(),
             loads: loads.map(|(s, l)| (s.clone(), l.value)).collect(),
+            limits: limits.map(|(s, l)| (s.clone(), l.value)).collect(),
         }
     }
 
@@ -157,6 +184,7 @@
     known: Option<(id::Term, Sequence)>,
     entries: sorted::Map<net::SocketAddr, Option<id::DataCentre>>,
     loads: sorted::Map<id::BackendServerId, message::Load>,
+    limits: sorted::Map<id::BackendServerId, unit::CallRate>,
 }
 
 impl View {
@@ -177,6 +205,7 @@
         if changes.whole {
             self.entries.clear();
             self.loads.clear();
+            self.limits.clear();
         }
         self.known = Some(known);
         for (address, data_centre) in &changes.entries {
@@ -188,6 +217,17 @@
         }
         self.loads
             .retain(|_, load| *load != message::Load::default());
+        for (server, rate) in &changes.limits {
+            match rate {
+                Some(rate) => self.limits.insert(server.clone(), *rate),
+                None => self.limits.remove(server),
+            };
+        }
+    }
+
+    /// Returns the limits of calls that servers name to any router.
+    pub fn limits(&self) -> &sorted::Map<id::BackendServerId, unit::CallRate> {
+        &self.limits
     }
 
     /// Returns the gateways that accept callers.
--- a/src/keeper/aggregator.rs
+++ b/src/keeper/aggregator.rs
@@ -11,6 +11,7 @@
 use crate::fleet::ledger;
 use crate::fleet::listing;
 use crate::fleet::message as fleet;
+use crate::fleet::permit;
 use crate::id;
 use crate::peer::message;
 use crate::peer::server;
@@ -201,6 +202,7 @@
         });
         message::Reply::Summary(Box::new(fleet::Summary {
             term,
+            time: now,
             document: newer_document,
             list,
             sums,
@@ -208,6 +210,18 @@
         }))
     }
 
+    /// Answers a question for permits, or names the leader if this member's leadership was not
+    /// confirmed just now.
+    pub fn ask(&self, ask: &permit::Ask) -> message::Reply {
+        let now = self.clock.now();
+        let mut leader_state = self.leader_state();
+        if leader_state.is_confirmed_within(now, permit::MAX_CONFIRMATION_AGE) {
+            message::Reply::Permit(leader_state.ledger.ask(now, ask))
+        } else {
+            message::Reply::NotLeader(self.group.status().leader_peer())
+        }
+    }
+
     fn document(&self) -> Option<document::Packed> {
         self.group.with_state(|s| s.document().cloned())
     }
@@ -228,8 +242,11 @@
 
 impl LeaderState {
     fn is_confirmed(&self, now: clock::Millis) -> bool {
-        self.confirmed_at
-            .is_some_and(|at| now < at + MAX_CONFIRMATION_AGE)
+        self.is_confirmed_within(now, MAX_CONFIRMATION_AGE)
+    }
+
+    fn is_confirmed_within(&self, now: clock::Millis, max_age: clock::Millis) -> bool {
+        self.confirmed_at.is_some_and(|at| now < at + max_age)
     }
 }
 
@@ -244,6 +261,7 @@
                 }
             },
             message::Request::Report(report) => self.report(&from, *report),
+            message::Request::Permit(ask) => self.ask(&ask),
             message::Request::Ping => message::Reply::Accepted,
             _ => message::Reply::Unsupported,
         }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -5,6 +5,7 @@
 use crate::controller::limiter;
 use crate::controller::scheduler;
 use crate::fleet::message as fleet;
+use crate::fleet::permit;
 use crate::id;
 use crate::macros;
 use crate::state::change;
@@ -31,6 +32,8 @@
         Scheduler(ToOwner<Scheduling>),
         /// A router's report to the leader.
         Report(Box<fleet::Report>),
+        /// A router's question to the leader for permits for calls.
+        Permit(Box<permit::Ask>),
         /// Asks whether the peer is alive; answered `Accepted`.
         Ping,
     }
@@ -51,6 +54,8 @@
         Uncertain,
         /// The leader's answer to a report.
         Summary(Box<fleet::Summary>),
+        /// The leader's answer to a question for permits.
+        Permit(permit::Answer),
         /// The answer of a limiter owner.
         Limiter(limiter::Reply),
         /// The answer of a scheduler owner.
--- a/src/router/availability.rs
+++ b/src/router/availability.rs
@@ -147,6 +147,8 @@
 pub enum PickError {
     /// All candidates are at capacity.
     Full,
+    /// All candidates that take calls limit them, so that a permit is needed.
+    Limited,
     /// All candidates have asked this router for no calls; the first one takes them again at this
     /// time.
     Quiet { until: clock::Millis },
--- a/src/router/backend.rs
+++ b/src/router/backend.rs
@@ -34,6 +34,8 @@
     pub availability: availability::Availability,
     /// The limit of calls that the server's answers to this router named.
     pub limit: call_limit::NamedLimit,
+    /// The limit that its answers to other routers named, by the leader.
+    pub fleet_limit: Option<unit::CallRate>,
     /// When the last calls ended, and whether they were lost; oldest first.
     endings: collections::VecDeque<(clock::Millis, bool)>,
     pub own_load: message::Load,
@@ -47,6 +49,7 @@
             server,
             availability: availability::Availability::default(),
             limit: call_limit::NamedLimit::default(),
+            fleet_limit: None,
             endings: collections::VecDeque::new(),
             own_load: message::Load::default(),
             failure_rate: 0.0,
@@ -54,6 +57,11 @@
         }
     }
 
+    /// Returns the limit of calls that the server names to any router; `None` without one.
+    pub fn call_limit(&self, now: clock::Millis) -> Option<unit::CallRate> {
+        self.limit.rate(now).or(self.fleet_limit)
+    }
+
     /// Records how work at the server ended.
     pub fn record_outcome(&mut self, now: clock::Millis, outcome: availability::Outcome) {
         let sample = match outcome {
--- a/src/router/balancer.rs
+++ b/src/router/balancer.rs
@@ -10,6 +10,7 @@
 use crate::router::availability;
 use crate::router::backend;
 use crate::router::headroom;
+use crate::router::permits;
 use crate::router::protocol;
 use crate::sorted;
 use crate::unit;
@@ -45,6 +46,8 @@
     ejected: Vec<id::BackendServerId>,
     /// Servers that told another router that they are leaving, sorted by id.
     leaving: Vec<id::BackendServerId>,
+    /// Limits of calls that servers name to any router, by the leader.
+    limits: sorted::Map<id::BackendServerId, unit::CallRate>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,6 +58,17 @@
     pub utilisation_percent: u32,
     /// Age of the loads that the other routers had reported.
     pub report_age: clock::Millis,
+    /// The permit for the call; `None` when the server names no limit.
+    pub permit: Option<permits::Permit>,
+}
+
+/// Which servers to pick from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Access {
+    /// Those that name no limit of calls.
+    Free,
+    /// Those that name one.
+    WithPermit,
 }
 
 /// State of a service's decode servers, logged when none could be picked.
@@ -80,6 +94,14 @@
 }
 
 impl Requirements {
+    fn to_load(self) -> message::Load {
+        message::Load {
+            requests: 1,
+            memory: self.memory,
+            ..message::Load::default()
+        }
+    }
+
     /// Returns the highest utilisation that the request may bring a server to.
     fn max_utilisation(self) -> f64 {
         if self.past_target {
@@ -111,6 +133,7 @@
             report_interval: clock::Millis::ZERO,
             ejected: Vec::new(),
             leaving: Vec::new(),
+            limits: sorted::Map::new(),
         }
     }
 
@@ -126,6 +149,7 @@
                 .get_or_insert_with(server.id.clone(), || backend::Backend::new(server.clone()));
             backend.availability.list(now, &backend.server, server);
             backend.server = server.clone();
+            backend.fleet_limit = self.limits.get(&server.id).copied();
         }
         self.prune(now);
     }
@@ -161,6 +185,61 @@
         self.leaving = leaving;
     }
 
+    /// Sets the limits of calls that servers name to any router.
+    pub fn set_limits(&mut self, limits: &sorted::Map<id::BackendServerId, unit::CallRate>) {
+        if self.limits == *limits {
+            return;
+        }
+        self.limits.clone_from(limits);
+        for backend in self.servers.values_mut() {
+            backend.fleet_limit = limits.get(&backend.server.id).copied();
+        }
+    }
+
+    /// Returns what servers' answers to this router said of their limits within `max_age`.
+    pub fn limit_news(
+        &self,
+        now: clock::Millis,
+        max_age: clock::Millis,
+    ) -> Vec<(id::BackendServerId, call_limit::News)> {
+        let news = self.servers.iter().flat_map(|(id, backend)| {
+            let news = backend.limit.news(now, max_age).into_iter();
+            news.map(|n| (id.clone(), n))
+        });
+        news.collect()
+    }
+
+    /// Returns what the answers of some servers to this router said of their limits.
+    pub fn limit_news_of(
+        &self,
+        now: clock::Millis,
+        ids: &[id::BackendServerId],
+    ) -> Vec<(id::BackendServerId, call_limit::News)> {
+        let servers = ids.iter().filter_map(|id| self.servers.get(id));
+        let news = servers.flat_map(|b| {
+            let news = b.limit.news(now, clock::Millis::MAX).into_iter();
+            news.map(|n| (b.server.id.clone(), n))
+        });
+        news.collect()
+    }
+
+    /// Returns whether calls to a server need a permit.
+    pub fn is_limited(&self, now: clock::Millis, id: &id::BackendServerId) -> bool {
+        let backend = self.servers.get(id);
+        backend.is_some_and(|b| b.call_limit(now).is_some())
+    }
+
+    /// Ends the limit of a server, unless an answer to this router named one after `since`.
+    pub fn end_limit(&mut self, since: clock::Millis, id: &id::BackendServerId) {
+        self.limits.remove(id);
+        if let Some(backend) = self.servers.get_mut(id) {
+            backend.fleet_limit = None;
+            if backend.limit.last().is_some_and(|last| last.at < since) {
+                backend.limit = call_limit::NamedLimit::default();
+            }
+        }
+    }
+
     /// Returns the servers that are ejected because this router could not connect to them.
     pub fn unreachable(&self, now: clock::Millis) -> Vec<id::BackendServerId> {
         self.ids_where(|availability| availability.is_unreachable(now))
@@ -202,8 +281,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with `Full` when the queues of all candidates are full, with `Quiet` when they want no
-    /// calls, with `Leaving` when they are leaving, with `NoServer` without a candidate.
+    /// Fails with `Full` when the queues of all candidates are full, with `Limited` when they need a
+    /// permit, with `Quiet` when they want no calls, with `Leaving` when they are leaving, with `NoServer` without a candidate.
     pub fn pick_plain(
         &self,
         now: clock::Millis,
@@ -211,29 +290,64 @@
         tried: &[id::BackendServerId],
         random: u64,
     ) -> Result<Pick, PickError> {
-        let candidates = self.candidates(now, service, availability::Purpose::Plain, tried)?;
-        let utilisation = |backend: &&backend::Backend| {
-            f64::from(self.load(backend).requests) / f64::from(backend.server.slots.max(1))
-        };
-        let score = |backend: &&backend::Backend| utilisation(backend) + self.penalty(backend);
+        let purpose = availability::Purpose::Plain;
+        let candidates = self.candidates(now, service, purpose, tried, Access::Free)?;
+        let score = |b: &&backend::Backend| self.plain_utilisation(b) + self.penalty(b);
         let slots = candidates.iter().map(|p| p.server.slots.max(1)).max();
         let one_request = 1.0 / f64::from(slots.unwrap_or(1));
         let spread = one_request * (1.0 + self.unseen_requests(now, service));
         let with_capacity = candidates
             .into_iter()
-            .filter(|p| self.load(p).requests < p.server.slots.max(1) * (1 + MAX_QUEUED_PER_SLOT));
+            .filter(|b| self.has_plain_capacity(b));
         match headroom::pick(with_capacity, random, spread, score) {
-            Some(best) => Ok(self.pick(now, best, utilisation(&best))),
+            Some(best) => Ok(self.pick(now, best, self.plain_utilisation(best))),
             None => Err(PickError::Full),
         }
     }
 
+    fn plain_utilisation(&self, backend: &backend::Backend) -> f64 {
+        f64::from(self.load(backend).requests) / f64::from(backend.server.slots.max(1))
+    }
+
+    fn has_plain_capacity(&self, backend: &backend::Backend) -> bool {
+        let slots = backend.server.slots.max(1);
+        self.load(backend).requests < slots * (1 + MAX_QUEUED_PER_SLOT)
+    }
+
+    /// Returns the servers of a plain service that have capacity but need a permit, the least
+    /// utilised first.
+    pub fn limited_plain(
+        &self,
+        now: clock::Millis,
+        service: &document::ServiceId,
+        tried: &[id::BackendServerId],
+    ) -> Vec<Pick> {
+        let purpose = availability::Purpose::Plain;
+        let candidates = self.candidates(now, service, purpose, tried, Access::WithPermit);
+        let mut candidates = candidates.unwrap_or_default();
+        candidates.retain(|b| self.has_plain_capacity(b));
+        self.picks_by(now, candidates, |b| self.plain_utilisation(b))
+    }
+
+    /// Returns picks of `servers`, by a score and the penalty of each.
+    fn picks_by(
+        &self,
+        now: clock::Millis,
+        mut servers: Vec<&backend::Backend>,
+        score: impl Fn(&backend::Backend) -> f64,
+    ) -> Vec<Pick> {
+        let with_penalty = |b: &backend::Backend| score(b) + self.penalty(b);
+        servers.sort_by(|a, b| with_penalty(a).total_cmp(&with_penalty(b)));
+        let picks = servers.into_iter().map(|b| self.pick(now, b, score(b)));
+        picks.collect()
+    }
+
     /// Picks a decode server among those with the most free capacity.
     ///
     /// # Errors
     ///
-    /// Fails with `Full` when no candidate has the required capacity, with `Quiet` when they want no
-    /// calls, with `Leaving` when they are leaving, with `NoServer` without a candidate.
+    /// Fails with `Full` when no candidate has the required capacity, with `Limited` when they need
+    /// a permit, with `Quiet` when they want no calls, with `Leaving` when they are leaving, with `NoServer` without a candidate.
     pub fn pick_decode(
         &self,
         now: clock::Millis,
@@ -242,34 +356,55 @@
         tried: &[id::BackendServerId],
         random: u64,
     ) -> Result<Pick, PickError> {
-        let candidates = self.candidates(now, &service.id, availability::Purpose::Decode, tried)?;
-        let one_more = message::Load {
-            requests: 1,
-            memory: requirements.memory,
-            ..message::Load::default()
-        };
-        let utilisation = |backend: &&backend::Backend| {
-            let mut load = self.load(backend);
-            load.add(one_more);
-            utilisation_of(service, load)
-        };
+        let purpose = availability::Purpose::Decode;
+        let candidates = self.candidates(now, &service.id, purpose, tried, Access::Free)?;
+        let utilisation = |b: &&backend::Backend| self.decode_utilisation(b, service, requirements);
         let score = |backend: &&backend::Backend| utilisation(backend) + self.penalty(backend);
         let with_capacity = candidates
             .into_iter()
             .filter(|p| utilisation(p) <= requirements.max_utilisation());
         let unseen = self.unseen_requests(now, &service.id);
-        let spread = utilisation_of(service, one_more) * (1.0 + unseen);
+        let spread = utilisation_of(service, requirements.to_load()) * (1.0 + unseen);
         match headroom::pick(with_capacity, random, spread, score) {
             Some(best) => Ok(self.pick(now, best, utilisation(&best))),
             None => Err(PickError::Full),
         }
     }
 
+    /// Returns the utilisation that one more request would bring a decode server to.
+    fn decode_utilisation(
+        &self,
+        backend: &backend::Backend,
+        service: &document::Service,
+        requirements: Requirements,
+    ) -> f64 {
+        let mut load = self.load(backend);
+        load.add(requirements.to_load());
+        utilisation_of(service, load)
+    }
+
+    /// Returns the decode servers that have the required capacity but need a permit, the least
+    /// utilised first.
+    pub fn limited_decode(
+        &self,
+        now: clock::Millis,
+        service: &document::Service,
+        requirements: Requirements,
+        tried: &[id::BackendServerId],
+    ) -> Vec<Pick> {
+        let purpose = availability::Purpose::Decode;
+        let candidates = self.candidates(now, &service.id, purpose, tried, Access::WithPermit);
+        let utilisation = |b: &backend::Backend| self.decode_utilisation(b, service, requirements);
+        let mut candidates = candidates.unwrap_or_default();
+        candidates.retain(|b| utilisation(b) <= requirements.max_utilisation());
+        self.picks_by(now, candidates, utilisation)
+    }
+
     /// Returns the state of a service's decode servers, for the log.
     pub fn decode_status(&self, now: clock::Millis, service: &document::Service) -> DecodeStatus {
         let purpose = availability::Purpose::Decode;
         let listed = self.matching(&service.id, purpose, &[]);
-        let available = self.candidates(now, &service.id, purpose, &[]);
+        let available = self.candidates(now, &service.id, purpose, &[], Access::Free);
         let available = available.unwrap_or_default();
         let percent = |p: &&backend::Backend| to_percent(utilisation_of(service, self.load(p)));
         DecodeStatus {
@@ -291,20 +426,50 @@
         random: u64,
     ) -> Option<PrefillPick> {
         let purpose = availability::Purpose::Prefill;
-        let candidates = self.candidates(now, service, purpose, tried).ok()?;
-        let time = |backend: &&backend::Backend| {
-            let tokens = (self.load(backend).prompts + prompt).as_u64() as f64;
-            tokens / backend.prefill_tokens_per_ms * (1.0 + self.penalty(backend))
-        };
+        let candidates = self.candidates(now, service, purpose, tried, Access::Free);
+        let candidates = candidates.ok()?;
+        let time = |backend: &&backend::Backend| self.prefill_ms(backend, prompt);
         let one_prompt = prompt.as_u64() as f64 / backend::INITIAL_PREFILL_TOKENS_PER_MS;
         let spread = one_prompt * (1.0 + self.unseen_requests(now, service));
         let best = headroom::pick(candidates.into_iter(), random, spread, time)?;
-        let time = clock::Millis::new(time(&best) as u64);
-        Some(PrefillPick {
-            pick: self.pick(now, best, 0.0),
-            time,
-            tokens: self.load(best).prompts + prompt,
-        })
+        Some(self.prefill_pick(now, best, prompt))
+    }
+
+    /// Returns the predicted milliseconds until a server has processed one more prompt.
+    fn prefill_ms(&self, backend: &backend::Backend, prompt: unit::Tokens) -> f64 {
+        let tokens = (self.load(backend).prompts + prompt).as_u64() as f64;
+        tokens / backend.prefill_tokens_per_ms * (1.0 + self.penalty(backend))
+    }
+
+    fn prefill_pick(
+        &self,
+        now: clock::Millis,
+        backend: &backend::Backend,
+        prompt: unit::Tokens,
+    ) -> PrefillPick {
+        PrefillPick {
+            pick: self.pick(now, backend, 0.0),
+            time: clock::Millis::new(self.prefill_ms(backend, prompt) as u64),
+            tokens: self.load(backend).prompts + prompt,
+        }
+    }
+
+    /// Returns the prefill servers that need a permit, the fastest first.
+    pub fn limited_prefill(
+        &self,
+        now: clock::Millis,
+        service: &document::ServiceId,
+        prompt: unit::Tokens,
+        tried: &[id::BackendServerId],
+    ) -> Vec<PrefillPick> {
+        let purpose = availability::Purpose::Prefill;
+        let candidates = self.candidates(now, service, purpose, tried, Access::WithPermit);
+        let candidates = candidates.unwrap_or_default().into_iter();
+        let mut picks: Vec<PrefillPick> = candidates
+            .map(|b| self.prefill_pick(now, b, prompt))
+            .collect();
+        picks.sort_by_key(|p| p.time);
+        picks
     }
 
     /// Adds work that this router sends to a server.
@@ -412,22 +577,13 @@
             protocol::Limit::Unreadable => return None,
         };
         let before = backend.limit.rate(now);
-        if rate.is_some() || before.is_some() {
+        if rate.is_some() || before.is_some() || backend.fleet_limit.is_some() {
             backend.limit.record(call_limit::Said { at: now, rate });
         }
         let after = backend.limit.rate(now);
         (after != before).then_some(after)
     }
 
-    /// Returns the limit of calls that a server's answers to this router named; `None` without one.
-    pub fn named_limit(
-        &self,
-        now: clock::Millis,
-        id: &id::BackendServerId,
-    ) -> Option<unit::CallRate> {
-        self.servers.get(id)?.limit.rate(now)
-    }
-
     /// Returns the state of a server; one that is not known is leaving.
     pub fn state(&self, now: clock::Millis, id: &id::BackendServerId) -> availability::State {
         let backend = self.servers.get(id);
@@ -476,6 +632,7 @@
             address: backend.server.address,
             utilisation_percent: to_percent(utilisation),
             report_age: now - self.remote_loads_at,
+            permit: None,
         }
     }
 
@@ -520,23 +677,41 @@
         })
     }
 
-    /// Returns the servers that may be picked now. Ejected ones are returned only when no other
-    /// server can be picked.
+    /// Returns the servers that may be picked now, of those that need a permit or of the others.
+    /// Ejected ones are returned only when no other server can be picked.
     ///
     /// # Errors
     ///
-    /// Fails with `Full` when a server takes work once it has capacity again, with `Quiet` when all
-    /// want no calls, with `Leaving` when all are leaving, with `NoServer` when there is none.
+    /// Fails with `Full` when a server takes work once it has capacity again, with `Limited` when
+    /// those that take calls need a permit, with `Quiet` when all want no calls, with `Leaving` when
+    /// all are leaving, with `NoServer` when there is none.
     fn candidates(
         &self,
         now: clock::Millis,
         service: &document::ServiceId,
         purpose: availability::Purpose,
         tried: &[id::BackendServerId],
+        access: Access,
     ) -> Result<Vec<&backend::Backend>, PickError> {
         let servers = self.matching(service, purpose, tried);
         let with_state = servers.map(|b| (b, self.with_news(b, b.availability.state(now))));
-        availability::pickable(with_state, purpose)
+        let (limited, free): (Vec<_>, Vec<_>) =
+            with_state.partition(|(b, _)| b.call_limit(now).is_some());
+        if access == Access::WithPermit {
+            return availability::pickable(limited.into_iter(), purpose);
+        }
+        let takes_calls = |(_, state): &(_, availability::State)| {
+            state.admission(purpose) == availability::Admission::Now
+        };
+        let is_sound = |(_, state): &(_, availability::State)| {
+            let admission = state.admission(purpose);
+            admission == availability::Admission::Now
+                || admission == availability::Admission::WhenFree
+        };
+        if limited.iter().any(takes_calls) && !free.iter().any(is_sound) {
+            return Err(PickError::Limited);
+        }
+        availability::pickable(free.into_iter(), purpose)
     }
 }
 
--- a/src/router/call.rs
+++ b/src/router/call.rs
@@ -4,6 +4,7 @@
 use std::sync;
 
 use bytes::Bytes;
+use tokio::time;
 
 use crate::clock;
 use crate::id;
@@ -30,7 +31,7 @@
         let begun = core
             .balancer()
             .begin_call(core.clock.now(), &pick.id, purpose);
-        let counted = begun.map_err(|state| withdrawn(pick, purpose, state))?;
+        let counted = begun.map_err(|state| withdrawn(pick, purpose, state.as_str()))?;
         Ok(Self {
             core: sync::Arc::clone(core),
             server: pick.id.clone(),
@@ -50,7 +51,7 @@
         if state.may_send(purpose) {
             Ok(())
         } else {
-            Err(withdrawn(pick, purpose, state))
+            Err(withdrawn(pick, purpose, state.as_str()))
         }
     }
 }
@@ -79,36 +80,47 @@
     timeout: clock::Millis,
 ) -> Result<(protocol::ServerAnswer, upstream::Answer), upstream::Failure> {
     let guard = Guard::begin(core, pick, purpose)?;
+    if let Some(permit) = pick.permit {
+        time::sleep((permit.from - core.clock.now()).as_duration()).await;
+    }
     let stream = upstream::connect(pick.address, timeout).await?;
     guard.check(pick, purpose)?;
-    count_call(core, pick, purpose);
+    check_permit(core, pick, purpose)?;
     let answer = upstream::exchange(stream, req, timeout).await?;
     let head = core.codec.read_server_head(answer.status, &answer.headers);
     core.record_answer(&pick.id, &head);
     Ok((head, answer))
 }
 
-/// Counts a call by its purpose, and whether the server has named a limit of calls.
-fn count_call(core: &core::Core, pick: &balancer::Pick, purpose: availability::Purpose) {
-    let limit = core.balancer().named_limit(core.clock.now(), &pick.id);
-    let limited = if limit.is_some() { "true" } else { "false" };
+/// Checks that a server without a limit is called, or that there is a valid permit; counts the call.
+fn check_permit(
+    core: &core::Core,
+    pick: &balancer::Pick,
+    purpose: availability::Purpose,
+) -> Result<(), upstream::Failure> {
+    let now = core.clock.now();
+    let is_limited = core.balancer().is_limited(now, &pick.id);
+    if is_limited && !pick.permit.is_some_and(|p| p.is_valid(now)) {
+        return Err(withdrawn(pick, purpose, "limited"));
+    }
+    let limited = if is_limited { "true" } else { "false" };
     metrics::counter!("buckthorncleat_server_calls_total", "purpose" => purpose.as_str(), "limited" => limited)
         .increment(1);
+    Ok(())
 }
 
 /// Logs and counts a call that was decided on and is not sent.
 fn withdrawn(
     pick: &balancer::Pick,
     purpose: availability::Purpose,
-    state: availability::State,
+    state: &'static str,
 ) -> upstream::Failure {
-    metrics::counter!("buckthorncleat_withdrawn_calls_total", "state" => state.as_str())
-        .increment(1);
+    metrics::counter!("buckthorncleat_withdrawn_calls_total", "state" => state).increment(1);
     log::info!(
         event = "call_withdrawn",
         server = pick.id.as_str(),
         purpose = purpose.as_str(),
-        state = state.as_str();
+        state = state;
         "the server takes no calls since it was picked; picking another one"
     );
     upstream::Failure::Withdrawn
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -12,11 +12,14 @@
 use crate::document;
 use crate::fleet::budget;
 use crate::fleet::message;
+use crate::fleet::permit;
 use crate::fleet::quota;
 use crate::id;
+use crate::peer::link;
 use crate::router::availability;
 use crate::router::balancer;
 use crate::router::output;
+use crate::router::permits;
 use crate::router::protocol;
 use crate::router::table;
 
@@ -69,6 +72,8 @@
     pub codec: sync::Arc<dyn protocol::Codec>,
     pub settings: Settings,
     pub clock: clock::Clock,
+    /// Links to the control members.
+    pub links: link::Links,
     /// Notified when capacity at a server may have become free.
     pub capacity_freed: Notify,
     table: watch::Sender<Option<sync::Arc<table::Table>>>,
@@ -77,6 +82,7 @@
     tokens_per_event: sync::Mutex<output::TokensPerEvent>,
     quotas: sync::Mutex<quota::Quotas>,
     budget: sync::Mutex<budget::Budget>,
+    permits: sync::Mutex<permits::Permits>,
     fleet: sync::Mutex<Fleet>,
     waiting: sync::Mutex<collections::BTreeSet<Ticket>>,
     tickets: atomic::AtomicU64,
@@ -89,6 +95,17 @@
     entries: Vec<message::Entry>,
     quarantined: Vec<message::Fingerprint>,
     losses: Vec<message::Loss>,
+    /// `None` while no leader answers.
+    leader: Option<Leader>,
+}
+
+/// The leader that sent the last summary.
+#[derive(Clone, Copy, Debug)]
+struct Leader {
+    address: net::SocketAddr,
+    /// Its time in that summary.
+    time: permit::LeaderTime,
+    summary_at: clock::Millis,
 }
 
 /// Position of a waiting request, ordered by service, priority and arrival.
@@ -115,11 +132,13 @@
         codec: sync::Arc<dyn protocol::Codec>,
         settings: Settings,
         clock: clock::Clock,
+        links: link::Links,
     ) -> Self {
         let balancer = balancer::Balancer::new(settings.data_centre.clone());
         Self {
             codec,
             clock,
+            links,
             capacity_freed: Notify::new(),
             table: watch::Sender::new(None),
             phase: watch::Sender::new(Phase::Serving),
@@ -127,6 +146,7 @@
             tokens_per_event: sync::Mutex::default(),
             quotas: sync::Mutex::new(quota::Quotas::new(settings.quota_window)),
             budget: sync::Mutex::new(budget::Budget::new(settings.budget)),
+            permits: sync::Mutex::default(),
             fleet: sync::Mutex::default(),
             waiting: sync::Mutex::default(),
             tickets: atomic::AtomicU64::new(0),
@@ -262,6 +282,34 @@
         lock(&self.budget)
     }
 
+    pub fn permits(&self) -> sync::MutexGuard<'_, permits::Permits> {
+        lock(&self.permits)
+    }
+
+    /// Sets the leader that sent a summary, and its time then; `None` while no leader answers.
+    pub fn set_leader(&self, leader: Option<(net::SocketAddr, permit::LeaderTime)>) {
+        let summary_at = self.clock.now();
+        lock(&self.fleet).leader = leader.map(|(address, time)| Leader {
+            address,
+            time,
+            summary_at,
+        });
+    }
+
+    /// Returns the address of the leader; `None` while none answers.
+    pub fn leader(&self) -> Option<net::SocketAddr> {
+        lock(&self.fleet).leader.map(|l| l.address)
+    }
+
+    /// Returns the leader's time as this router knows it, which is not later than the true one.
+    pub fn leader_time(&self, now: clock::Millis) -> Option<permit::LeaderTime> {
+        let leader = lock(&self.fleet).leader?;
+        Some(permit::LeaderTime {
+            at: leader.time.at + (now - leader.summary_at),
+            ..leader.time
+        })
+    }
+
     pub fn phase(&self) -> Phase {
         *self.phase.borrow()
     }
--- a/src/router/generate/mod.rs
+++ b/src/router/generate/mod.rs
@@ -17,6 +17,7 @@
 use crate::router::balancer;
 use crate::router::call;
 use crate::router::in_flight;
+use crate::router::limited;
 use crate::router::output;
 use crate::router::prefill;
 use crate::router::protocol;
@@ -319,19 +320,38 @@
             let now = req.core.clock.now();
             // Register for notification before the search, so that no change in between is missed.
             let freed = req.core.capacity_freed.notified();
-            let picked = if queued.is_first() {
+            let (mut picked, limited) = if queued.is_first() {
                 let balancer = req.core.balancer();
-                balancer.pick_decode(now, &req.service, requirements, &self.tried, rand::random())
+                let service = &req.service;
+                (
+                    balancer.pick_decode(now, service, requirements, &self.tried, rand::random()),
+                    balancer.limited_decode(now, service, requirements, &self.tried),
+                )
             } else {
-                Err(balancer::PickError::Full)
+                (Err(balancer::PickError::Full), Vec::new())
             };
+            if !limited.is_empty()
+                && let Some(span) = self.limited_call_span(&picked, &limited[0], deadline - now)
+            {
+                match limited::acquire(&req.core, &limited, span, req.log_id()).await {
+                    Ok(pick) => picked = Ok(pick),
+                    Err(denial)
+                        if picked == Err(balancer::PickError::Limited)
+                            && denial.next_at > deadline =>
+                    {
+                        return Err(Refusal::limited(denial));
+                    }
+                    Err(_) => {}
+                }
+            }
             match picked {
                 Ok(pick) => {
                     let guard = in_flight::Guard::new(&req.core, &pick.id, load);
                     return Ok((pick, guard));
                 }
                 Err(balancer::PickError::Quiet { until }) if until.max(now) < deadline => {}
-                Err(balancer::PickError::Full) if now < deadline => {}
+                Err(balancer::PickError::Full | balancer::PickError::Limited) if now < deadline => {
+                }
                 Err(error) => {
                     if error == balancer::PickError::Full {
                         self.log_no_room(now, load.memory);
@@ -349,6 +369,50 @@
         }
     }
 
+    /// Returns when a stream could be sent to a limited decode server; `None` when the server that was
+    /// picked without a permit is preferred.
+    fn limited_call_span(
+        &self,
+        picked: &Result<balancer::Pick, balancer::PickError>,
+        best: &balancer::Pick,
+        max_wait: clock::Millis,
+    ) -> Option<limited::Span> {
+        let core = &self.req.core;
+        let earliest = self.predicted_prefill();
+        if picked.is_err() {
+            return Some(limited::Span {
+                earliest,
+                latest: earliest + max_wait,
+            });
+        }
+        let routers = core.quotas().gateways();
+        let is_due = core
+            .permits()
+            .needs_refresh(core.clock.now(), &best.id, routers);
+        is_due.then_some(limited::Span {
+            earliest,
+            latest: earliest,
+        })
+    }
+
+    /// Returns the predicted time of the prefill that is still to be done at a prefill server.
+    fn predicted_prefill(&self) -> clock::Millis {
+        if self.attempts > 0 || self.export.is_some() {
+            return clock::Millis::ZERO;
+        }
+        let prompt = self.req.caller.generation.unwrap_or_default().prompt;
+        let now = self.req.core.clock.now();
+        let service = &self.req.service.id;
+        let balancer = self.req.core.balancer();
+        let picked = balancer.pick_prefill(now, service, prompt, &[], rand::random());
+        let time = picked.map(|p| p.time).unwrap_or_default();
+        if time > prefill::MAX_PREDICTED_PREFILL {
+            clock::Millis::ZERO
+        } else {
+            time
+        }
+    }
+
     fn decode_load(&self) -> message::Load {
         let generation = self.req.caller.generation.unwrap_or_default();
         message::Load {
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -11,6 +11,7 @@
 use crate::router::balancer;
 use crate::router::call;
 use crate::router::in_flight;
+use crate::router::limited;
 use crate::router::protocol;
 use crate::router::request;
 use crate::router::retry_after;
@@ -26,6 +27,10 @@
 /// Longest time between two searches for a server that takes one call at a time.
 const POLL_INTERVAL: clock::Millis = clock::Millis::new(20);
 
+/// A request waits for a limited server for this part of its latency target (a divisor). If some
+/// waited longer, all that are served would be served late.
+const LIMITED_WAIT_DIVISOR: u64 = 2;
+
 /// State of a request over its attempts.
 #[derive(Default)]
 struct Progress {
@@ -99,10 +104,24 @@
         // Register for notification before the search, so that no change in between is missed.
         let freed = req.core.capacity_freed.notified();
         let now = req.core.clock.now();
-        let picked = req
-            .core
-            .balancer()
-            .pick_plain(now, &req.service.id, tried, rand::random());
+        let (picked, limited) = {
+            let balancer = req.core.balancer();
+            let service = &req.service.id;
+            (
+                balancer.pick_plain(now, service, tried, rand::random()),
+                balancer.limited_plain(now, service, tried),
+            )
+        };
+        if let Some(latest) = limited_call_time(req, &picked, &limited) {
+            let span = limited::Span::within(latest);
+            match limited::acquire(&req.core, &limited, span, req.log_id()).await {
+                Ok(pick) => return Ok(pick),
+                Err(denial) if picked == Err(balancer::PickError::Limited) => {
+                    return Err(Refusal::limited(denial));
+                }
+                Err(_) => {}
+            }
+        }
         let error = match picked {
             Ok(pick) => return Ok(pick),
             Err(error) => error,
@@ -120,6 +139,28 @@
     }
 }
 
+/// Returns within which time a call to one of the limited servers is preferred to the server that
+/// was picked without a permit, or that there is none; `None` when it is not.
+fn limited_call_time(
+    req: &request::Request,
+    picked: &Result<balancer::Pick, balancer::PickError>,
+    limited: &[balancer::Pick],
+) -> Option<clock::Millis> {
+    let best = limited.first()?;
+    match picked {
+        Err(_) => Some(clock::Millis::new(
+            req.route.target_latency.as_u64() / LIMITED_WAIT_DIVISOR,
+        )),
+        Ok(pick) if pick.utilisation_percent >= 100 => Some(clock::Millis::ZERO),
+        Ok(_) => {
+            let routers = req.core.quotas().gateways();
+            let now = req.core.clock.now();
+            let is_due = req.core.permits().needs_refresh(now, &best.id, routers);
+            is_due.then_some(clock::Millis::ZERO)
+        }
+    }
+}
+
 /// Makes one attempt; `None` means that another one may follow.
 async fn attempt(
     req: &request::Request,
--- a/src/router/prefill.rs
+++ b/src/router/prefill.rs
@@ -10,6 +10,7 @@
 use crate::router::balancer;
 use crate::router::call;
 use crate::router::in_flight;
+use crate::router::limited;
 use crate::router::protocol;
 use crate::router::request;
 use crate::router::upstream;
@@ -20,7 +21,7 @@
 
 /// A prefill server is used up to this predicted time; beyond it, the decode server does the
 /// prefill itself.
-const MAX_PREDICTED_PREFILL: clock::Millis = clock::Millis::new(700);
+pub const MAX_PREDICTED_PREFILL: clock::Millis = clock::Millis::new(700);
 
 /// Share of an exported KV cache's lifetime in which its transfer may begin (numerator,
 /// denominator). The rest covers the time until the request reaches the server.
@@ -30,6 +31,9 @@
 /// one that is gone costs the connect timeout.
 const MAX_PREFILL_SERVERS: usize = 3;
 
+/// How long a prefill waits for a permit; the decode server would take about as long to do it.
+const MAX_PERMIT_WAIT: clock::Millis = clock::Millis::new(100);
+
 /// The exported KV cache of a prompt.
 #[derive(Clone, Debug)]
 pub struct Exported {
@@ -82,18 +86,12 @@
     let Some(prompt) = req.caller.generation.map(|g| g.prompt) else {
         return Outcome::Unavailable;
     };
-    let now = req.core.clock.now();
-    let service = &req.service.id;
-    let picked = req
-        .core
-        .balancer()
-        .pick_prefill(now, service, prompt, tried, rand::random());
-    let Some(picked) = picked else {
+    let Some(picked) = pick(req, prompt, tried).await else {
         return Outcome::Unavailable;
     };
-    if picked.time > MAX_PREDICTED_PREFILL {
-        return Outcome::Unavailable;
-    }
+    let permit = picked.pick.permit;
+    let now = req.core.clock.now();
+    let now = permit.map_or(now, |p| now.max(p.from));
     let load = message::Load {
         requests: 1,
         memory: unit::Tokens::new(0),
@@ -141,6 +139,46 @@
     }
 }
 
+/// Picks a prefill server that is fast enough; one that limits its calls only when there is no
+/// other.
+async fn pick(
+    req: &request::Request,
+    prompt: unit::Tokens,
+    tried: &[id::BackendServerId],
+) -> Option<balancer::PrefillPick> {
+    let now = req.core.clock.now();
+    let service = &req.service.id;
+    let (picked, mut limited) = {
+        let balancer = req.core.balancer();
+        (
+            balancer.pick_prefill(now, service, prompt, tried, rand::random()),
+            balancer.limited_prefill(now, service, prompt, tried),
+        )
+    };
+    let picked = picked.filter(|p| p.time <= MAX_PREDICTED_PREFILL);
+    limited.retain(|p| p.time <= MAX_PREDICTED_PREFILL);
+    let Some(best) = limited.first() else {
+        return picked;
+    };
+    let routers = req.core.quotas().gateways();
+    let needs_refresh = req
+        .core
+        .permits()
+        .needs_refresh(now, &best.pick.id, routers);
+    let max_wait = match &picked {
+        None => MAX_PERMIT_WAIT,
+        Some(_) if needs_refresh => clock::Millis::ZERO,
+        Some(_) => return picked,
+    };
+    let candidates: Vec<balancer::Pick> = limited.iter().map(|p| p.pick.clone()).collect();
+    let span = limited::Span::within(max_wait);
+    let Ok(pick) = limited::acquire(&req.core, &candidates, span, req.log_id()).await else {
+        return picked;
+    };
+    let picked = limited.into_iter().find(|p| p.pick.id == pick.id)?;
+    Some(balancer::PrefillPick { pick, ..picked })
+}
+
 /// Answer of a prefill server.
 enum Reply {
     Done(protocol::Export),
--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -9,9 +9,9 @@
 use crate::clock;
 use crate::fleet::listing;
 use crate::fleet::message;
+use crate::fleet::permit;
 use crate::fleet::totals;
 use crate::id;
-use crate::peer::link;
 use crate::peer::message as peer_message;
 use crate::router::core;
 use crate::router::directory;
@@ -35,6 +35,10 @@
 /// Shortest interval between two reads of the server list by one router.
 const MIN_LIST_READ_INTERVAL: clock::Millis = clock::Millis::new(2_000);
 
+/// What servers said of their limits is reported for this time beyond two report intervals, so that
+/// a lost report costs nothing.
+const NEWS_MARGIN: clock::Millis = clock::Millis::new(1_000);
+
 /// What a report said of this router, which the summaries that answer it contain.
 struct Reported {
     spent: sorted::Map<id::ClientAccountId, i64>,
@@ -44,7 +48,6 @@
 /// Sends one router's reports and applies the summaries.
 pub struct Reporter {
     core: sync::Arc<core::Core>,
-    links: link::Links,
     /// Addresses of control members from the settings.
     seeds: watch::Receiver<Vec<net::SocketAddr>>,
     /// Addresses of control members from the last summary.
@@ -61,20 +64,17 @@
     next_list_read: clock::Millis,
     /// Number of gateways, from the last summary.
     gateways: u32,
+    /// The time between two reports, from the last summary.
+    report_interval: clock::Millis,
     /// Counts up while no leader is known, so that the members are asked in turn.
     next_member: usize,
 }
 
 impl Reporter {
     /// Creates a reporter that knows no leader yet.
-    pub fn new(
-        core: sync::Arc<core::Core>,
-        links: link::Links,
-        seeds: watch::Receiver<Vec<net::SocketAddr>>,
-    ) -> Self {
+    pub fn new(core: sync::Arc<core::Core>, seeds: watch::Receiver<Vec<net::SocketAddr>>) -> Self {
         Self {
             core,
-            links,
             seeds,
             members: Vec::new(),
             leader: None,
@@ -83,6 +83,7 @@
             last_summary_at: None,
             next_list_read: clock::Millis::ZERO,
             gateways: 1,
+            report_interval: clock::Millis::ZERO,
             next_member: rand::random_range(0..64),
         }
     }
@@ -116,7 +117,8 @@
             loads: report.loads.clone(),
         };
         let request = peer_message::Request::Report(Box::new(report));
-        let reply = self.links.request(address, &request, REPORT_TIMEOUT).await;
+        let links = &self.core.links;
+        let reply = links.request(address, &request, REPORT_TIMEOUT).await;
         match reply {
             Ok(peer_message::Reply::Summary(summary)) => {
                 let delay = summary.sums.report_interval;
@@ -161,17 +163,19 @@
                 quotas.spent_in_window(now),
             )
         };
-        let (loads, unreachable, endings, leaving) = {
+        let max_news_age = self.max_news_age();
+        let (loads, unreachable, endings, leaving, limits) = {
             let balancer = core.balancer();
             (
                 balancer.loads(),
                 balancer.unreachable(now),
                 balancer.endings(now),
                 balancer.leaving(),
+                balancer.limit_news(now, max_news_age),
             )
         };
         message::Report {
-            incarnation: self.links.identity().incarnation,
+            incarnation: core.links.identity().incarnation,
             address: core.settings.caller_address,
             data_centre: core.settings.data_centre.clone(),
             accepts_callers: directory::is_ready(core),
@@ -187,6 +191,18 @@
             unreachable,
             endings,
             leaving,
+            limits,
+            sent_at: core.leader_time(now),
+        }
+    }
+
+    /// Returns the age up to which a report has what servers said of their limits: that of the last
+    /// reports, and everything for a leader that had none yet.
+    fn max_news_age(&self) -> clock::Millis {
+        if self.last_summary_at.is_none() || self.leader.is_none() {
+            clock::Millis::MAX
+        } else {
+            self.report_interval * 2 + NEWS_MARGIN
         }
     }
 
@@ -206,6 +222,12 @@
         core::set_timestamp_gauge("buckthorncleat_summary_timestamp_seconds");
         let sums = summary.sums;
         self.gateways = sums.gateways;
+        self.report_interval = sums.report_interval;
+        let time = permit::LeaderTime {
+            term: summary.term,
+            at: summary.time,
+        };
+        core.set_leader(Some((from, time)));
         self.members = summary.members;
         if let Some(packed) = &summary.document {
             match protocol::read_packed(&*core.codec, packed) {
@@ -241,6 +263,8 @@
             balancer.set_remote_loads(now, self.view.loads_of_others(&reported.loads));
             balancer.set_ejected(sums.unreachable);
             balancer.set_leaving(sums.leaving);
+            balancer.set_limits(self.view.limits());
+            core.permits().retain(|id| balancer.is_limited(now, id));
         }
         core.set_fleet(self.view.entries(), sums.quarantined);
         core.capacity_freed.notify_waiters();
@@ -280,6 +304,7 @@
             .is_some_and(|at| now >= at + SUMMARY_TIMEOUT);
         if timed_out {
             self.last_summary_at = None;
+            self.core.set_leader(None);
             self.next_list_read = now + random_part(self.list_read_interval());
             log::warn!(event = "leader_lost"; "no leader answers; serving with the last known state");
         }
--- a/src/router/request/refusal.rs
+++ b/src/router/request/refusal.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::http::body;
 use crate::router::balancer;
+use crate::router::permits;
 use crate::router::protocol;
 use crate::router::request;
 use crate::router::retry_after;
@@ -43,12 +44,20 @@
                 return Self::NotRun("servers want no calls", delay);
             }
             balancer::PickError::Full => ("servers full", full),
+            // Not known here when they take a call; see `limited`.
+            balancer::PickError::Limited => ("servers limit calls", full),
             balancer::PickError::Leaving => ("servers leaving", retry_after::Cause::ServersLeaving),
             balancer::PickError::NoServer => ("no server", retry_after::Cause::ServersFailed),
         };
         Self::NotRun(reason, request::draw_retry_after(cause))
     }
 
+    /// Returns the refusal of a request for which the servers take no call in time, by the limits
+    /// that they name.
+    pub const fn limited(denial: permits::Denial) -> Self {
+        Self::NotRun("servers limit calls", denial.retry_after)
+    }
+
     pub const fn status(self) -> hyper::StatusCode {
         match self {
             Self::NotRun(..) => hyper::StatusCode::SERVICE_UNAVAILABLE,
--- a/src/router/reserve.rs
+++ b/src/router/reserve.rs
@@ -24,7 +24,7 @@
 /// Result of a reservation call.
 pub enum Outcome {
     Reserved(Guard),
-    /// The service offers no reservations.
+    /// The service offers no reservations, or the server limits its calls.
     Unsupported,
     /// The server is at capacity.
     Full,
@@ -56,7 +56,9 @@
 ) -> Outcome {
     let max_ttl = service.engine.as_ref().map(|e| e.max_reservation_ttl);
     let max_ttl = max_ttl.unwrap_or_default();
-    if max_ttl == clock::Millis::ZERO {
+    // A server that limits its calls gets only the one that generates.
+    let is_limited = core.balancer().is_limited(core.clock.now(), &pick.id);
+    if max_ttl == clock::Millis::ZERO || is_limited {
         return Outcome::Unsupported;
     }
     if required > memory {
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -49,9 +49,9 @@
     let identity = link::Identity::new(name, env.secret, env.recorder);
     let links = link::Links::new(sync::Arc::new(identity));
     let clock = clock::Clock::start();
-    let core = sync::Arc::new(core::Core::new(env.codec, env.settings, clock));
+    let core = sync::Arc::new(core::Core::new(env.codec, env.settings, clock, links));
     let mut tasks = listen(&core).await?;
-    let reporter = reporting::Reporter::new(sync::Arc::clone(&core), links, env.seeds);
+    let reporter = reporting::Reporter::new(sync::Arc::clone(&core), env.seeds);
     let phase = core.watch_phase();
     tasks.spawn(async move {
         reporter.run(phase).await;
