Permits whose answer was lost are issued again; a copy of a question gets the same ones

Change: questions are numbered. A router names in its next question those that got no answer in time, and the leader takes their permits back; a copy of a question gets the same permits; one that comes after its router has given up gets none.

--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -151,9 +151,14 @@
     }
 
     /// Answers a question for permits.
-    pub fn ask(&mut self, now: clock::Millis, ask: &permit::Ask) -> permit::Answer {
+    pub fn ask(
+        &mut self,
+        now: clock::Millis,
+        from: &id::InstanceId,
+        ask: &permit::Ask,
+    ) -> permit::Answer {
         let sent_at = self.own_time(ask.sent_at);
-        self.permits.ask(now, sent_at, ask)
+        self.permits.ask(now, sent_at, from, ask)
     }
 
     /// Returns a time of this leader; `None` if it is of another one.
--- a/src/fleet/permit.rs
+++ b/src/fleet/permit.rs
@@ -33,6 +33,17 @@
 /// One question gets at most the permits for this time, but at least one.
 const MAX_BATCH_TIME: clock::Millis = clock::Millis::new(50);
 
+/// How long a router waits for an answer.
+pub const ASK_TIMEOUT: clock::Millis = clock::Millis::new(200);
+
+/// The age from which on a question gets no permit any more: the time that its router waits, and
+/// the age of the news from which the router knows the leader's time.
+const MAX_ASK_AGE: clock::Millis = clock::Millis::new(550);
+
+/// How long the permits are kept that a question got, for a copy of it and for the word that the
+/// answer was lost.
+const GRANT_RETENTION: clock::Millis = clock::Millis::from_secs(2);
+
 /// The age from which on a message says nothing of limits any more.
 const MAX_MESSAGE_AGE: clock::Millis = clock::Millis::new(1_500);
 
@@ -54,9 +65,18 @@
     }
 }
 
+macros::number! {
+    /// The number of a question for permits.
+    AskNumber
+}
+
 macros::data! {
     /// A router's question to the leader for permits for calls to one of several servers.
     pub struct Ask {
+        /// The number of the question, unique for the router.
+        pub number: AskNumber,
+        /// Earlier questions whose answers did not come in time, so that their permits are not used.
+        pub lost: Vec<AskNumber>,
         /// The servers of which any will do, best first.
         pub servers: Vec<id::BackendServerId>,
         /// What the answers of these servers to the router said of their limits.
@@ -103,6 +123,18 @@
     /// From when on permits are issued; `None` before the first message.
     opens_at: Option<clock::Millis>,
     servers: sorted::Map<id::BackendServerId, Schedule>,
+    /// The permits of the last questions.
+    grants: sorted::Map<(id::InstanceId, AskNumber), Grant>,
+}
+
+/// The permits that a question got.
+#[derive(Clone, Debug)]
+struct Grant {
+    server: id::BackendServerId,
+    calls: u32,
+    /// When the first call may be sent.
+    from: clock::Millis,
+    granted_at: clock::Millis,
 }
 
 /// The calls that one server is to get.
@@ -151,9 +183,55 @@
         }
     }
 
-    /// Answers a question; see [`Self::hear`] for `sent_at`.
-    pub fn ask(&mut self, now: clock::Millis, sent_at: Option<clock::Millis>, ask: &Ask) -> Answer {
+    /// Answers a router's question; see [`Self::hear`] for `sent_at`.
+    pub fn ask(
+        &mut self,
+        now: clock::Millis,
+        sent_at: Option<clock::Millis>,
+        from: &id::InstanceId,
+        ask: &Ask,
+    ) -> Answer {
         self.hear(now, sent_at, &ask.news);
+        for number in &ask.lost {
+            self.take_back(&(from.clone(), *number));
+        }
+        let key = (from.clone(), ask.number);
+        if let Some(grant) = self.grants.get(&key) {
+            return grant.to_answer(now);
+        }
+        if sent_at.is_some_and(|at| now > at + MAX_ASK_AGE) {
+            return Answer::NONE;
+        }
+        let answer = self.schedule(now, ask);
+        if let Answer::Granted {
+            server,
+            delay,
+            calls,
+        } = &answer
+        {
+            let grant = Grant {
+                server: server.clone(),
+                calls: *calls,
+                from: now + *delay,
+                granted_at: now,
+            };
+            self.grants.insert(key, grant);
+        }
+        answer
+    }
+
+    /// Takes back the permits of a question whose answer was lost.
+    fn take_back(&mut self, key: &(id::InstanceId, AskNumber)) {
+        let Some(grant) = self.grants.remove(key) else {
+            return;
+        };
+        if let Some(schedule) = self.servers.get_mut(&grant.server) {
+            let unused = u64::from(grant.calls) * ONE_CALL;
+            schedule.backlog = schedule.backlog.saturating_sub(unused);
+        }
+    }
+
+    fn schedule(&mut self, now: clock::Millis, ask: &Ask) -> Answer {
         let opens_in = self.opens_at.map_or(TAKEOVER_TIME, |at| at - now);
         if opens_in > clock::Millis::ZERO {
             return Answer::Denied {
@@ -181,11 +259,7 @@
             Some((delay, server.clone(), schedule))
         });
         let Some((delay, server, schedule)) = best else {
-            return Answer::Denied {
-                wait: MAX_AHEAD,
-                retry_after: MAX_AHEAD,
-                interval: clock::Millis::ZERO,
-            };
+            return Answer::NONE;
         };
         if delay <= ask.latest.min(MAX_AHEAD) {
             let calls = schedule.take(now, delay, ask.calls);
@@ -214,6 +288,28 @@
     /// Forgets the limits that no router mentions any more.
     pub fn expire(&mut self, now: clock::Millis) {
         self.servers.retain(|_, s| now < s.mentioned_at + RETENTION);
+        self.grants
+            .retain(|_, g| now < g.granted_at + GRANT_RETENTION);
+    }
+}
+
+impl Answer {
+    /// The answer to a question that names no server, or that comes too late for its router.
+    const NONE: Self = Self::Denied {
+        wait: clock::Millis::ZERO,
+        retry_after: MAX_AHEAD,
+        interval: clock::Millis::ZERO,
+    };
+}
+
+impl Grant {
+    /// Returns the answer to a copy of the question; the router uses the first one that comes.
+    fn to_answer(&self, now: clock::Millis) -> Answer {
+        Answer::Granted {
+            server: self.server.clone(),
+            delay: self.from - now,
+            calls: self.calls,
+        }
     }
 }
 
--- a/src/keeper/aggregator.rs
+++ b/src/keeper/aggregator.rs
@@ -212,11 +212,11 @@
 
     /// Answers a question for permits, or names the leader if this member's leadership was not
     /// confirmed just now.
-    pub fn ask(&self, ask: &permit::Ask) -> message::Reply {
+    pub fn ask(&self, from: &id::InstanceId, ask: &permit::Ask) -> message::Reply {
         let now = self.clock.now();
         let mut leader_state = self.leader_state();
         if leader_state.is_confirmed_within(now, permit::MAX_CONFIRMATION_AGE) {
-            message::Reply::Permit(leader_state.ledger.ask(now, ask))
+            message::Reply::Permit(leader_state.ledger.ask(now, from, ask))
         } else {
             message::Reply::NotLeader(self.group.status().leader_peer())
         }
@@ -261,7 +261,7 @@
                 }
             },
             message::Request::Report(report) => self.report(&from, *report),
-            message::Request::Permit(ask) => self.ask(&ask),
+            message::Request::Permit(ask) => self.ask(&from, &ask),
             message::Request::Ping => message::Reply::Accepted,
             _ => message::Reply::Unsupported,
         }
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -146,7 +146,7 @@
             tokens_per_event: sync::Mutex::default(),
             quotas: sync::Mutex::new(quota::Quotas::new(settings.quota_window)),
             budget: sync::Mutex::new(budget::Budget::new(settings.budget)),
-            permits: sync::Mutex::default(),
+            permits: sync::Mutex::new(permits::Permits::new(rand::random())),
             fleet: sync::Mutex::default(),
             waiting: sync::Mutex::default(),
             tickets: atomic::AtomicU64::new(0),
--- a/src/router/limited.rs
+++ b/src/router/limited.rs
@@ -8,9 +8,6 @@
 use crate::router::core;
 use crate::router::permits;
 
-/// Timeout of a question: several round trips, and less than the lifetime of a permit.
-const ASK_TIMEOUT: clock::Millis = clock::Millis::new(200);
-
 /// When a call can be sent, from now on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Span {
@@ -76,21 +73,23 @@
 /// Asks the leader for a permit for a call to one of `servers`.
 async fn ask(core: &core::Core, servers: &[id::BackendServerId], span: Span) -> permits::Verdict {
     let sent_at = core.clock.now();
-    let (calls, refused) = core.permits().begin_ask(sent_at, servers);
+    let begun = core.permits().begin_ask(sent_at, servers);
     let question = permit::Ask {
+        number: begun.number,
+        lost: begun.lost,
         servers: servers.to_vec(),
         news: core.balancer().limit_news_of(sent_at, servers),
         sent_at: core.leader_time(sent_at),
         earliest: span.earliest,
         latest: span.latest,
-        calls,
-        refused,
+        calls: begun.calls,
+        refused: begun.refused,
     };
     let question = message::Request::Permit(Box::new(question));
     let reply = match core.leader() {
         Some(leader) => core
             .links
-            .request(leader, &question, ASK_TIMEOUT)
+            .request(leader, &question, permit::ASK_TIMEOUT)
             .await
             .ok(),
         None => None,
@@ -98,7 +97,7 @@
     let now = core.clock.now();
     let verdict = match reply {
         Some(message::Reply::Permit(answer)) => core.permits().apply(now, sent_at, servers, answer),
-        _ => permits::Verdict::Denied(core.permits().fail(now, servers)),
+        _ => permits::Verdict::Denied(core.permits().fail(now, begun.number, servers)),
     };
     if let permits::Verdict::Unlimited { server } = &verdict {
         core.balancer().end_limit(sent_at, server);
--- a/src/router/permits.rs
+++ b/src/router/permits.rs
@@ -12,6 +12,9 @@
 /// Counting calls of the last moments tells how many permits to ask for at once.
 const BATCH_WINDOW: clock::Millis = clock::Millis::new(100);
 
+/// Questions without an answer that the leader is told of.
+const MAX_LOST: usize = 16;
+
 /// How long no question is asked after the leader did not answer one.
 const NO_LEADER_PAUSE: clock::Millis = clock::Millis::new(100);
 
@@ -56,9 +59,23 @@
 }
 
 /// The permits that a router has, and what it knows of those that it can't get.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Permits {
     servers: sorted::Map<id::BackendServerId, Server>,
+    next_number: permit::AskNumber,
+    /// Questions without an answer that the leader was not told of.
+    lost: Vec<permit::AskNumber>,
+}
+
+/// What a question has to say beside the servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Begun {
+    pub number: permit::AskNumber,
+    pub lost: Vec<permit::AskNumber>,
+    /// The number of calls to ask for.
+    pub calls: u32,
+    /// The callers that were refused since the last question.
+    pub refused: u32,
 }
 
 #[derive(Debug, Default)]
@@ -86,6 +103,16 @@
 }
 
 impl Permits {
+    /// Makes the permits of a router that has none. Its questions are numbered from `random` on, so
+    /// that they differ from those of an earlier run of the process.
+    pub fn new(random: u32) -> Self {
+        Self {
+            servers: sorted::Map::new(),
+            next_number: permit::AskNumber::new(u64::from(random) << u32::BITS),
+            lost: Vec::new(),
+        }
+    }
+
     /// Takes an unused permit for the first of `servers` that has one that is valid by `latest`.
     pub fn take_spare(
         &mut self,
@@ -127,9 +154,8 @@
         asked_at.is_none_or(|at| now >= at + interval)
     }
 
-    /// Begins a question for one of `servers`; returns the number of calls to ask for and the
-    /// number of callers refused since the last question.
-    pub fn begin_ask(&mut self, now: clock::Millis, servers: &[id::BackendServerId]) -> (u32, u32) {
+    /// Begins a question for one of `servers`.
+    pub fn begin_ask(&mut self, now: clock::Millis, servers: &[id::BackendServerId]) -> Begun {
         let (mut calls, mut refused) = (0, 0);
         for id in servers {
             let server = self.servers.get_or_insert_with(id.clone(), Server::default);
@@ -143,7 +169,14 @@
         if let Some(server) = servers.first().and_then(|id| self.servers.get_mut(id)) {
             server.calls.push(now);
         }
-        (1 + calls as u32, refused)
+        let number = self.next_number;
+        self.next_number = number.next();
+        Begun {
+            number,
+            lost: std::mem::take(&mut self.lost),
+            calls: 1 + calls as u32,
+            refused,
+        }
     }
 
     /// Applies the leader's answer to a question for one of `servers` that was sent at `sent_at`.
@@ -192,8 +225,16 @@
         }
     }
 
-    /// Records that the leader did not answer a question.
-    pub fn fail(&mut self, now: clock::Millis, servers: &[id::BackendServerId]) -> Denial {
+    /// Records that the leader did not answer a question in time.
+    pub fn fail(
+        &mut self,
+        now: clock::Millis,
+        number: permit::AskNumber,
+        servers: &[id::BackendServerId],
+    ) -> Denial {
+        if self.lost.len() < MAX_LOST {
+            self.lost.push(number);
+        }
         let denied = Denied {
             next_at: now + NO_LEADER_PAUSE,
             return_at: now + NO_LEADER_RETRY_AFTER,
--- a/tests/permit_support/fleet.rs
+++ b/tests/permit_support/fleet.rs
@@ -7,7 +7,9 @@
 use buckthorncleat::clock::Millis;
 use buckthorncleat::fleet::ledger::Ledger;
 use buckthorncleat::fleet::message::{Report, Server, ServerState, Sums};
-use buckthorncleat::fleet::permit::{Answer, Ask, LeaderTime, MAX_CONFIRMATION_AGE};
+use buckthorncleat::fleet::permit::{
+    ASK_TIMEOUT, Answer, Ask, AskNumber, LeaderTime, MAX_CONFIRMATION_AGE,
+};
 use buckthorncleat::fleet::totals::View;
 use buckthorncleat::id::{BackendServerId, Incarnation, InstanceId, Term};
 use buckthorncleat::router::balancer::Balancer;
@@ -17,7 +19,6 @@
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
-const ASK_TIMEOUT: u64 = 200;
 const CALL_TIME: u64 = 15;
 
 /// How long a request waits for the limited server.
@@ -63,7 +64,7 @@
     leader: Option<(usize, LeaderTime, Millis)>,
     report_interval: u64,
     /// The questions without an answer: their numbers and when they were sent.
-    asks: Vec<(u64, Millis)>,
+    asks: Vec<(u64, AskNumber, Millis)>,
     frozen_until: u64,
     /// When an answer first named the limit that the server has by now.
     told_at: Option<u64>,
@@ -102,6 +103,10 @@
     pub longest_retry_after: u64,
 }
 
+fn router_name(router: usize) -> InstanceId {
+    format!("router-{router}").parse().unwrap()
+}
+
 fn rate(per_second: f64) -> CallRate {
     CallRate::from_millicalls((per_second * 1_000.0) as u64)
 }
@@ -125,7 +130,7 @@
             balancer.set_list(Millis::ZERO, std::slice::from_ref(&listed));
             Router {
                 balancer,
-                permits: Permits::default(),
+                permits: Permits::new(rng.random()),
                 view: View::default(),
                 leader: None,
                 report_interval: 100,
@@ -333,19 +338,22 @@
         self.asks += 1;
         let number = self.number;
         let state = &mut self.routers[router];
-        let (calls, refused) = state.permits.begin_ask(now, servers);
+        let begun = state.permits.begin_ask(now, servers);
+        let ask_number = begun.number;
         let ask = Ask {
+            number: ask_number,
+            lost: begun.lost,
             servers: servers.to_vec(),
             news: state.balancer.limit_news_of(now, servers),
             sent_at: state.sent_at(now),
             earliest: Millis::ZERO,
             latest: Millis::new(PATIENCE),
-            calls,
-            refused,
+            calls: begun.calls,
+            refused: begun.refused,
         };
-        state.asks.push((number, now));
+        state.asks.push((number, ask_number, now));
         let leader = state.leader.map(|(leader, ..)| leader);
-        self.after(ASK_TIMEOUT, Event::AskTimeout(router, number));
+        self.after(ASK_TIMEOUT.as_u64(), Event::AskTimeout(router, number));
         let Some(leader) = leader else { return };
         let copies = if self.plan.bad_links && self.rng.random_bool(0.02) {
             2
@@ -365,7 +373,8 @@
         if self.now >= self.leaders[leader].confirmed_until {
             return;
         }
-        let answer = self.leaders[leader].ledger.ask(now, ask);
+        let name = router_name(router);
+        let answer = self.leaders[leader].ledger.ask(now, &name, ask);
         if let Some(delay) = self.transit() {
             self.after(delay, Event::AnswerToAsk(router, number, answer));
         }
@@ -375,12 +384,12 @@
         let now = self.router_time(router);
         let servers = [self.server.clone()];
         let state = &mut self.routers[router];
-        let Some(position) = state.asks.iter().position(|(n, _)| *n == number) else {
+        let Some(position) = state.asks.iter().position(|(n, ..)| *n == number) else {
             return;
         };
-        let (_, sent_at) = state.asks.remove(position);
+        let (_, ask_number, sent_at) = state.asks.remove(position);
         let Some(answer) = answer else {
-            let denial = state.permits.fail(now, &servers);
+            let denial = state.permits.fail(now, ask_number, &servers);
             self.refuse(denial.retry_after);
             return;
         };
@@ -450,7 +459,7 @@
             return;
         }
         let now = self.leader_time(leader);
-        let name: InstanceId = format!("router-{router}").parse().unwrap();
+        let name = router_name(router);
         let sums = self.leaders[leader].ledger.report(now, &name, report);
         if let Some(delay) = self.transit() {
             let event = Event::Summary(router, leader, now.as_u64(), Box::new(sums));
