Heads, bodies and events of servers are bounded, for each call and over all calls

Cause: a head was bounded by hyper's default for one header only, so interim answers without end kept a request busy until its time was used up (4.0 s of 8 s in the test); an answer of a few numbers could take 16 MiB, over all calls any amount; an event of the own interface could take what the link carries in its idle time. Change: http::allowance bounds what is read until a head (256 KiB) or, on the own interface, an event (1 MiB) is complete. Answers to the router's own calls have 64 KiB. Beyond 64 KiB each, all answers that are read whole share 28 MiB, so that large ones don't keep small ones from being read. Past a bound the connection is closed and the server counts as lost; the request goes elsewhere where that is allowed, and is never a success.

--- a/src/backend/client.rs
+++ b/src/backend/client.rs
@@ -15,6 +15,7 @@
 use tokio::time;
 
 use crate::clock;
+use crate::http::allowance;
 use crate::http::progress;
 use crate::macros;
 
@@ -23,7 +24,9 @@
 /// The request body of a call.
 pub type Body = http_body_util::Full<Bytes>;
 
-type Connection = http1::Connection<rt::TokioIo<tokio::net::TcpStream>, Body>;
+type Io = rt::TokioIo<allowance::Bounded<tokio::net::TcpStream>>;
+
+type Connection = http1::Connection<Io, Body>;
 
 macros::data! {
     /// Why a call failed without a usable response.
@@ -63,6 +66,7 @@
     pub status: hyper::StatusCode,
     pub headers: hyper::HeaderMap,
     progress: progress::Progress,
+    allowance: allowance::Allowance,
     body: body::Incoming,
     connection: pin::Pin<Box<Connection>>,
     ended: bool,
@@ -77,6 +81,11 @@
 }
 
 impl Streaming {
+    /// Returns the bytes that may be read from the server; there is no bound at first.
+    pub fn allowance(&self) -> allowance::Allowance {
+        self.allowance.clone()
+    }
+
     /// Returns the next chunk of the body, or `None` at the end of a complete body.
     ///
     /// # Errors
@@ -163,6 +172,7 @@
     request: hyper::Request<Body>,
 ) -> Result<Streaming, Failure> {
     let stream = connect(address).await?;
+    let (stream, allowance) = allowance::Bounded::new(stream);
     let io = rt::TokioIo::new(stream);
     let (mut sender, connection) = http1::handshake(io)
         .await
@@ -179,9 +189,12 @@
     };
     let response = response.map_err(|e| Failure::Broken(e.to_string()))?;
     let (parts, body) = response.into_parts();
+    // What is kept of a whole body is bounded by whoever reads it.
+    allowance.lift();
     Ok(Streaming {
         status: parts.status,
         progress: progress::Progress::new(&parts.headers),
+        allowance,
         headers: parts.headers,
         body,
         connection,
--- a/src/backend/engine.rs
+++ b/src/backend/engine.rs
@@ -13,6 +13,7 @@
 use crate::backend::client;
 use crate::backend::wire;
 use crate::clock;
+use crate::http::allowance;
 use crate::id;
 use crate::macros;
 
@@ -250,9 +251,14 @@
         >,
     > + Send;
 
+/// What an engine may send until an event is complete; the buffers hold some of the next ones by
+/// then.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// A stream of tokens from an engine.
 pub struct TokenStream {
     events: pin::Pin<Box<Events>>,
+    allowance: allowance::Allowance,
 }
 
 impl fmt::Debug for TokenStream {
@@ -263,12 +269,15 @@
 
 impl TokenStream {
     fn new(streaming: client::Streaming) -> Self {
+        let allowance = streaming.allowance();
+        allowance.renew(MAX_EVENT_BYTES);
         let bytes = stream::unfold(streaming, |mut streaming| async {
             let next = streaming.next().await?;
             Some((next, streaming))
         });
         Self {
             events: Box::pin(bytes.eventsource()),
+            allowance,
         }
     }
 
@@ -285,6 +294,7 @@
         let next = time::timeout(idle_timeout.as_duration(), self.events.next())
             .await
             .map_err(|_| client::Failure::Timeout)?;
+        self.allowance.renew(MAX_EVENT_BYTES);
         match next {
             Some(Ok(event)) => decode_event(&event),
             Some(Err(e)) => Err(client::Failure::Broken(e.to_string())),
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP interfaces: completion and plain calls from callers, administration by operators.
 
 pub mod admin;
+pub mod allowance;
 pub mod body;
 pub mod caller;
 pub mod hop;
--- a/src/router/discovery.rs
+++ b/src/router/discovery.rs
@@ -123,7 +123,9 @@
         let reason = format!("expected status 200, got {}", answer.status);
         return Err(list_unavailable(&reason).into());
     }
-    let whole = answer.read_to_end(PAGE_TIMEOUT).await;
+    let whole = answer
+        .read_to_end(PAGE_TIMEOUT, upstream::MAX_ANSWER_BYTES)
+        .await;
     let whole = whole.map_err(|e| list_unavailable(&e.to_string()))?;
     Ok(codec.read_list(&whole)?)
 }
--- a/src/router/generate/mod.rs
+++ b/src/router/generate/mod.rs
@@ -499,7 +499,7 @@
     ) -> Attempt {
         let left = deadline - self.req.core.clock.now();
         if !answer.status.is_success() {
-            let bytes = answer.read_to_end(left).await;
+            let bytes = answer.read_to_end(left, upstream::MAX_ANSWER_BYTES).await;
             let Ok(bytes) = bytes else {
                 self.record_lost_server(pick, guard, upstream::Failure::Broken);
                 return Attempt::Lost;
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -3,6 +3,7 @@
 //! A platform's messages are encoded and decoded by a [`protocol::Codec`]; this module works with
 //! types of this crate.
 
+mod answer_memory;
 pub mod availability;
 mod backend;
 pub mod balancer;
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -260,7 +260,7 @@
     let (head, mut answer) = call::send(&req.core, pick, purpose, server_req, timeout).await?;
     let execution = req.execution(&head)?;
     let left = deadline - req.core.clock.now();
-    let bytes = answer.read_to_end(left).await?;
+    let bytes = answer.read_to_end(left, upstream::MAX_ANSWER_BYTES).await?;
     Ok((execution, answer.to_response(body::Body::from_bytes(bytes))))
 }
 
--- a/src/router/prefill.rs
+++ b/src/router/prefill.rs
@@ -202,7 +202,9 @@
     if !answer.status.is_success() {
         return Ok(Reply::Failed);
     }
-    let whole = answer.read_to_end(timeout).await?;
+    let whole = answer
+        .read_to_end(timeout, upstream::MAX_CALL_ANSWER_BYTES)
+        .await?;
     match req.core.codec.read_export(&whole) {
         Ok(export) => Ok(Reply::Done(export)),
         Err(e) => {
--- a/src/router/upstream.rs
+++ b/src/router/upstream.rs
@@ -16,9 +16,11 @@
 use tokio::time;
 
 use crate::clock;
+use crate::http::allowance;
 use crate::http::body;
 use crate::http::hop;
 use crate::http::progress;
+use crate::router::answer_memory;
 use crate::router::balancer;
 use crate::router::request;
 
@@ -26,8 +28,11 @@
 /// second after which a lost SYN is sent again.
 pub const CONNECT_TIMEOUT: clock::Millis = clock::Millis::new(200);
 
-/// Size limit of an answer that is read to its end.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Size limit of an answer for a caller, or of a page of the server list, that is read to its end.
+pub const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Size limit of the answer to a call of the router's own, which has a few fields.
+pub const MAX_CALL_ANSWER_BYTES: usize = 64 << 10;
 
 /// Why there is no complete answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -144,6 +149,7 @@
     stream: TcpStream,
     req: hyper::Request<http_body_util::Full<Bytes>>,
 ) -> Result<Answer, Failure> {
+    let (stream, allowance) = allowance::Bounded::new(stream);
     let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
     let (mut sender, driver) = handshake.map_err(|_| Failure::NotSent)?;
     let driver = async move {
@@ -154,6 +160,8 @@
     let connection = Connection::new(tokio::spawn(driver));
     let response = sender.send_request(req).await;
     let (head, body) = response.map_err(|_| Failure::Broken)?.into_parts();
+    // What is kept of the body is bounded by whoever reads it.
+    allowance.lift();
     Ok(Answer {
         status: head.status,
         progress: progress::Progress::new(&head.headers),
@@ -206,16 +214,23 @@
         }
     }
 
-    /// Reads the whole body, up to 16 MiB.
+    /// Reads the whole body, of at most `max_bytes`.
     ///
     /// # Errors
     ///
-    /// Fails when the connection breaks, or the body is too large or not complete in time.
-    pub async fn read_to_end(&mut self, timeout: clock::Millis) -> Result<Bytes, Failure> {
+    /// Fails when the connection breaks, the body is too large for `max_bytes` or for the memory
+    /// that the process has left for large answers, or it is not complete in time.
+    pub async fn read_to_end(
+        &mut self,
+        timeout: clock::Millis,
+        max_bytes: usize,
+    ) -> Result<Bytes, Failure> {
         let read = async {
             let mut whole = bytes::BytesMut::new();
+            let mut memory = answer_memory::Share::default();
             while let Some(chunk) = self.next_chunk().await? {
-                if whole.len() + chunk.len() > MAX_ANSWER_BYTES {
+                if whole.len() + chunk.len() > max_bytes || !memory.grow(chunk.len()) {
+                    metrics::counter!("buckthorncleat_oversized_answers_total").increment(1);
                     return Err(Failure::Broken);
                 }
                 whole.extend_from_slice(&chunk);
