A stalled stream that still sends bytes is left after its idle time

Cause: on routes that resume streams the idle time began anew with each chunk. A server that sent a byte or a comment now and then, or the same event again, was left only at the deadline of the request (operators' story of stalled streams that never ended). Change: only a new event with a field ends the idle time; a slow stream whose events come within it is not cut. An event may have 128 KiB, so that 200 streams inside one take 25 MB at most. A stream whose bytes come one by one, with each event within the idle time, is relayed by one server before and after.

--- a/src/router/events.rs
+++ b/src/router/events.rs
@@ -6,8 +6,9 @@
 
 use crate::http::progress;
 
-/// Size limit of an event; a longer one is taken for damaged data.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Size limit of an event; a longer one is taken for damaged data. All streams of a router may be
+/// inside one at once.
+pub const MAX_EVENT_BYTES: usize = 128 << 10;
 
 /// Buffers bytes and returns each event once it is complete.
 #[derive(Debug, Default)]
@@ -25,6 +26,8 @@
     pub bytes: Bytes,
     /// The event id, if it has a numeric one.
     pub id: Option<u64>,
+    /// Whether it has a field, and not only comments.
+    pub has_fields: bool,
 }
 
 impl Splitter {
@@ -40,7 +43,12 @@
         let bytes = self.buf.copy_to_bytes(end);
         self.scanned = 0;
         let id = event_id(&bytes);
-        Some(Event { bytes, id })
+        let has_fields = lines(&bytes).any(|line| !line.is_empty() && !line.starts_with(b":"));
+        Some(Event {
+            bytes,
+            id,
+            has_fields,
+        })
     }
 
     /// Takes what is buffered after the last event: nothing but blank lines if the stream ended
@@ -64,9 +72,12 @@
     }
 }
 
+fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    event.split(|b| matches!(b, b'\r' | b'\n'))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
-    let lines = event.split(|b| matches!(b, b'\r' | b'\n'));
-    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let mut ids = lines(event).filter_map(|line| line.strip_prefix(b"id:"));
     let text = std::str::from_utf8(ids.next()?).ok()?;
     text.trim().parse().ok()
 }
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -11,7 +11,7 @@
 use crate::router::generate;
 use crate::router::upstream;
 
-/// Lower bound of the time without data after which a stream is resumed elsewhere. A server that
+/// Lower bound of the time without an event after which a stream is resumed elsewhere. A server that
 /// runs long prefills between tokens pauses for up to half a second.
 const MIN_IDLE_TIMEOUT: clock::Millis = clock::Millis::new(1_500);
 
@@ -49,7 +49,7 @@
 enum Relayed {
     Complete,
     CallerGone,
-    /// The connection to the server broke, or no data came within the idle timeout.
+    /// The connection to the server broke, or no event came within the idle timeout.
     Lost(upstream::Failure),
     /// The deadline of the request has passed.
     TimedOut,
@@ -174,6 +174,9 @@
     stats: &mut Stats,
 ) -> Relayed {
     let idle_timeout = MIN_IDLE_TIMEOUT.max(stream.req.route.target_gap * IDLE_TIMEOUT_PAUSES);
+    // Comments, events that were delivered before and parts of an event are no progress: a stalled
+    // server may send them for ever.
+    let mut progress_at = stream.req.core.clock.now();
     let mut chunk = opened.first_chunk.take();
     while let Some(bytes) = chunk {
         if !splitter.push(&bytes) {
@@ -185,13 +188,17 @@
                 continue;
             }
             stream.resume_after = event.id.or(stream.resume_after);
+            if event.has_fields {
+                progress_at = stream.req.core.clock.now();
+            }
             stats.record(stream.req.core.clock.now());
             update_memory_estimate(stream, opened, stats.chunks);
             if tx.send(Ok(event.bytes)).await.is_err() {
                 return Relayed::CallerGone;
             }
         }
-        chunk = match next_chunk(stream, opened, tx, idle_timeout).await {
+        let idle = stream.req.core.clock.now() - progress_at;
+        chunk = match next_chunk(stream, opened, tx, idle_timeout - idle).await {
             Ok(chunk) => chunk,
             Err(end) => return end,
         };
