--- a/tests/permit_support/fleet.rs
+++ b/tests/permit_support/fleet.rs
@@ -98,6 +98,8 @@
     leaders: Vec<Leader>,
     server: BackendServerId,
     pub arrivals: Vec<Arrival>,
+    /// When callers' requests came.
+    pub requests: Vec<u64>,
     pub refused: usize,
     pub asks: usize,
     pub longest_retry_after: u64,
@@ -152,6 +154,7 @@
             leaders: Vec::new(),
             server,
             arrivals: Vec::new(),
+            requests: Vec::new(),
             refused: 0,
             asks: 0,
             longest_retry_after: 0,
@@ -303,6 +306,7 @@
             false => self.rng.random_range(0..self.routers.len()),
         };
         self.after(pause.round() as u64, Event::Request(next));
+        self.requests.push(self.now);
         let now = self.router_time(router);
         let server = self.server.clone();
         if !self.routers[router].balancer.is_limited(now, &server) {
@@ -511,6 +515,12 @@
             .max_by_key(|(_, calls, _)| *calls)
     }
 
+    /// Returns the requests that came in a span of time.
+    pub fn requests_within(&self, from: u64, until: u64) -> usize {
+        let requests = self.requests.iter();
+        requests.filter(|at| (from..until).contains(*at)).count()
+    }
+
     /// Returns the calls that arrived in a span of time.
     pub fn calls_within(&self, from: u64, until: u64) -> usize {
         let arrivals = self.arrivals.iter();
--- a/tests/permits.rs
+++ b/tests/permits.rs
@@ -117,7 +117,8 @@
                 used >= 0.85,
                 "seed {seed}: only {used} of 12 used: {plan:?}"
             );
-            let served = fleet.calls_within(25_000, 28_000) as f64 / (60.0 * 3.0);
+            let asked = fleet.requests_within(25_000, 28_000) as f64;
+            let served = fleet.calls_within(25_000, 28_000) as f64 / asked;
             assert!(
                 served >= 0.85,
                 "seed {seed}: only {served} after the end: {plan:?}"
