No daemon outlives its stop: tasks have names and a bound, stuck answers are given up

Cause: all daemons but the router joined their tasks without a bound after they had told them to stop, and the server for peers waited for each answer under way. An answer that depends on a task that has ended never comes, so the process stayed for ever. The server for peers gives up answers a second after the stop. The runtime waits half a second for blocking calls.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -20,6 +20,7 @@
 use crate::peer::server;
 use crate::replica::core;
 use crate::replica::group;
+use crate::tasks;
 
 /// Runs a member of the control group until `stop` turns true or its disk fails.
 ///
@@ -49,26 +50,33 @@
     let sessions = sessions::Sessions::new(group.clone(), clock, settings.timing.session_ms);
     let sessions = sync::Arc::new(sessions);
     let handler = sync::Arc::new(handler::Handler::new(group.clone(), sessions.clone()));
-    let tasks = vec![
-        tokio::spawn(running.join()),
-        tokio::spawn(server::serve(
+    let mut tasks = tasks::Tasks::default();
+    tasks.spawn("replicated log", running.join());
+    tasks.spawn(
+        "peers",
+        server::serve(
             settings.peer_address,
             identity,
             handler,
             shutdown.subscribe(),
-        )),
-        tokio::spawn(wait_for_stop(stop, shutdown.subscribe())),
-        tokio::spawn(proposer::run(sessions, shutdown.subscribe())),
-        tokio::spawn(claim_aging::run(group.clone(), clock, shutdown.subscribe())),
-        tokio::spawn(serve_admin(
-            settings,
-            group,
-            recorder.clone(),
-            metrics,
-            shutdown.subscribe(),
-        )),
-    ];
-    let result = join_all(tasks, &shutdown).await;
+        ),
+    );
+    tasks.spawn("stop signal", wait_for_stop(stop, shutdown.subscribe()));
+    tasks.spawn("proposer", proposer::run(sessions, shutdown.subscribe()));
+    let aging = claim_aging::run(group.clone(), clock, shutdown.subscribe());
+    tasks.spawn("claims", aging);
+    let admin = serve_admin(
+        settings,
+        group,
+        recorder.clone(),
+        metrics,
+        shutdown.subscribe(),
+    );
+    tasks.spawn("admin", admin);
+    // The first one to end, for any reason, stops the others.
+    let ended = tasks.join_next().await.unwrap_or(Ok(()));
+    shutdown.send_replace(true);
+    let result = ended.and(tasks.join_all(tasks::STOP_TIMEOUT).await);
     recorder.record(event::Kind::Stopped, "control");
     result
 }
@@ -96,28 +104,6 @@
     admin::serve(address, group, operators, recorder, Some(metrics), stop).await
 }
 
-/// Joins all tasks; the first one to end, for any reason, stops the others.
-async fn join_all(
-    mut remaining: Vec<tokio::task::JoinHandle<error::Result<()>>>,
-    stop: &watch::Sender<bool>,
-) -> error::Result<()> {
-    let mut result = Ok(());
-    while !remaining.is_empty() {
-        let (ended, _, rest) = futures_util::future::select_all(remaining).await;
-        remaining = rest;
-        stop.send_replace(true);
-        let ended = ended.unwrap_or_else(|e| {
-            let remedy = "report this fault with the log of all members";
-            Err(error::Error::damaged(
-                format!("task of the control daemon: {e}"),
-                remedy,
-            ))
-        });
-        result = result.and(ended);
-    }
-    result
-}
-
 fn group_settings(settings: &settings::Control) -> group::Settings {
     group::Settings {
         instance: settings.instance.clone(),
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -8,6 +8,7 @@
 use tokio::sync::watch;
 use tokio::task;
 
+use crate::clock;
 use crate::error;
 use crate::logging;
 
@@ -25,6 +26,9 @@
 /// The exit code of a daemon whose settings are invalid.
 const BAD_SETTINGS_EXIT_CODE: u8 = 2;
 
+/// How long the process waits for blocking calls when it ends.
+pub const RUNTIME_STOP_TIMEOUT: clock::Millis = clock::Millis::new(500);
+
 /// Runs a daemon until it ends by itself, or until SIGTERM or SIGINT asks it to stop.
 ///
 /// The receiver passed to `run` becomes true when the daemon is to stop. With `check`, only checks
@@ -114,13 +118,16 @@
     let metrics = record_metrics()?;
     let runtime =
         tokio::runtime::Runtime::new().map_err(|e| error::Error::io("starting the runtime", e))?;
-    runtime.block_on(async {
+    let result = runtime.block_on(async {
         let (tx, stop) = watch::channel(false);
         let signals = tokio::spawn(stop_on_signal(tx));
         let result = run(settings, metrics, stop).await;
         abort_task(signals).await;
         result
-    })
+    });
+    // Dropping the runtime would wait for blocking calls, such as those of a stalled disk.
+    runtime.shutdown_timeout(RUNTIME_STOP_TIMEOUT.as_duration());
+    result
 }
 
 /// Sets `stop` to true at the first SIGTERM or SIGINT.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,11 +24,13 @@
 use crate::clock;
 use crate::config::settings;
 use crate::controller::entries;
+use crate::daemon;
 use crate::error;
 use crate::event;
 use crate::peer::frame;
 use crate::peer::link;
 use crate::peer::server;
+use crate::tasks;
 
 /// The longest time that a change of the membership takes to reach every gateway.
 const MAX_PROPAGATION_DELAY: clock::Millis = clock::Millis::from_secs(3);
@@ -57,7 +59,7 @@
 
 struct Daemon {
     cx: sync::Arc<shared::Shared>,
-    tasks: task::JoinSet<error::Result<()>>,
+    tasks: tasks::Tasks,
     stop_callers: watch::Sender<bool>,
     stop_rest: watch::Sender<bool>,
     callers: task::JoinHandle<error::Result<()>>,
@@ -71,30 +73,27 @@
     ) -> Self {
         let stop_callers = watch::Sender::new(false);
         let stop_rest = watch::Sender::new(false);
-        let mut tasks = task::JoinSet::new();
+        let mut tasks = tasks::Tasks::default();
         let handler = sync::Arc::new(owner::Handler::new(sync::Arc::clone(&cx)));
         let address = cx.settings.peer_address;
-        tasks.spawn(server::serve(
-            address,
-            identity,
-            handler,
-            stop_rest.subscribe(),
-        ));
-        tasks.spawn(status::serve(
-            sync::Arc::clone(&cx),
-            metrics,
-            stop_rest.subscribe(),
-        ));
+        tasks.spawn(
+            "peers",
+            server::serve(address, identity, handler, stop_rest.subscribe()),
+        );
+        tasks.spawn(
+            "status",
+            status::serve(sync::Arc::clone(&cx), metrics, stop_rest.subscribe()),
+        );
         let watch = control::watch(sync::Arc::clone(&cx), stop_rest.subscribe());
-        tasks.spawn(infallible(watch));
+        tasks.spawn("control", infallible(watch));
         let renew = reservations::renew(sync::Arc::clone(&cx), stop_rest.subscribe());
-        tasks.spawn(infallible(renew));
+        tasks.spawn("reservations", infallible(renew));
         let read_list = platform::watch(sync::Arc::clone(&cx), stop_rest.subscribe());
-        tasks.spawn(infallible(read_list));
+        tasks.spawn("server list", infallible(read_list));
         let notify = notifications::run(sync::Arc::clone(&cx), stop_rest.subscribe());
-        tasks.spawn(infallible(notify));
+        tasks.spawn("notifications", infallible(notify));
         let supervise = placement::supervise(sync::Arc::clone(&cx), stop_rest.subscribe());
-        tasks.spawn(infallible(supervise));
+        tasks.spawn("placement", infallible(supervise));
         let callers = callers::serve(sync::Arc::clone(&cx), stop_callers.subscribe());
         Self {
             callers: tokio::spawn(callers),
@@ -111,12 +110,12 @@
             () = server::stopped(&mut stop) => None,
             () = server::stopped(&mut drained) => None,
             Some(ended) = self.tasks.join_next() => Some(ended),
-            ended = &mut self.callers => Some(ended),
+            ended = &mut self.callers => Some(daemon::task_result(ended)),
         };
         if let Some(ended) = ended {
             self.stop_callers.send_replace(true);
             self.stop_rest.send_replace(true);
-            return ended.unwrap_or_else(|e| Err(task_failed(&e)));
+            return ended;
         }
         self.shut_down().await;
         Ok(())
@@ -141,7 +140,9 @@
         }
         control::leave(&self.cx).await;
         self.stop_rest.send_replace(true);
-        while self.tasks.join_next().await.is_some() {}
+        if let Err(e) = self.tasks.join_all(tasks::STOP_TIMEOUT).await {
+            log::error!("a task failed while the gateway stopped: {e}");
+        }
         self.cx.recorder.record(event::Kind::Stopped, "gateway");
     }
 
@@ -163,10 +164,3 @@
     work.await;
     Ok(())
 }
-
-fn task_failed(e: &task::JoinError) -> error::Error {
-    error::Error::damaged(
-        format!("a task of the gateway ended: {e}"),
-        "report this fault",
-    )
-}
--- a/src/keeper/run.rs
+++ b/src/keeper/run.rs
@@ -5,11 +5,9 @@
 use std::sync;
 
 use tokio::sync::watch;
-use tokio::task;
 
 use crate::clock;
 use crate::config::settings;
-use crate::daemon;
 use crate::error;
 use crate::event;
 use crate::id;
@@ -23,6 +21,7 @@
 use crate::router::core;
 use crate::router::http_server;
 use crate::router::protocol;
+use crate::tasks;
 
 /// Shortest time without a leader's message before an election. A machine with a small share of a
 /// core answers within a fifth of it.
@@ -105,23 +104,24 @@
         codec: env.codec,
         address: settings.operator_address,
     });
-    let mut tasks = task::JoinSet::new();
-    tasks.spawn(replica_tasks.join());
+    let mut tasks = tasks::Tasks::default();
+    tasks.spawn("replicated log", replica_tasks.join());
     let peers = server::serve(
         settings.peer_address,
         identity,
         sync::Arc::clone(&aggregator),
         shutdown.subscribe(),
     );
-    tasks.spawn(peers);
-    tasks.spawn(http_server::serve(listener, operators, phase.subscribe()));
+    tasks.spawn("peers", peers);
+    let operators = http_server::serve(listener, operators, phase.subscribe());
+    tasks.spawn("operators", operators);
     let (confirming, stop) = (sync::Arc::clone(&aggregator), shutdown.subscribe());
-    tasks.spawn(async move {
+    tasks.spawn("leadership", async move {
         confirming.confirm_leadership(stop).await;
         Ok(())
     });
     let stop = shutdown.subscribe();
-    tasks.spawn(async move {
+    tasks.spawn("server list", async move {
         aggregator.read_lists(stop).await;
         Ok(())
     });
@@ -133,10 +133,8 @@
     };
     shutdown.send_replace(true);
     phase.send_replace(core::Phase::Closing);
-    let mut result = ended.map_or(Ok(()), daemon::task_result);
-    while let Some(ended) = tasks.join_next().await {
-        result = result.and(daemon::task_result(ended));
-    }
+    let rest = tasks.join_all(tasks::STOP_TIMEOUT).await;
+    let result = ended.unwrap_or(Ok(())).and(rest);
     log::info!(event = "stopped", instance = name.as_str(); "keeper stopped");
     result
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,6 +75,7 @@
 pub mod router;
 pub mod sorted;
 pub mod state;
+pub mod tasks;
 pub mod unit;
 
 pub use error::{Category, Error, Result};
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -7,7 +7,9 @@
 use anng::protocols::reqrep0;
 use tokio::sync::watch;
 use tokio::task;
+use tokio::time;
 
+use crate::clock;
 use crate::error;
 use crate::event;
 use crate::id;
@@ -18,6 +20,10 @@
 /// Most requests that are handled at once, including long polls.
 const MAX_CONCURRENT_REQUESTS: usize = 256;
 
+/// The time for answers that are under way when the process stops. An answer that depends on a task
+/// that has stopped never comes.
+const ANSWER_TIME_AT_STOP: clock::Millis = clock::Millis::new(1_000);
+
 /// Handles the requests of other processes.
 pub trait Handler: Send + Sync + 'static {
     /// Handles one request of the instance `from`.
@@ -77,12 +83,17 @@
             let Ok((request, responder)) = received else {
                 return;
             };
-            let Some(reply) = self.answer(request.as_slice()).await else {
-                continue;
+            let answer = async {
+                if let Some(reply) = self.answer(request.as_slice()).await {
+                    // A reply that can't be sent is the same to the peer as one lost on the way: it
+                    // times out.
+                    let _ = responder.reply(anng::Message::from(reply.as_slice())).await;
+                }
             };
-            // A reply that can't be sent is the same to the peer as one lost on the way: it times
-            // out.
-            let _ = responder.reply(anng::Message::from(reply.as_slice())).await;
+            tokio::select! {
+                () = answer => {}
+                () = stopped_for(&mut stop, ANSWER_TIME_AT_STOP) => return,
+            }
         }
     }
 
@@ -140,6 +151,12 @@
     }
 }
 
+/// Waits until `stop` has been true for some time.
+async fn stopped_for(stop: &mut watch::Receiver<bool>, time: clock::Millis) {
+    stopped(stop).await;
+    time::sleep(time.as_duration()).await;
+}
+
 /// Waits until `stop` is true or its sender is dropped.
 pub async fn stopped(stop: &mut watch::Receiver<bool>) {
     if stop.wait_for(|stop| *stop).await.is_err() {
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -187,3 +187,43 @@
         body: b"body".to_vec(),
     }
 }
+
+/// A handler whose answer never comes.
+struct Stuck;
+
+impl server::Handler for Stuck {
+    async fn handle(&self, _: id::InstanceId, _: message::Request) -> message::Reply {
+        std::future::pending().await
+    }
+}
+
+/// Guards against a process that does not end, since a request that it has received depends on a
+/// task that has ended before.
+#[tokio::test]
+async fn a_server_stops_although_an_answer_never_comes() {
+    let address = ports::claim().unwrap();
+    let (stop, stopped) = watch::channel(false);
+    let handler = sync::Arc::new(Stuck);
+    let serving = server::serve(
+        address,
+        identity("server", "a secret of thirty-two characters"),
+        handler,
+        stopped,
+    );
+    let serving = tokio::spawn(serving);
+    let links = link::Links::new(identity("client", "a secret of thirty-two characters"));
+    let timeout = clock::Millis::new(300);
+    let mut answer = links
+        .request(address, &message::Request::Ping, timeout)
+        .await;
+    for _ in 0..10 {
+        // The server may not listen yet.
+        assert!(answer.is_err());
+        answer = links
+            .request(address, &message::Request::Ping, timeout)
+            .await;
+    }
+    stop.send_replace(true);
+    let ended = tokio::time::timeout(std::time::Duration::from_secs(20), serving).await;
+    ended.expect("the server ends").unwrap().unwrap();
+}
