Refused callers are counted when the question that reports them is granted, too

Cause: a router reports the callers that it refused without asking in its next question. The leader added them to those that return only if that question was denied, and to the schedule of one server. With both servers limited to 8 calls a second together and 76 requests a second for 6 s, the longest Retry-After was 9.1 s; more than 400 refused callers fit into no less than 40 s. Change: they are counted with each question, each at the server that can serve it first, and the interval between local refusals follows the rates of all servers asked for.

--- a/src/fleet/permit.rs
+++ b/src/fleet/permit.rs
@@ -50,6 +50,9 @@
 /// How long a limit is kept that no router mentions.
 const RETENTION: clock::Millis = clock::Millis::from_secs(60);
 
+/// The most callers that one question reports as refused.
+const MAX_REFUSED: u32 = 1_000;
+
 /// A call in the units of [`Schedule`].
 const ONE_CALL: u64 = 1_000_000;
 
@@ -89,7 +92,8 @@
         pub latest: clock::Millis,
         /// The number of calls.
         pub calls: u32,
-        /// The callers that the router has refused for lack of permits since its last question.
+        /// The callers that the router has refused for lack of permits since its last question,
+        /// without asking.
         pub refused: u32,
     }
 }
@@ -254,6 +258,9 @@
                 best = Some((delay, server));
             }
         }
+        for _ in 0..ask.refused.min(MAX_REFUSED) {
+            self.promise(now, &ask.servers);
+        }
         let best = best.and_then(|(delay, server)| {
             let schedule = self.servers.get_mut(server)?;
             Some((delay, server.clone(), schedule))
@@ -269,11 +276,41 @@
                 calls,
             };
         }
+        let wait = schedule.next_in(now);
+        let (retry_after, interval) = self.promise(now, &ask.servers);
         Answer::Denied {
-            wait: schedule.next_in(now),
-            retry_after: schedule.promise(now, 1 + ask.refused),
-            interval: clock::Millis::new(ONE_CALL / schedule.rate(now)),
+            wait,
+            retry_after,
+            interval,
+        }
+    }
+
+    /// Promises a refused caller a call to one of `servers`; returns the time until then, and the
+    /// time that each further caller should wait beyond that.
+    fn promise(
+        &mut self,
+        now: clock::Millis,
+        servers: &[id::BackendServerId],
+    ) -> (clock::Millis, clock::Millis) {
+        let mut first: Option<(clock::Millis, &id::BackendServerId)> = None;
+        let mut total_rate = 0;
+        for server in servers {
+            let Some(schedule) = self.servers.get(server) else {
+                continue;
+            };
+            total_rate += schedule.rate(now);
+            let return_in = schedule.return_in(now);
+            if first.is_none_or(|(earliest, _)| return_in < earliest) {
+                first = Some((return_in, server));
+            }
+        }
+        let Some((return_in, server)) = first else {
+            return (MAX_AHEAD, clock::Millis::ZERO);
+        };
+        if let Some(schedule) = self.servers.get_mut(server) {
+            schedule.returning = schedule.returning.saturating_add(ONE_CALL);
         }
+        (return_in, clock::Millis::new(ONE_CALL / total_rate))
     }
 
     /// Returns the limits that hold, of all servers that any router has mentioned.
@@ -356,11 +393,10 @@
         calls as u32
     }
 
-    /// Promises refused callers a time to return; returns the time until the first of them.
-    fn promise(&mut self, now: clock::Millis, callers: u32) -> clock::Millis {
+    /// Returns the time until a call that neither is scheduled nor belongs to a caller that was told
+    /// to return.
+    fn return_in(&self, now: clock::Millis) -> clock::Millis {
         let before = self.backlog.saturating_add(self.returning);
-        let promised = u64::from(callers) * ONE_CALL;
-        self.returning = self.returning.saturating_add(promised);
         clock::Millis::new(before.div_ceil(self.rate(now)))
     }
 }
