--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -22,6 +22,7 @@
 use crate::filter::exchange;
 use crate::gateway::shared;
 use crate::http::caller::answer;
+use crate::http::stop as http_stop;
 use crate::id;
 use crate::peer::server;
 use crate::state::command;
@@ -65,6 +66,10 @@
             Some(_) = connections.join_next() => {}
         }
     }
+    for (stream, peer) in http_stop::take_accepted(&listener) {
+        let cx = sync::Arc::clone(&cx);
+        connections.spawn(connection(cx, stream, peer, stop.clone()));
+    }
     drop(listener);
     while connections.join_next().await.is_some() {}
     Ok(())
@@ -119,7 +124,7 @@
     );
     tokio::select! {
         result = served.as_mut() => return result,
-        () = server::stopped(&mut stop) => {}
+        () = server::stopped_for(&mut stop, http_stop::LAST_REQUEST_TIME) => {}
         () = shared.key_withdrawn() => {}
     }
     served.as_mut().graceful_shutdown();
--- a/src/http/admin/serve.rs
+++ b/src/http/admin/serve.rs
@@ -19,6 +19,7 @@
 use crate::event;
 use crate::http::admin::service::Service;
 use crate::http::admin::token;
+use crate::http::stop as http_stop;
 use crate::replica;
 
 /// The most open connections; further ones wait in the accept queue.
@@ -76,6 +77,9 @@
             () = stopped(&mut stop) => break,
         }
     }
+    for (stream, _) in http_stop::take_accepted(&listener) {
+        connections.spawn(connection(stream, service.clone(), stop.clone()));
+    }
     drop(listener);
     let ended = async { while connections.join_next().await.is_some() {} };
     let limit = service.limits().stop_timeout.as_duration();
@@ -100,7 +104,7 @@
     let mut running = pin::pin!(running);
     let ended = tokio::select! {
         ended = running.as_mut() => ended,
-        () = stopped(&mut stop) => {
+        () = stopped_for_last_requests(&mut stop) => {
             running.as_mut().graceful_shutdown();
             running.await
         }
@@ -110,6 +114,12 @@
     }
 }
 
+/// Waits until the server reads no further requests after a stop.
+async fn stopped_for_last_requests(stop: &mut watch::Receiver<bool>) {
+    stopped(stop).await;
+    time::sleep(http_stop::LAST_REQUEST_TIME.as_duration()).await;
+}
+
 /// Waits until `stop` holds `true` or its sender is dropped.
 async fn stopped(stop: &mut watch::Receiver<bool>) {
     // An error means that the sender was dropped, which also stops the server.
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -6,3 +6,4 @@
 pub mod caller;
 pub mod hop;
 pub mod progress;
+pub mod stop;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -152,7 +152,7 @@
 }
 
 /// Waits until `stop` has been true for some time.
-async fn stopped_for(stop: &mut watch::Receiver<bool>, time: clock::Millis) {
+pub async fn stopped_for(stop: &mut watch::Receiver<bool>, time: clock::Millis) {
     stopped(stop).await;
     time::sleep(time.as_duration()).await;
 }
--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -16,6 +16,7 @@
 
 use crate::clock;
 use crate::error;
+use crate::http::stop;
 use crate::router::core;
 use crate::router::request;
 
@@ -89,6 +90,10 @@
             Some(_) = connections.join_next() => {}
         }
     }
+    for (stream, _) in stop::take_accepted(&listener) {
+        let handler = sync::Arc::clone(&handler);
+        connections.spawn(serve_connection(stream, handler, phase.clone()));
+    }
     drop(listener);
     while connections.join_next().await.is_some() {}
     Ok(())
@@ -100,6 +105,12 @@
     let _ = phase.wait_for(|p| *p == core::Phase::Closing).await;
 }
 
+/// Waits until connections without a running request are closed.
+async fn until_closed(phase: &mut watch::Receiver<core::Phase>) {
+    until_closing(phase).await;
+    time::sleep(stop::LAST_REQUEST_TIME.as_duration()).await;
+}
+
 async fn serve_connection<H: Handler>(
     stream: tokio::net::TcpStream,
     handler: sync::Arc<H>,
@@ -124,7 +135,7 @@
     let mut running = pin::Pin::new(&mut connection);
     let result = tokio::select! {
         result = running.as_mut() => result,
-        () = until_closing(&mut phase) => {
+        () = until_closed(&mut phase) => {
             running.as_mut().graceful_shutdown();
             running.await
         }
