--- a/benches/router_balancer.rs
+++ b/benches/router_balancer.rs
@@ -60,6 +60,13 @@
     balancer
 }
 
+/// Every tenth server takes four calls a second.
+fn limit_a_tenth(balancer: &mut balancer::Balancer, count: usize) {
+    let rate = unit::CallRate::from_millicalls(4_000);
+    let limits = (0..count).step_by(10).map(|n| (server_id(n), rate));
+    balancer.set_limits(&limits.collect());
+}
+
 fn main() {
     let mut c = Criterion::default().configure_from_args();
     let service = service();
@@ -67,11 +74,17 @@
         memory: MEMORY,
         past_target: false,
     };
-    for count in [12, 90] {
-        let balancer = half_full_balancer(count);
+    for count in [12, 90, 1_000] {
+        let mut balancer = half_full_balancer(count);
+        limit_a_tenth(&mut balancer, count);
         c.bench_function(&format!("decode server of {count}"), |b| {
             b.iter(|| hint::black_box(balancer.pick_decode(NOW, &service, requirements, &[], 7)));
         });
+        c.bench_function(&format!("limited decode servers of {count}"), |b| {
+            b.iter(|| {
+                hint::black_box(balancer.limited_decode(NOW, &service, requirements, &[]));
+            });
+        });
         c.bench_function(&format!("prefill server of {count}"), |b| {
             b.iter(|| hint::black_box(balancer.pick_prefill(NOW, &service.id, PROMPT, &[], 7)));
         });
--- a/src/explain/describe.rs
+++ b/src/explain/describe.rs
@@ -52,6 +52,12 @@
             value("tries"),
             value("address_reused")
         ),
+        "no_permit" => format!(
+            "the servers with capacity limit their calls and take the next one in {} ms, which is too \
+             late; callers that were told to return before have the calls of {} ms",
+            value("wait_ms"),
+            value("retry_after_ms")
+        ),
         "prefill_failed" => format!(
             "prefill server {} did not prefill the prompt: predicted {} ms, abandoned after {} ms; the \
              decode server prefills it",
@@ -143,6 +149,11 @@
             entry.text("address"),
             value("term")
         ),
+        "server_limit" => format!(
+            "server {} named another limit of calls from all routers: {}",
+            entry.text("server"),
+            entry.text("limit")
+        ),
         "leader_lost" => "no leader answers; serves with the last known state".to_owned(),
         "process" => format!(
             "the process started: build {}, settings {}",
--- a/src/router/balancer.rs
+++ b/src/router/balancer.rs
@@ -223,6 +223,11 @@
         news.collect()
     }
 
+    fn is_any_limited(&self, now: clock::Millis) -> bool {
+        let mut servers = self.servers.values();
+        servers.any(|b| b.call_limit(now).is_some())
+    }
+
     /// Returns whether calls to a server need a permit.
     pub fn is_limited(&self, now: clock::Millis, id: &id::BackendServerId) -> bool {
         let backend = self.servers.get(id);
@@ -694,6 +699,9 @@
         access: Access,
     ) -> Result<Vec<&backend::Backend>, PickError> {
         let servers = self.matching(service, purpose, tried);
+        if access == Access::WithPermit && !self.is_any_limited(now) {
+            return Err(PickError::NoServer);
+        }
         let with_state = servers.map(|b| (b, self.with_news(b, b.availability.state(now))));
         let (limited, free): (Vec<_>, Vec<_>) =
             with_state.partition(|(b, _)| b.call_limit(now).is_some());
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -170,3 +170,20 @@
     let missing = run_explain(&["--request", "r1", "/nonexistent/front.log"], "");
     assert!(!missing.status.success());
 }
+
+/// Guards against a refusal whose cause, a limit that servers name, can't be found from its id.
+#[test]
+fn a_refusal_for_a_limit_is_explained_by_the_limit() {
+    const LOG: &str = r#"
+{"ts":2000,"n":0,"instance":"front-1","level":"INFO","event":"no_permit","request":"r1","wait_ms":480,"retry_after_ms":2250,"msg":"x"}
+{"ts":2000,"n":1,"instance":"front-1","level":"INFO","event":"refused","request":"r1","route":"a","reason":"servers limit calls","status":503,"age_ms":2,"retry_after_ms":2250,"document":7,"msg":"x"}
+"#;
+    let text = explanation("r1", &[LOG]).to_text().unwrap();
+    for part in [
+        "take the next one in 480 ms",
+        "the calls of 2250 ms",
+        "reason: servers limit calls (it did not run",
+    ] {
+        assert!(text.contains(part), "{text}");
+    }
+}
