Two hundred endless answers at once fit into the memory of an instance

Cause: with the bounds of before, a gateway process had 118 to 124 MB at most beside 200 bodies without end (11 MB idle; the smallest instances have 88 MB): hyper's read buffer grows to 400 KB for each connection, and large answers are copied while they grow. Change: read buffers, and so heads, have 32 KiB on both interfaces; answers that are read whole 32 KiB each and 16 MiB over all calls beyond that.

--- a/src/backend/client.rs
+++ b/src/backend/client.rs
@@ -174,7 +174,9 @@
     let stream = connect(address).await?;
     let (stream, allowance) = allowance::Bounded::new(stream);
     let io = rt::TokioIo::new(stream);
-    let (mut sender, connection) = http1::handshake(io)
+    let (mut sender, connection) = http1::Builder::new()
+        .max_buf_size(allowance::MAX_BUFFER_BYTES)
+        .handshake(io)
         .await
         .map_err(|e| Failure::NotSent(e.to_string()))?;
     let mut connection = Box::pin(connection);
--- a/src/http/allowance.rs
+++ b/src/http/allowance.rs
@@ -13,6 +13,10 @@
 /// the buffers hold of the body by then.
 pub const MAX_HEAD_BYTES: usize = 256 << 10;
 
+/// The size of a connection's read buffer, and so of a head. An instance has some hundred connections
+/// to servers.
+pub const MAX_BUFFER_BYTES: usize = 32 << 10;
+
 /// The bytes that may still be read from a connection; clones share them.
 #[derive(Clone, Debug)]
 pub struct Allowance(sync::Arc<atomic::AtomicUsize>);
--- a/src/router/answer_memory.rs
+++ b/src/router/answer_memory.rs
@@ -4,11 +4,11 @@
 
 /// What one answer may take without a share of [`MAX_LARGE_BYTES`]; so large answers never keep
 /// small ones from being read.
-const SMALL_BYTES: usize = 64 << 10;
+const SMALL_BYTES: usize = 32 << 10;
 
-/// What all answers together may take beyond [`SMALL_BYTES`] each: a third of the smallest
-/// instance's memory.
-const MAX_LARGE_BYTES: usize = 28 << 20;
+/// What all answers together may take beyond [`SMALL_BYTES`] each. While an answer grows, it is
+/// copied, which takes up to twice as much.
+const MAX_LARGE_BYTES: usize = 16 << 20;
 
 static LARGE_BYTES: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
 
--- a/src/router/upstream.rs
+++ b/src/router/upstream.rs
@@ -32,7 +32,7 @@
 pub const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// Size limit of the answer to a call of the router's own, which has a few fields.
-pub const MAX_CALL_ANSWER_BYTES: usize = 64 << 10;
+pub const MAX_CALL_ANSWER_BYTES: usize = 32 << 10;
 
 /// Why there is no complete answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -150,7 +150,10 @@
     req: hyper::Request<http_body_util::Full<Bytes>>,
 ) -> Result<Answer, Failure> {
     let (stream, allowance) = allowance::Bounded::new(stream);
-    let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
+    let handshake = http1::Builder::new()
+        .max_buf_size(allowance::MAX_BUFFER_BYTES)
+        .handshake(rt::TokioIo::new(stream))
+        .await;
     let (mut sender, driver) = handshake.map_err(|_| Failure::NotSent)?;
     let driver = async move {
         if let Err(e) = driver.await {
