Loads of other routers are kept with each server

Cause: each comparison of two servers looked both up by name in the loads that the leader sent. A placement among 1,000 servers took 203 us for decode, 74 us for prefill and 78 us more for limited decode servers (goal 100 us), among 90 servers 15.7 us and 6.4 us. Change: the load of the other routers is stored with the server when a summary or a list comes; nothing is looked up at a placement.

--- a/src/router/backend.rs
+++ b/src/router/backend.rs
@@ -39,6 +39,8 @@
     /// When the last calls ended, and whether they were lost; oldest first.
     endings: collections::VecDeque<(clock::Millis, bool)>,
     pub own_load: message::Load,
+    /// The load that the other routers have on the server.
+    pub remote_load: message::Load,
     failure_rate: f64,
     pub prefill_tokens_per_ms: f64,
 }
@@ -52,6 +54,7 @@
             fleet_limit: None,
             endings: collections::VecDeque::new(),
             own_load: message::Load::default(),
+            remote_load: message::Load::default(),
             failure_rate: 0.0,
             prefill_tokens_per_ms: INITIAL_PREFILL_TOKENS_PER_MS,
         }
--- a/src/router/balancer.rs
+++ b/src/router/balancer.rs
@@ -150,6 +150,7 @@
             backend.availability.list(now, &backend.server, server);
             backend.server = server.clone();
             backend.fleet_limit = self.limits.get(&server.id).copied();
+            backend.remote_load = load_of(&self.remote_loads, &server.id);
         }
         self.prune(now);
     }
@@ -160,6 +161,9 @@
         now: clock::Millis,
         remote_loads: sorted::Map<id::BackendServerId, message::Load>,
     ) {
+        for backend in self.servers.values_mut() {
+            backend.remote_load = load_of(&remote_loads, &backend.server.id);
+        }
         self.remote_loads = remote_loads;
         self.remote_loads_at = now;
     }
@@ -643,12 +647,7 @@
 
     fn load(&self, backend: &backend::Backend) -> message::Load {
         let mut load = backend.own_load;
-        load.add(
-            self.remote_loads
-                .get(&backend.server.id)
-                .copied()
-                .unwrap_or_default(),
-        );
+        load.add(backend.remote_load);
         load
     }
 
@@ -733,6 +732,13 @@
     memory_share.max(slot_share)
 }
 
+fn load_of(
+    loads: &sorted::Map<id::BackendServerId, message::Load>,
+    id: &id::BackendServerId,
+) -> message::Load {
+    loads.get(id).copied().unwrap_or_default()
+}
+
 fn to_percent(share: f64) -> u32 {
     (share * 100.0) as u32
 }
