Only refused callers are promised a time to return; each limited server is asked again

Cause, both found by reading: a question whose denial refused nobody (a stream that goes on waiting, a call that another server takes) advanced the times to return as one that did; and routers that did not need limited servers asked only the first of them now and then, so that the end of the others' limits was not noticed. Change: a question says whether its denial refuses a caller; streams count as refused when they are. Refusals write a line no_permit, other denials none.

--- a/src/fleet/permit.rs
+++ b/src/fleet/permit.rs
@@ -90,6 +90,8 @@
         pub earliest: clock::Millis,
         /// The time from now at which the first call must be sent at the latest.
         pub latest: clock::Millis,
+        /// Whether a caller is refused, and told when to return, if no server takes its call in time.
+        pub refuses: bool,
         /// The number of calls.
         pub calls: u32,
         /// The callers that the router has refused for lack of permits since its last question,
@@ -259,7 +261,7 @@
             }
         }
         for _ in 0..ask.refused.min(MAX_REFUSED) {
-            self.promise(now, &ask.servers);
+            self.promise(now, &ask.servers, true);
         }
         let best = best.and_then(|(delay, server)| {
             let schedule = self.servers.get_mut(server)?;
@@ -277,7 +279,7 @@
             };
         }
         let wait = schedule.next_in(now);
-        let (retry_after, interval) = self.promise(now, &ask.servers);
+        let (retry_after, interval) = self.promise(now, &ask.servers, ask.refuses);
         Answer::Denied {
             wait,
             retry_after,
@@ -285,12 +287,14 @@
         }
     }
 
-    /// Promises a refused caller a call to one of `servers`; returns the time until then, and the
-    /// time that each further caller should wait beyond that.
+    /// Returns the time until a call to one of `servers` that a refused caller can return for, and
+    /// the time that each further caller should wait beyond that. With `is_refused`, the call counts
+    /// as taken.
     fn promise(
         &mut self,
         now: clock::Millis,
         servers: &[id::BackendServerId],
+        is_refused: bool,
     ) -> (clock::Millis, clock::Millis) {
         let mut first: Option<(clock::Millis, &id::BackendServerId)> = None;
         let mut total_rate = 0;
@@ -307,7 +311,7 @@
         let Some((return_in, server)) = first else {
             return (MAX_AHEAD, clock::Millis::ZERO);
         };
-        if let Some(schedule) = self.servers.get_mut(server) {
+        if let Some(schedule) = self.servers.get_mut(server).filter(|_| is_refused) {
             schedule.returning = schedule.returning.saturating_add(ONE_CALL);
         }
         (return_in, clock::Millis::new(ONE_CALL / total_rate))
--- a/src/router/generate/mod.rs
+++ b/src/router/generate/mod.rs
@@ -330,15 +330,12 @@
             } else {
                 (Err(balancer::PickError::Full), Vec::new())
             };
-            if !limited.is_empty()
-                && let Some(span) = self.limited_call_span(&picked, &limited[0], deadline - now)
-            {
-                match limited::acquire(&req.core, &limited, span, req.log_id()).await {
+            let is_limited = picked == Err(balancer::PickError::Limited);
+            if let Some((limited, need)) = self.limited_call(&picked, limited, deadline - now) {
+                match limited::acquire(&req.core, &limited, need, req.log_id()).await {
                     Ok(pick) => picked = Ok(pick),
-                    Err(denial)
-                        if picked == Err(balancer::PickError::Limited)
-                            && denial.next_at > deadline =>
-                    {
+                    Err(denial) if is_limited && denial.next_at > deadline => {
+                        let denial = limited::refuse(&req.core, &limited, denial, req.log_id());
                         return Err(Refusal::limited(denial));
                     }
                     Err(_) => {}
@@ -369,30 +366,31 @@
         }
     }
 
-    /// Returns when a stream could be sent to a limited decode server; `None` when the server that was
-    /// picked without a permit is preferred.
-    fn limited_call_span(
+    /// Returns the limited decode servers of which one is preferred to the server that was picked
+    /// without a permit, or to none, and what the call needs; `None` when there is no such server.
+    fn limited_call(
         &self,
         picked: &Result<balancer::Pick, balancer::PickError>,
-        best: &balancer::Pick,
+        limited: Vec<balancer::Pick>,
         max_wait: clock::Millis,
-    ) -> Option<limited::Span> {
-        let core = &self.req.core;
+    ) -> Option<(Vec<balancer::Pick>, limited::Need)> {
+        let servers = match picked {
+            _ if limited.is_empty() => return None,
+            Err(_) => limited,
+            Ok(_) => vec![limited::to_refresh(&self.req.core, &limited)?],
+        };
         let earliest = self.predicted_prefill();
-        if picked.is_err() {
-            return Some(limited::Span {
-                earliest,
-                latest: earliest + max_wait,
-            });
-        }
-        let routers = core.quotas().gateways();
-        let is_due = core
-            .permits()
-            .needs_refresh(core.clock.now(), &best.id, routers);
-        is_due.then_some(limited::Span {
+        let wait = if picked.is_err() {
+            max_wait
+        } else {
+            clock::Millis::ZERO
+        };
+        let need = limited::Need {
             earliest,
-            latest: earliest,
-        })
+            latest: earliest + wait,
+            refuses: false,
+        };
+        Some((servers, need))
     }
 
     /// Returns the predicted time of the prefill that is still to be done at a prefill server.
--- a/src/router/limited.rs
+++ b/src/router/limited.rs
@@ -8,38 +8,72 @@
 use crate::router::core;
 use crate::router::permits;
 
-/// When a call can be sent, from now on.
+/// What a call needs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Span {
+pub struct Need {
+    /// The time from now at which the call can be sent at the earliest.
     pub earliest: clock::Millis,
+    /// The time from now at which the call must be sent at the latest.
     pub latest: clock::Millis,
+    /// Whether its caller is refused without it.
+    pub refuses: bool,
 }
 
-impl Span {
-    /// Makes the span of a call that can be sent at once, and must be sent within `latest`.
-    pub const fn within(latest: clock::Millis) -> Self {
+impl Need {
+    /// Makes the need of a call that can be sent at once, and is sent within `latest` or not at all;
+    /// its caller is served otherwise.
+    pub const fn optional(latest: clock::Millis) -> Self {
         Self {
             earliest: clock::Millis::ZERO,
             latest,
+            refuses: false,
         }
     }
 }
 
+/// Returns a limited server that has not been asked for a call for long, so that it is to be called
+/// although others are free: only calls tell that a limit has ended.
+pub fn to_refresh(core: &core::Core, limited: &[balancer::Pick]) -> Option<balancer::Pick> {
+    if limited.is_empty() {
+        return None;
+    }
+    let routers = core.quotas().gateways();
+    let now = core.clock.now();
+    let permits = core.permits();
+    let mut servers = limited.iter();
+    let due = servers.find(|p| permits.needs_refresh(now, &p.id, routers));
+    due.cloned()
+}
+
+/// Refuses a caller that has waited for one of `candidates` in vain, after `denial`.
+pub fn refuse(
+    core: &core::Core,
+    candidates: &[balancer::Pick],
+    denial: permits::Denial,
+    request: &str,
+) -> permits::Denial {
+    let ids: Vec<id::BackendServerId> = candidates.iter().map(|p| p.id.clone()).collect();
+    let refused = core.permits().refuse(core.clock.now(), &ids);
+    let denial = refused.unwrap_or(denial);
+    log_no_permit(core, request, denial);
+    denial
+}
+
 /// Gets a permit for a call to one of `candidates`, which are ordered from the best on; returns the
 /// pick of that server.
 ///
 /// # Errors
 ///
-/// Fails when no candidate takes a further call within the span, or no leader answers.
+/// Fails when no candidate takes a further call in time, or no leader answers.
 pub async fn acquire(
     core: &core::Core,
     candidates: &[balancer::Pick],
-    span: Span,
+    need: Need,
     request: &str,
 ) -> Result<balancer::Pick, permits::Denial> {
     let ids: Vec<id::BackendServerId> = candidates.iter().map(|p| p.id.clone()).collect();
     let now = core.clock.now();
-    let latest = now + span.latest.min(permit::MAX_AHEAD);
+    let latest = now + need.latest.min(permit::MAX_AHEAD);
     let pick = |id: &id::BackendServerId| {
         let pick = candidates.iter().find(|p| p.id == *id);
         pick.expect("a permit is for one of the candidates").clone()
@@ -54,24 +88,35 @@
             });
         }
         let askable = permits.askable(latest, &ids);
-        let denial = askable.is_empty().then(|| permits.refuse(now, &ids));
-        (askable, denial.flatten())
+        let denial = match (askable.is_empty(), need.refuses) {
+            (false, _) => None,
+            (true, true) => permits.refuse(now, &ids),
+            (true, false) => permits.denial(now, &ids),
+        };
+        (askable, denial)
     };
-    if let Some(denial) = denial {
-        return Err(denied(core, request, denial));
-    }
-    match ask(core, &askable, span).await {
-        permits::Verdict::Granted { server, permit } => Ok(balancer::Pick {
-            permit: Some(permit),
-            ..pick(&server)
-        }),
-        permits::Verdict::Unlimited { server } => Ok(pick(&server)),
-        permits::Verdict::Denied(denial) => Err(denied(core, request, denial)),
+    let denial = match denial {
+        Some(denial) => denial,
+        None => match ask(core, &askable, need).await {
+            permits::Verdict::Granted { server, permit } => {
+                let permit = Some(permit);
+                return Ok(balancer::Pick {
+                    permit,
+                    ..pick(&server)
+                });
+            }
+            permits::Verdict::Unlimited { server } => return Ok(pick(&server)),
+            permits::Verdict::Denied(denial) => denial,
+        },
+    };
+    if need.refuses {
+        log_no_permit(core, request, denial);
     }
+    Err(denial)
 }
 
 /// Asks the leader for a permit for a call to one of `servers`.
-async fn ask(core: &core::Core, servers: &[id::BackendServerId], span: Span) -> permits::Verdict {
+async fn ask(core: &core::Core, servers: &[id::BackendServerId], need: Need) -> permits::Verdict {
     let sent_at = core.clock.now();
     let begun = core.permits().begin_ask(sent_at, servers);
     let question = permit::Ask {
@@ -80,8 +125,9 @@
         servers: servers.to_vec(),
         news: core.balancer().limit_news_of(sent_at, servers),
         sent_at: core.leader_time(sent_at),
-        earliest: span.earliest,
-        latest: span.latest,
+        earliest: need.earliest,
+        latest: need.latest,
+        refuses: need.refuses,
         calls: begun.calls,
         refused: begun.refused,
     };
@@ -111,8 +157,8 @@
     verdict
 }
 
-/// Logs that a request got no permit.
-fn denied(core: &core::Core, request: &str, denial: permits::Denial) -> permits::Denial {
+/// Logs that a caller is refused, since its request got no permit.
+fn log_no_permit(core: &core::Core, request: &str, denial: permits::Denial) {
     log::info!(
         event = "no_permit",
         request = request,
@@ -120,5 +166,4 @@
         retry_after_ms = denial.retry_after.as_u64();
         "the servers that have capacity take no further call in time, by the limits that they name"
     );
-    denial
 }
--- a/src/router/permits.rs
+++ b/src/router/permits.rs
@@ -258,12 +258,17 @@
     }
 
     /// Returns the denial that holds for `servers` without another question; `None` when one of
-    /// them has none. The caller that gets it counts as refused.
-    pub fn refuse(
-        &mut self,
-        now: clock::Millis,
-        servers: &[id::BackendServerId],
-    ) -> Option<Denial> {
+    /// them has none.
+    pub fn denial(&self, now: clock::Millis, servers: &[id::BackendServerId]) -> Option<Denial> {
+        let id = self.first_to_return(servers)?;
+        Some(self.servers.get(id)?.denied?.to_denial(now))
+    }
+
+    /// Returns which of `servers` a refused caller can return for first.
+    fn first_to_return<'a>(
+        &self,
+        servers: &'a [id::BackendServerId],
+    ) -> Option<&'a id::BackendServerId> {
         let mut first: Option<(&id::BackendServerId, clock::Millis)> = None;
         for id in servers {
             let denied = self.servers.get(id)?.denied?;
@@ -271,7 +276,16 @@
                 first = Some((id, denied.return_at));
             }
         }
-        let (id, _) = first?;
+        first.map(|(id, _)| id)
+    }
+
+    /// As [`Self::denial`], for a caller that is refused on its account.
+    pub fn refuse(
+        &mut self,
+        now: clock::Millis,
+        servers: &[id::BackendServerId],
+    ) -> Option<Denial> {
+        let id = self.first_to_return(servers)?;
         let denied = self.servers.get_mut(id)?.denied.as_mut()?;
         denied.refused += 1;
         denied.return_at = denied.return_at + denied.interval;
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -112,9 +112,8 @@
                 balancer.limited_plain(now, service, tried),
             )
         };
-        if let Some(latest) = limited_call_time(req, &picked, &limited) {
-            let span = limited::Span::within(latest);
-            match limited::acquire(&req.core, &limited, span, req.log_id()).await {
+        if let Some((limited, need)) = limited_call(req, &picked, limited) {
+            match limited::acquire(&req.core, &limited, need, req.log_id()).await {
                 Ok(pick) => return Ok(pick),
                 Err(denial) if picked == Err(balancer::PickError::Limited) => {
                     return Err(Refusal::limited(denial));
@@ -139,24 +138,31 @@
     }
 }
 
-/// Returns within which time a call to one of the limited servers is preferred to the server that
-/// was picked without a permit, or that there is none; `None` when it is not.
-fn limited_call_time(
+/// Returns the limited servers of which one is preferred to the server that was picked without a
+/// permit, or to none, and what the call needs; `None` when there is no such server.
+fn limited_call(
     req: &request::Request,
     picked: &Result<balancer::Pick, balancer::PickError>,
-    limited: &[balancer::Pick],
-) -> Option<clock::Millis> {
-    let best = limited.first()?;
+    limited: Vec<balancer::Pick>,
+) -> Option<(Vec<balancer::Pick>, limited::Need)> {
+    if limited.is_empty() {
+        return None;
+    }
+    let at_once = limited::Need::optional(clock::Millis::ZERO);
     match picked {
-        Err(_) => Some(clock::Millis::new(
-            req.route.target_latency.as_u64() / LIMITED_WAIT_DIVISOR,
-        )),
-        Ok(pick) if pick.utilisation_percent >= 100 => Some(clock::Millis::ZERO),
+        Err(error) => {
+            let target = req.route.target_latency.as_u64();
+            let need = limited::Need {
+                latest: clock::Millis::new(target / LIMITED_WAIT_DIVISOR),
+                refuses: *error == balancer::PickError::Limited,
+                ..at_once
+            };
+            Some((limited, need))
+        }
+        Ok(pick) if pick.utilisation_percent >= 100 => Some((limited, at_once)),
         Ok(_) => {
-            let routers = req.core.quotas().gateways();
-            let now = req.core.clock.now();
-            let is_due = req.core.permits().needs_refresh(now, &best.id, routers);
-            is_due.then_some(clock::Millis::ZERO)
+            let server = limited::to_refresh(&req.core, &limited)?;
+            Some((vec![server], at_once))
         }
     }
 }
--- a/src/router/prefill.rs
+++ b/src/router/prefill.rs
@@ -157,22 +157,20 @@
     };
     let picked = picked.filter(|p| p.time <= MAX_PREDICTED_PREFILL);
     limited.retain(|p| p.time <= MAX_PREDICTED_PREFILL);
-    let Some(best) = limited.first() else {
-        return picked;
-    };
-    let routers = req.core.quotas().gateways();
-    let needs_refresh = req
-        .core
-        .permits()
-        .needs_refresh(now, &best.pick.id, routers);
-    let max_wait = match &picked {
-        None => MAX_PERMIT_WAIT,
-        Some(_) if needs_refresh => clock::Millis::ZERO,
-        Some(_) => return picked,
-    };
-    let candidates: Vec<balancer::Pick> = limited.iter().map(|p| p.pick.clone()).collect();
-    let span = limited::Span::within(max_wait);
-    let Ok(pick) = limited::acquire(&req.core, &candidates, span, req.log_id()).await else {
+    let mut candidates: Vec<balancer::Pick> = limited.iter().map(|p| p.pick.clone()).collect();
+    let mut max_wait = MAX_PERMIT_WAIT;
+    if picked.is_some() {
+        let Some(server) = limited::to_refresh(&req.core, &candidates) else {
+            return picked;
+        };
+        candidates = vec![server];
+        max_wait = clock::Millis::ZERO;
+    }
+    if candidates.is_empty() {
+        return None;
+    }
+    let need = limited::Need::optional(max_wait);
+    let Ok(pick) = limited::acquire(&req.core, &candidates, need, req.log_id()).await else {
         return picked;
     };
     let picked = limited.into_iter().find(|p| p.pick.id == pick.id)?;
--- a/tests/permit_support/fleet.rs
+++ b/tests/permit_support/fleet.rs
@@ -352,6 +352,7 @@
             sent_at: state.sent_at(now),
             earliest: Millis::ZERO,
             latest: Millis::new(PATIENCE),
+            refuses: true,
             calls: begun.calls,
             refused: begun.refused,
         };
--- a/tests/permits.rs
+++ b/tests/permits.rs
@@ -168,6 +168,7 @@
         sent_at: None,
         earliest: Millis::ZERO,
         latest: at(10_000),
+        refuses: true,
         calls: 1,
         refused: 0,
     }
@@ -341,3 +342,42 @@
     };
     assert!(retry_after.as_u64() > times[37], "{answer:?}");
 }
+
+/// Guards against times to return that grow with callers that were not refused: they wait, or another
+/// server serves them.
+#[test]
+fn only_refused_callers_are_given_a_time_to_return() {
+    let mut issuer = issuer();
+    let now = at(5_000);
+    let mut retry_after = |number, refuses| {
+        let question = Ask {
+            latest: Millis::ZERO,
+            refuses,
+            ..ask(number, Vec::new())
+        };
+        match issuer.ask(now, None, &router(), &question) {
+            Answer::Denied { retry_after, .. } => Some(retry_after.as_u64()),
+            _ => None,
+        }
+    };
+    let granted = [retry_after(1, false), retry_after(2, false)];
+    assert_eq!(granted, [None, None]);
+    let waiting: Vec<_> = (3..20).map(|n| retry_after(n, false).unwrap()).collect();
+    assert!(
+        waiting.iter().all(|time| *time == waiting[0]),
+        "{waiting:?}"
+    );
+    let refused: Vec<_> = (20..23).map(|n| retry_after(n, true).unwrap()).collect();
+    assert_eq!(refused, [waiting[0], waiting[0] + 250, waiting[0] + 500]);
+}
+
+/// Guards against limits that hold on at all servers but the one that is asked first.
+#[test]
+fn a_limited_server_that_was_not_asked_is_due_while_another_one_is_not() {
+    let other: BackendServerId = "server-2".parse().unwrap();
+    let mut permits = Permits::new(0);
+    permits.begin_ask(at(1_000), &[server()]);
+    assert!(!permits.needs_refresh(at(1_100), &server(), 9));
+    assert!(permits.needs_refresh(at(1_100), &other, 9));
+    assert!(permits.needs_refresh(at(1_000 + 9 * 250), &server(), 9));
+}
