High limits: no overflow, and no part lost to whole milliseconds

Cause, both found by reading and while testing: a server that names a limit such as 1e300 made the leader's sums overflow when two streams asked for later calls within a millisecond; and a call that was scheduled at the next whole millisecond took the rest of it away, so that of 6,000 calls at 3,000 a second 4,100 were granted (limits below 1,000 a second lost nothing). Change: rates in a schedule are at most a million calls a second, which never binds. Only the time that a call is put off beyond the next free one counts as unused. Result: huge_limits_never_bind panicked before ("attempt to add with overflow"), and a_limit_of_three_calls_in_a_millisecond_is_used failed before; both pass.

--- a/src/fleet/permit.rs
+++ b/src/fleet/permit.rs
@@ -30,6 +30,9 @@
 /// its answers tell that the limit has ended.
 const MIN_RATE: unit::CallRate = unit::CallRate::from_millicalls(100);
 
+/// A higher limit never binds; the bound keeps the sums of [`Schedule`] in range.
+const MAX_RATE: unit::CallRate = unit::CallRate::from_millicalls(1_000_000_000);
+
 /// One question gets at most the permits for this time, but at least one.
 const MAX_BATCH_TIME: clock::Millis = clock::Millis::new(50);
 
@@ -368,7 +371,7 @@
     /// Returns the rate in millionths of a call per millisecond.
     fn rate(&self, now: clock::Millis) -> u64 {
         let rate = self.limit.rate(now).unwrap_or_default();
-        rate.max(MIN_RATE).as_millicalls()
+        rate.clamp(MIN_RATE, MAX_RATE).as_millicalls()
     }
 
     /// Subtracts the calls that the limit allows in the time since the last change.
@@ -392,8 +395,11 @@
         let rate = self.rate(now);
         let batch = rate.saturating_mul(MAX_BATCH_TIME.as_u64()) / ONE_CALL;
         let calls = u64::from(calls).min(batch).max(1);
-        let skipped = rate.saturating_mul(delay.as_u64());
-        self.backlog = self.backlog.max(skipped).saturating_add(calls * ONE_CALL);
+        if delay > self.next_in(now) {
+            // The calls that the limit allows until then are not made.
+            self.backlog = self.backlog.max(rate.saturating_mul(delay.as_u64()));
+        }
+        self.backlog = self.backlog.saturating_add(calls * ONE_CALL);
         calls as u32
     }
 
--- a/tests/permits.rs
+++ b/tests/permits.rs
@@ -311,6 +311,46 @@
     assert!((4..=7).contains(&calls), "{calls} calls in a minute");
 }
 
+/// Guards against times in whole milliseconds that take a part of a high limit away.
+#[test]
+fn a_limit_of_three_calls_in_a_millisecond_is_used() {
+    let mut issuer = Issuer::default();
+    let rate = Some(CallRate::from_millicalls(3_000_000));
+    issuer.hear(Millis::ZERO, None, &named(0, rate));
+    let mut granted = 0;
+    for number in 0..10_000 {
+        let question = Ask {
+            latest: at(50),
+            ..ask(number, Vec::new())
+        };
+        let answer = issuer.ask(at(5_000 + number / 5), None, &router(), &question);
+        granted += u32::from(matches!(answer, Answer::Granted { .. }));
+    }
+    let allowed = 3 * 2_000;
+    assert!(granted >= allowed * 98 / 100, "{granted} of {allowed}");
+    assert!(granted <= allowed + 3 * 51, "{granted} of {allowed}");
+}
+
+/// Guards against sums that overflow.
+#[test]
+fn huge_limits_never_bind() {
+    let mut issuer = Issuer::default();
+    let huge = Some(CallRate::from_millicalls(u64::MAX));
+    issuer.hear(Millis::ZERO, None, &named(0, huge));
+    for number in 0..1_000 {
+        let question = Ask {
+            earliest: at(500),
+            calls: 200,
+            refused: 3,
+            ..ask(number, Vec::new())
+        };
+        let answer = issuer.ask(at(5_000 + number / 2), None, &router(), &question);
+        let granted = matches!(&answer, Answer::Granted { delay, calls, .. }
+            if *delay <= at(510) && *calls == 200);
+        assert!(granted, "{answer:?}");
+    }
+}
+
 /// Pattern: many callers are refused at once. Those that were told to return come back one by one,
 /// at the rate of the limit.
 #[test]
