Logs name the software version that a stream began or goes on at, and what callers resume

Change: the list keeps the version of each server, stream_begun and server_lost name it, resumed says where a broken stream goes on within one answer. Nothing is decided by it.

--- a/benches/router_balancer.rs
+++ b/benches/router_balancer.rs
@@ -46,6 +46,7 @@
         slots: 64,
         state: message::ServerState::Ready,
         stage: Some(stage(n)),
+        version: None,
         started_at: None,
     };
     let list: Vec<message::Server> = (0..count).map(server).collect();
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -185,6 +185,8 @@
         /// The maximum number of requests that it runs at once.
         pub slots: u32,
         pub state: ServerState,
+        /// The software version that it runs; `None` when the list does not say.
+        pub version: Option<id::SoftwareVersion>,
         /// The stage that a model server is limited to.
         pub stage: Option<Stage>,
         /// When this incarnation started; `None` when the list does not say.
--- a/src/id.rs
+++ b/src/id.rs
@@ -25,6 +25,10 @@
     /// The name of a backend server: a model engine or a plain service.
     BackendServerId
 }
+macros::name! {
+    /// The software version that a backend server runs.
+    SoftwareVersion
+}
 macros::name! {
     /// The name of a model.
     ModelId
--- a/src/router/balancer/mod.rs
+++ b/src/router/balancer/mod.rs
@@ -55,6 +55,8 @@
 pub struct Pick {
     pub id: id::BackendServerId,
     pub address: net::SocketAddr,
+    /// The software version of the server; `None` when the list does not say.
+    pub version: Option<id::SoftwareVersion>,
     /// Utilisation at the time of the pick, in percent of the server's capacity.
     pub utilisation_percent: u32,
     /// Age of the loads that the other routers had reported.
@@ -495,6 +497,7 @@
         Pick {
             id: backend.server.id.clone(),
             address: backend.server.address,
+            version: backend.server.version.clone(),
             utilisation_percent: to_percent(utilisation),
             report_age: now - self.remote_loads_at,
             permit: None,
--- a/src/router/generate/log_lines.rs
+++ b/src/router/generate/log_lines.rs
@@ -9,6 +9,11 @@
 use crate::router::upstream;
 use crate::unit;
 
+/// Returns the software version of a picked server for the log, empty when it is not known.
+fn log_version(pick: &balancer::Pick) -> &str {
+    pick.version.as_ref().map_or("", |v| v.as_str())
+}
+
 impl generate::StreamRequest {
     pub(super) fn log_begun(&self, opened: &generate::OpenStream) {
         log::info!(
@@ -19,6 +24,8 @@
             account = self.req.log_account(),
             quota_left = self.req.quota_left,
             server = opened.pick.id.as_str(),
+            version = log_version(&opened.pick),
+            resumes = self.req.caller.resumes.as_deref().unwrap_or(""),
             busy_percent = opened.pick.utilisation_percent,
             report_age_ms = opened.pick.report_age.as_u64(),
             waited_ms = self.waited.as_u64(),
@@ -79,6 +86,7 @@
             event = "server_lost",
             request = self.req.log_id(),
             server = pick.id.as_str(),
+            version = log_version(pick),
             failure = failure.to_string(),
             fingerprints = self.req.log_fingerprints(),
             tries = self.attempts,
@@ -87,6 +95,21 @@
         );
     }
 
+    /// Logs that the stream goes on at another server within one answer.
+    pub fn log_resumed(&self, opened: &generate::OpenStream) {
+        metrics::counter!("buckthorncleat_streams_resumed_total").increment(1);
+        log::info!(
+            event = "resumed",
+            request = self.req.log_id(),
+            server = opened.pick.id.as_str(),
+            version = log_version(&opened.pick),
+            last_event = self.resume_after.unwrap_or_default(),
+            tries = self.attempts,
+            age_ms = self.req.age().as_u64();
+            "a broken stream goes on at another server"
+        );
+    }
+
     /// Logs and counts the end of the stream.
     pub fn log_end(&self, outcome: &'static str, stats: relay::Stats, first_event: clock::Millis) {
         metrics::counter!("buckthorncleat_streams_total", "outcome" => outcome).increment(1);
--- a/src/router/protocol.rs
+++ b/src/router/protocol.rs
@@ -114,6 +114,8 @@
     pub generation: Option<Generation>,
     /// Id of the last event that the caller has from an earlier attempt.
     pub resume_after: Option<u64>,
+    /// The request id of the attempt that brought the first event of the stream that is resumed.
+    pub resumes: Option<String>,
     /// The parts of the prompt that requests may have in common, in order; empty when it has none.
     pub parts: Vec<model::Fingerprint>,
 }
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -132,7 +132,10 @@
         () = tx.closed() => return None,
     };
     match opened {
-        Ok(Ok(opened)) => Some(*opened),
+        Ok(Ok(opened)) => {
+            stream.log_resumed(&opened);
+            Some(*opened)
+        }
         Ok(Err(_)) => None,
         Err(refusal) => {
             log::info!(
--- a/tests/fleet_failing.rs
+++ b/tests/fleet_failing.rs
@@ -31,6 +31,7 @@
         slots: 6,
         state: ServerState::Ready,
         stage: None,
+        version: None,
         started_at: None,
     };
     let mut balancer = Balancer::new("a".parse().unwrap());
--- a/tests/fleet_listing.rs
+++ b/tests/fleet_listing.rs
@@ -13,6 +13,7 @@
         slots: 32,
         state: ServerState::Ready,
         stage: Some(Stage::Decode),
+        version: None,
         started_at: None,
     }
 }
--- a/tests/permit_support/fleet.rs
+++ b/tests/permit_support/fleet.rs
@@ -125,6 +125,7 @@
             slots: 6,
             state: ServerState::Ready,
             stage: None,
+            version: None,
             started_at: None,
         };
         let routers = (0..plan.routers).map(|_| {
--- a/tests/router_availability.rs
+++ b/tests/router_availability.rs
@@ -38,6 +38,7 @@
         slots: 6,
         state: ServerState::Ready,
         stage: None,
+        version: None,
         started_at: None,
     }
 }
@@ -139,6 +140,7 @@
 #[test]
 fn only_a_later_start_ends_the_mark_of_a_leaving_server() {
     let started = |ms| Server {
+        version: None,
         started_at: Some(StartTime::new(ms)),
         ..server(1)
     };
@@ -159,6 +161,7 @@
 #[test]
 fn a_quiet_time_asked_for_just_before_a_later_start_shows_is_kept() {
     let started = |ms| Server {
+        version: None,
         started_at: Some(StartTime::new(ms)),
         ..server(1)
     };
--- a/tests/router_fleet.rs
+++ b/tests/router_fleet.rs
@@ -68,6 +68,7 @@
         slots: 32,
         state: ServerState::Ready,
         stage: Some(Stage::Decode),
+        version: None,
         started_at: None,
     };
     let mut balancer = Balancer::new("a".parse().unwrap());
--- a/tests/router_units.rs
+++ b/tests/router_units.rs
@@ -217,6 +217,7 @@
         slots: 6,
         state: ServerState::Ready,
         stage,
+        version: None,
         started_at: None,
     }
 }
