Callers are not sent to routers that don't reach the servers which others reach, and these eject none

Cause: such a router stayed among the advised ones, in its own advice too; and two of them in two data centres were proof enough that servers are out of reach, so that the others left sound servers alone. Class: a part of the fleet that judges the rest by itself, without a comparison. Change: the leader compares: a router that can't connect to half or more of the servers that it calls, three at least, though routers that are not in question reach these, is cut off. It leaves the advised entries, its own advice leaves it out, and its word on servers does not count. Where servers are down nobody reaches them, so no router is named.

--- a/src/fleet/ledger/mod.rs
+++ b/src/fleet/ledger/mod.rs
@@ -10,6 +10,7 @@
 use crate::fleet::message;
 use crate::fleet::permit;
 use crate::fleet::quota;
+use crate::fleet::reach;
 use crate::fleet::totals;
 use crate::fleet::window;
 use crate::id;
@@ -60,6 +61,9 @@
     attempts: sorted::Map<document::ServiceId, message::Attempts>,
     next_expiry: clock::Millis,
     failing: failing::Failing,
+    /// Gateways that don't reach the servers that others reach, sorted. Callers are not sent to them,
+    /// and what they say of servers does not count.
+    cut_off: Vec<id::InstanceId>,
     permits: permit::Issuer,
     retries: budget::Issuer,
     /// The last reports of gateways that have restarted since; their attempts still count.
@@ -141,6 +145,7 @@
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
             self.expire(now);
+            self.find_cut_off(now);
             self.find_failing(now);
             self.update_limits(now);
             self.update_standings(now);
@@ -206,7 +211,8 @@
                 self.previous_incarnations.push(previous);
             }
         }
-        let entry = report.accepts_callers.then_some(&report.data_centre);
+        let accepts_callers = report.accepts_callers && !self.is_cut_off(from);
+        let entry = accepts_callers.then_some(&report.data_centre);
         self.totals.set_entry(now, report.address, entry);
         for (service, count) in report.attempts.iter().filter(|(_, c)| !c.is_zero()) {
             self.attempts
@@ -345,15 +351,44 @@
             gateways: self.gateway_count(now),
             remaining,
             attempts,
+            is_cut_off: self.is_cut_off(asker),
             unreachable: self.unreachable(now, asker),
             leaving: self.leaving(now, asker),
         }
     }
 
+    /// Finds the gateways that don't reach what others reach, and takes them from the entries.
+    fn find_cut_off(&mut self, now: clock::Millis) {
+        let reports = self.fresh_gateways(now).map(|(id, g)| (id, &g.report));
+        let cut_off = reach::cut_off(reports);
+        if cut_off == self.cut_off {
+            return;
+        }
+        for id in &cut_off {
+            if let Some(gateway) = self.gateways.get(id) {
+                self.totals.set_entry(now, gateway.report.address, None);
+            }
+        }
+        let names: Vec<&str> = cut_off.iter().map(id::InstanceId::as_str).collect();
+        log::warn!(
+            event = "cut_off",
+            count = cut_off.len(),
+            routers = names.join(" ");
+            "routers that don't reach the servers that others reach; callers are sent to the others"
+        );
+        self.cut_off = cut_off;
+    }
+
+    fn is_cut_off(&self, gateway: &id::InstanceId) -> bool {
+        self.cut_off.binary_search(gateway).is_ok()
+    }
+
     fn find_failing(&mut self, now: clock::Millis) {
         let min_centres = self.data_centres().min(MIN_REPORTER_DATA_CENTRES);
         let mut failing = std::mem::take(&mut self.failing);
-        let reports = self.fresh_gateways(now).map(|(_, g)| &g.report);
+        let gateways = self.fresh_gateways(now);
+        let reports = gateways.filter(|(id, _)| !self.is_cut_off(id));
+        let reports = reports.map(|(_, g)| &g.report);
         failing.update(now, reports, min_centres);
         self.failing = failing;
     }
@@ -380,7 +415,8 @@
     /// Returns the servers that at least [`MIN_REPORTERS`] gateways other than `asker` can't reach,
     /// from at least [`MIN_REPORTER_DATA_CENTRES`] data centres, and the failing ones, sorted.
     fn unreachable(&self, now: clock::Millis, asker: &id::InstanceId) -> Vec<id::BackendServerId> {
-        let others = self.fresh_gateways(now).filter(|(id, _)| *id != asker);
+        let gateways = self.fresh_gateways(now);
+        let others = gateways.filter(|(id, _)| *id != asker && !self.is_cut_off(id));
         let mut reported: Vec<(&id::BackendServerId, &id::DataCentre)> = others
             .flat_map(|(_, g)| {
                 g.report
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -166,6 +166,9 @@
         pub remaining: sorted::Map<id::ClientAccountId, i64>,
         /// The requests and retries of all other gateways in the budget window, by service.
         pub attempts: sorted::Map<document::ServiceId, Attempts>,
+        /// Whether this gateway does not reach the servers that others reach, so that callers are sent
+        /// to the others.
+        pub is_cut_off: bool,
         /// Servers that several other gateways can't reach, or that lose the calls of several,
         /// sorted.
         pub unreachable: Vec<id::BackendServerId>,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -19,5 +19,6 @@
 pub mod origin;
 pub mod permit;
 pub mod quota;
+pub mod reach;
 pub mod totals;
 pub mod window;
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -100,6 +100,8 @@
 #[derive(Debug, Default)]
 struct Fleet {
     entries: Vec<message::Entry>,
+    /// Whether this router does not reach the servers that others reach.
+    is_cut_off: bool,
     /// `None` while no leader answers.
     leader: Option<Leader>,
 }
@@ -336,9 +338,18 @@
         self.phase.subscribe()
     }
 
-    /// Sets the gateways that callers may connect to.
-    pub fn set_entries(&self, entries: Vec<message::Entry>) {
-        lock(&self.fleet).entries = entries;
+    /// Sets the gateways that callers may connect to, and whether this one reaches no servers that others
+    /// reach.
+    pub fn set_entries(&self, entries: Vec<message::Entry>, is_cut_off: bool) {
+        let mut fleet = lock(&self.fleet);
+        fleet.entries = entries;
+        fleet.is_cut_off = is_cut_off;
+    }
+
+    /// Returns whether this router does not reach the servers that others reach, by the last summary.
+    pub fn is_cut_off(&self) -> bool {
+        let fleet = lock(&self.fleet);
+        fleet.is_cut_off && fleet.leader.is_some()
     }
 
     /// Returns the gateways that callers may connect to, as listed in the last summary.
--- a/src/router/directory.rs
+++ b/src/router/directory.rs
@@ -49,13 +49,13 @@
 }
 
 /// Returns the gateways that are alive as far as this instance knows, including itself while it is
-/// ready. The order starts at a random one, so that callers spread over all.
+/// ready and not cut off from the servers. The order starts at a random one, so that callers spread over all.
 fn addresses(core: &core::Core) -> Vec<net::SocketAddr> {
     let own = core.settings.caller_address;
     let others = core.entries();
     let others = others.iter().map(|e| e.address);
     let mut addresses: Vec<net::SocketAddr> = others.filter(|a| *a != own).collect();
-    if is_ready(core) {
+    if is_ready(core) && !core.is_cut_off() {
         addresses.push(own);
     }
     let start = rand::random_range(0..addresses.len().max(1));
--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -315,7 +315,7 @@
             balancer.set_limits(self.view.limits());
             core.permits().retain(|id| balancer.is_limited(now, id));
         }
-        core.set_entries(self.view.entries());
+        core.set_entries(self.view.entries(), sums.is_cut_off);
         core.capacity_freed.notify_waiters();
     }
 
--- a/tests/cut_routers.rs
+++ b/tests/cut_routers.rs
@@ -44,16 +44,18 @@
     }
 }
 
-/// Plays two seconds of reports; returns what a sound router is told last.
+/// Plays four rounds of reports, each as long as the leader asks for; returns what a sound router is
+/// told last.
 fn play(routers: usize) -> Sums {
     let mut ledger = Ledger::new(Term::new(1), Millis::from_secs(8));
+    let round_ms = (2 * routers as u64).max(100);
     for round in 0..4 {
         for router in 0..routers {
-            let now = Millis::new(round * 700 + router as u64);
+            let now = Millis::new(round * round_ms + router as u64);
             ledger.report(now, &name(router), report(router));
         }
     }
-    ledger.report(Millis::new(3_000), &name(1), report(1))
+    ledger.report(Millis::new(4 * round_ms), &name(1), report(1))
 }
 
 /// RECOVER: the reports of routers that reach no server made the others leave sound servers alone.
@@ -77,3 +79,22 @@
         assert_eq!(listed.count(), 0, "{routers} routers");
     }
 }
+
+/// A server that is down for all routers must not take any of them from the callers.
+#[test]
+fn routers_stay_while_servers_are_down_for_all() {
+    for down in [3, SERVERS / 3, SERVERS] {
+        let mut ledger = Ledger::new(Term::new(1), Millis::from_secs(8));
+        let unreachable: Vec<_> = servers().into_iter().take(down).collect();
+        for round in 0..4 {
+            for router in 0..9 {
+                let mut report = report(1);
+                report.address = address(router);
+                report.unreachable.clone_from(&unreachable);
+                let now = Millis::new(round * 100 + router as u64);
+                let sums = ledger.report(now, &name(router), report);
+                assert!(!sums.is_cut_off, "{down} servers down");
+            }
+        }
+    }
+}
