A software version that returns is committed again; a full record of streams is not proposed again

Cause, found by reading: a version that only the former generation still had, and that was listed again while a rotation was being committed, could be forgotten although its servers were in use; and streams beyond what a generation holds were proposed every 200 ms without effect. Change: a list's versions must be in the current generation before it is published; a batch adds no more streams than fit.

--- a/src/fleet/origin.rs
+++ b/src/fleet/origin.rs
@@ -102,12 +102,6 @@
     }
 }
 
-impl Generation {
-    fn has_version(&self, origin: &Origin) -> bool {
-        self.versions.binary_search(origin).is_ok()
-    }
-}
-
 impl Origins {
     /// Applies a change. The first origin of a stream holds; streams beyond [`MAX_STREAMS`] stay
     /// unknown.
@@ -136,9 +130,10 @@
         current.or_else(|| self.previous.streams.get(stream))
     }
 
-    /// Returns whether a version may have begun streams.
-    pub fn has_version(&self, origin: &Origin) -> bool {
-        self.current.has_version(origin) || self.previous.has_version(origin)
+    /// Returns whether a version is kept for the full time from now on, also if a rotation is being
+    /// committed.
+    fn has_current(&self, origin: &Origin) -> bool {
+        self.current.versions.binary_search(origin).is_ok()
     }
 
     /// Returns the versions of all services that may have begun a stream which still lasts, sorted.
@@ -243,7 +238,7 @@
         self.listed.sort();
         self.listed.dedup();
         self.listed_at.get_or_insert(now);
-        let new = self.listed.iter().filter(|v| !origins.has_version(v));
+        let new = self.listed.iter().filter(|v| !origins.has_current(v));
         new.cloned().collect()
     }
 
@@ -278,7 +273,8 @@
     pub fn next_batch(&mut self, now: clock::Millis, origins: &Origins) -> Option<Batch> {
         self.pending
             .retain(|stream, _| origins.get(stream).is_none());
-        let streams = self.pending.iter().take(MAX_BATCH);
+        let space = MAX_STREAMS - origins.current.streams.len();
+        let streams = self.pending.iter().take(MAX_BATCH.min(space));
         let streams: Vec<Record> = streams
             .map(|(stream, origin)| Record {
                 stream: *stream,
--- a/src/keeper/aggregator.rs
+++ b/src/keeper/aggregator.rs
@@ -189,25 +189,20 @@
         let Some(term) = term.filter(|_| !new.is_empty()) else {
             return;
         };
-        let versions = new.clone();
-        if !self
-            .commit_origins(
-                term,
-                origin::Batch {
-                    versions,
-                    ..Default::default()
-                },
-            )
-            .await
-        {
-            let is_new = |o| new.binary_search(&o).is_ok();
-            servers.retain(|s| !origin::Origin::from_server(s).is_some_and(is_new));
-            log::warn!(
-                event = "versions_not_committed",
-                count = new.len();
-                "new software versions are not committed; leaving out their servers until the next list"
-            );
+        let batch = origin::Batch {
+            versions: new.clone(),
+            ..Default::default()
+        };
+        if self.commit_origins(term, batch).await {
+            return;
         }
+        let is_new = |o| new.binary_search(&o).is_ok();
+        servers.retain(|s| !origin::Origin::from_server(s).is_some_and(is_new));
+        log::warn!(
+            event = "versions_not_committed",
+            count = new.len();
+            "new software versions are not committed; leaving out their servers until the next list"
+        );
     }
 
     /// Commits the origins of streams while this member leads, until `stop` becomes true.
