--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -11,6 +11,7 @@
 use buckthorncleat::fleet::origin::{Answer, Batch, Origin, Origins, Question, Record, Registry};
 use buckthorncleat::id::Term;
 use buckthorncleat::router::origins;
+use buckthorncleat::state::command::{Command, State};
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
@@ -358,3 +359,26 @@
         _ => {}
     });
 }
+
+/// Guards against origins that a snapshot loses, and against snapshots of a former build that can't be
+/// read.
+#[test]
+fn origins_outlast_a_snapshot() {
+    let stream = StreamId::new(None, "r1");
+    let origin = Origin::from_server(&server(1, "v1")).unwrap();
+    let batch = Batch {
+        versions: vec![origin.clone()],
+        streams: vec![Record {
+            stream,
+            origin: origin.clone(),
+        }],
+        ..Batch::default()
+    };
+    let mut state = State::default();
+    let former = postcard::to_stdvec(&state).unwrap();
+    assert_eq!(State::from_bytes(&former).unwrap(), state);
+    state.apply(&Command::Origins(batch));
+    let read = State::from_bytes(&state.to_bytes().unwrap()).unwrap();
+    assert_eq!(read.origins().get(&stream), Some(&origin));
+    assert_eq!(read, state);
+}
