--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -382,3 +382,29 @@
     assert_eq!(read.origins().get(&stream), Some(&origin));
     assert_eq!(read, state);
 }
+
+/// Guards against a version that is forgotten while its servers are in use, since it came back while a
+/// rotation was being committed.
+#[test]
+fn a_version_that_returns_amid_a_rotation_is_kept() {
+    let versions = |names: &[&str]| -> Vec<Server> { names.iter().map(|v| server(1, v)).collect() };
+    let (mut registry, mut origins) = (Registry::default(), Origins::default());
+    registry.set_time_limit(TIME_LIMIT);
+    let list = |registry: &mut Registry, origins: &mut Origins, now, names: &[&str]| {
+        let versions = registry.set_listed(Millis::new(now), &versions(names), origins);
+        origins.apply(&Batch {
+            versions,
+            ..Batch::default()
+        });
+    };
+    list(&mut registry, &mut origins, 0, &["v1", "v2"]);
+    for now in [30_000, 60_000] {
+        list(&mut registry, &mut origins, now, &["v1"]);
+        let rotation = registry.next_batch(Millis::new(now), &origins).unwrap();
+        assert!(rotation.rotate);
+        // v2 is back in a list before the rotation is committed.
+        list(&mut registry, &mut origins, now, &["v1", "v2"]);
+        origins.apply(&rotation);
+    }
+    assert_eq!(origins.mixed(), ["llm".parse().unwrap()]);
+}
