--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -4,6 +4,7 @@
 
 use crate::clock;
 use crate::document;
+use crate::error;
 use crate::fleet::budget;
 use crate::fleet::call_limit;
 use crate::fleet::crashes;
@@ -12,6 +13,7 @@
 use crate::fleet::totals;
 use crate::id;
 use crate::macros;
+use crate::peer::trailer;
 use crate::sorted;
 use crate::state::model;
 use crate::unit;
@@ -63,6 +65,47 @@
         pub limits: Vec<(id::BackendServerId, call_limit::News)>,
         /// The leader's time when the report was sent; `None` before the first summary.
         pub sent_at: Option<permit::LeaderTime>,
+        /// What is not part of the first release; it travels in the trailer.
+        #[serde(skip)]
+        pub extension: ReportExtension,
+    }
+}
+
+macros::data! {
+    /// What reports have beyond those of the first release.
+    #[derive(Default)]
+    pub struct ReportExtension {
+        /// The protocol version of the gateway.
+        pub version: trailer::ProtocolVersion,
+    }
+}
+
+impl ReportExtension {
+    /// Makes what this build adds to a report.
+    pub fn new() -> Self {
+        Self {
+            version: trailer::CURRENT,
+        }
+    }
+
+    /// Encodes the sections.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a section can't be encoded, which is a bug.
+    pub fn to_trailer(&self) -> error::Result<trailer::Trailer> {
+        Ok(trailer::Trailer::new())
+    }
+
+    /// Decodes the sections.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a section can't be decoded.
+    pub fn from_trailer(trailer: &trailer::Trailer) -> error::Result<Self> {
+        Ok(Self {
+            version: trailer.version,
+        })
     }
 }
 
@@ -96,6 +139,7 @@
             leaving: Vec::new(),
             limits: Vec::new(),
             sent_at: None,
+            extension: ReportExtension::new(),
         }
     }
 }
@@ -149,6 +193,47 @@
         pub mixed: Vec<document::ServiceId>,
         /// The addresses of the members of the control group.
         pub members: Vec<net::SocketAddr>,
+        /// What is not part of the first release; it travels in the trailer.
+        #[serde(skip)]
+        pub extension: SummaryExtension,
+    }
+}
+
+macros::data! {
+    /// What summaries have beyond those of the first release.
+    #[derive(Default)]
+    pub struct SummaryExtension {
+        /// The protocol version of the leader.
+        pub version: trailer::ProtocolVersion,
+    }
+}
+
+impl SummaryExtension {
+    /// Makes what this build adds to a summary.
+    pub fn new() -> Self {
+        Self {
+            version: trailer::CURRENT,
+        }
+    }
+
+    /// Encodes the sections.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a section can't be encoded, which is a bug.
+    pub fn to_trailer(&self) -> error::Result<trailer::Trailer> {
+        Ok(trailer::Trailer::new())
+    }
+
+    /// Decodes the sections.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a section can't be decoded.
+    pub fn from_trailer(trailer: &trailer::Trailer) -> error::Result<Self> {
+        Ok(Self {
+            version: trailer.version,
+        })
     }
 }
 
--- a/src/keeper/aggregator.rs
+++ b/src/keeper/aggregator.rs
@@ -292,6 +292,7 @@
             sums,
             mixed: self.group.with_state(|s| s.origins().mixed()),
             members: self.group.status().addresses,
+            extension: fleet::SummaryExtension::new(),
         }))
     }
 
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -15,6 +15,7 @@
 use crate::macros;
 use crate::peer::frame;
 use crate::peer::message;
+use crate::peer::trailer;
 
 /// Time after which a caller may retry a request that got no answer.
 const RETRY_AFTER: clock::Millis = clock::Millis::new(200);
@@ -64,6 +65,34 @@
     }
 }
 
+impl Envelope {
+    /// Encodes the envelope, with what is newer than the first release in the trailer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't be encoded, which is a bug.
+    pub fn to_bytes(&self) -> error::Result<Vec<u8>> {
+        let trailer = match self {
+            Self::Answer(reply) => reply.to_trailer()?,
+            Self::Challenge => trailer::Trailer::new(),
+        };
+        trailer.append_to(self)
+    }
+
+    /// Decodes an envelope and the protocol version of its sender.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes can't be decoded.
+    pub fn from_bytes(buf: &[u8]) -> error::Result<(Self, trailer::ProtocolVersion)> {
+        let (mut envelope, trailer) = trailer::Trailer::split(buf)?;
+        if let Self::Answer(reply) = &mut envelope {
+            reply.extend(&trailer)?;
+        }
+        Ok((envelope, trailer.version))
+    }
+}
+
 /// The links of a process to its peers, one per address.
 #[derive(Debug)]
 pub struct Links {
@@ -110,6 +139,11 @@
         }
     }
 
+    /// Returns the protocol version of a peer's last reply; `None` before the first one.
+    pub fn peer_version(&self, address: net::SocketAddr) -> Option<trailer::ProtocolVersion> {
+        self.link(address).peer_version()
+    }
+
     fn link(&self, address: net::SocketAddr) -> sync::Arc<Link> {
         let find = |links: &[sync::Arc<Link>]| links.binary_search_by_key(&address, |l| l.address);
         let links = self
@@ -140,6 +174,8 @@
     address: net::SocketAddr,
     socket: sync::Mutex<Option<sync::Arc<anng::Socket<reqrep0::Req0>>>>,
     peer_incarnation: atomic::AtomicU64,
+    /// The protocol version of the peer's last reply; 0 before the first one.
+    peer_version: atomic::AtomicU64,
 }
 
 impl Link {
@@ -148,6 +184,7 @@
             address,
             socket: sync::Mutex::default(),
             peer_incarnation: atomic::AtomicU64::new(0),
+            peer_version: atomic::AtomicU64::new(0),
         }
     }
 
@@ -156,7 +193,10 @@
         identity: &Identity,
         request: &message::Request,
     ) -> error::Result<message::Reply> {
-        let body = encode(request)?;
+        if let Some(version) = self.peer_version() {
+            check_version(request, version, self.address)?;
+        }
+        let body = request.to_bytes()?;
         for _ in 0..MAX_CHALLENGES {
             let frame = frame::Frame {
                 header: self.header(identity),
@@ -166,14 +206,23 @@
             let incarnation = reply.header.from_incarnation.as_u64();
             self.peer_incarnation
                 .store(incarnation, atomic::Ordering::Relaxed);
-            if let Envelope::Answer(answer) = decode(&reply.body)? {
+            let (envelope, version) = Envelope::from_bytes(&reply.body)?;
+            self.peer_version
+                .store(version.as_u64(), atomic::Ordering::Relaxed);
+            if let Envelope::Answer(answer) = envelope {
                 return Ok(*answer);
             }
+            check_version(request, version, self.address)?;
         }
         let reason = format!("{} restarted during each attempt", self.address);
         Err(error::Error::unavailable(reason, RETRY_AFTER))
     }
 
+    fn peer_version(&self) -> Option<trailer::ProtocolVersion> {
+        let version = self.peer_version.load(atomic::Ordering::Relaxed);
+        (version > 0).then(|| trailer::ProtocolVersion::new(version))
+    }
+
     fn header(&self, identity: &Identity) -> frame::Header {
         let peer = self.peer_incarnation.load(atomic::Ordering::Relaxed);
         frame::Header {
@@ -251,14 +300,19 @@
         .map_err(|_| error::Error::bad_value("address", address, "use an IP address and a port"))
 }
 
-/// Encodes a message for a frame.
-pub(super) fn encode<T: serde::Serialize>(message: &T) -> error::Result<Vec<u8>> {
-    postcard::to_stdvec(message)
-        .map_err(|e| error::Error::damaged(format!("message: {e}"), "report this fault"))
-}
-
-/// Decodes a message from a frame.
-pub(super) fn decode<T: serde::de::DeserializeOwned>(buf: &[u8]) -> error::Result<T> {
-    postcard::from_bytes(buf)
-        .map_err(|e| error::Error::damaged(format!("message: {e}"), "run one version everywhere"))
+/// Checks that a peer of this version can read a request.
+fn check_version(
+    request: &message::Request,
+    version: trailer::ProtocolVersion,
+    peer: net::SocketAddr,
+) -> error::Result<()> {
+    let needed = request.min_version();
+    if version >= needed {
+        return Ok(());
+    }
+    let reason = format!(
+        "{peer} speaks protocol version {version} and the request needs version {needed}: \
+         finish the upgrade of that process"
+    );
+    Err(error::Error::unavailable(reason, RETRY_AFTER))
 }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -4,6 +4,7 @@
 use crate::config::settings;
 use crate::controller::limiter;
 use crate::controller::scheduler;
+use crate::error;
 use crate::fleet::budget;
 use crate::fleet::crashes;
 use crate::fleet::message as fleet;
@@ -11,6 +12,7 @@
 use crate::fleet::permit;
 use crate::id;
 use crate::macros;
+use crate::peer::trailer;
 use crate::state::change;
 use crate::state::command;
 use crate::state::model;
@@ -86,6 +88,57 @@
     }
 }
 
+impl Request {
+    /// Returns the protocol version from which on a peer can read this request.
+    pub const fn min_version(&self) -> trailer::ProtocolVersion {
+        trailer::FIRST
+    }
+
+    /// Encodes the request, with what is newer than the first release in the trailer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't be encoded, which is a bug.
+    pub fn to_bytes(&self) -> error::Result<Vec<u8>> {
+        let trailer = match self {
+            Self::Report(report) => report.extension.to_trailer()?,
+            _ => trailer::Trailer::new(),
+        };
+        trailer.append_to(self)
+    }
+
+    /// Decodes a request of this or the first release.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes can't be decoded.
+    pub fn from_bytes(buf: &[u8]) -> error::Result<Self> {
+        let (mut request, trailer) = trailer::Trailer::split(buf)?;
+        if let Self::Report(report) = &mut request {
+            report.extension = fleet::ReportExtension::from_trailer(&trailer)?;
+        }
+        Ok(request)
+    }
+}
+
+impl Reply {
+    /// Encodes what the reply has beyond the first release.
+    pub(super) fn to_trailer(&self) -> error::Result<trailer::Trailer> {
+        match self {
+            Self::Summary(summary) => summary.extension.to_trailer(),
+            _ => Ok(trailer::Trailer::new()),
+        }
+    }
+
+    /// Takes over what a trailer has beyond the first release.
+    pub(super) fn extend(&mut self, trailer: &trailer::Trailer) -> error::Result<()> {
+        if let Self::Summary(summary) = self {
+            summary.extension = fleet::SummaryExtension::from_trailer(trailer)?;
+        }
+        Ok(())
+    }
+}
+
 macros::data! {float
     /// A message to the owner of a role, with the epoch in which the sender sees the receiver as the
     /// owner.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -10,3 +10,4 @@
 pub mod link;
 pub mod message;
 pub mod server;
+pub mod trailer;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -110,7 +110,7 @@
         if !self.is_new(&frame.header) {
             return self.refuse("a repeated frame");
         }
-        let request = match link::decode(&frame.body) {
+        let request = match message::Request::from_bytes(&frame.body) {
             Ok(request) => request,
             Err(e) => return self.refuse(&e.to_string()),
         };
@@ -144,7 +144,7 @@
             sequence: to.sequence,
             stamp: self.identity.recorder.stamp(),
         };
-        let body = link::encode(envelope).ok()?;
+        let body = envelope.to_bytes().ok()?;
         frame::Frame { header, body }
             .to_bytes(&self.identity.secret)
             .ok()
--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -229,6 +229,7 @@
             leaving,
             limits,
             sent_at: core.leader_time(now),
+            extension: message::ReportExtension::new(),
         };
         (report, told)
     }
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -6,6 +6,7 @@
 use crate::fleet::origin;
 use crate::id;
 use crate::macros;
+use crate::peer::trailer;
 use crate::state::audit;
 use crate::state::change;
 use crate::state::check;
@@ -33,6 +34,9 @@
         PutDocument(document::Packed),
         /// Records software versions and the streams that began at them.
         Origins(origin::Batch),
+        /// Raises the feature level; a lower one than the current has no effect. Members of the first
+        /// release can't read it.
+        RaiseLevel(FeatureLevel),
     }
 }
 
@@ -153,6 +157,18 @@
     }
 }
 
+macros::data! {copy
+    /// The protocol version that all processes speak. Commands and messages of a later version are not
+    /// used before the level is raised, so that the members of the version before can read the log.
+    pub struct FeatureLevel(pub trailer::ProtocolVersion);
+}
+
+impl Default for FeatureLevel {
+    fn default() -> Self {
+        Self(trailer::FIRST)
+    }
+}
+
 macros::data! {
     /// The state that is replicated to every member of the control group.
     #[derive(Default)]
@@ -169,6 +185,9 @@
         /// Follows the other fields in a snapshot; one without it is of a former build.
         #[serde(skip)]
         origins: origin::Origins,
+        /// In the trailer of a snapshot; one without it has [`trailer::FIRST`].
+        #[serde(skip)]
+        feature_level: FeatureLevel,
     }
 }
 
@@ -190,6 +209,11 @@
         &self.origins
     }
 
+    /// Returns the protocol version that all processes speak.
+    pub fn feature_level(&self) -> FeatureLevel {
+        self.feature_level
+    }
+
     pub fn audit(&self) -> &audit::Log {
         &self.audit
     }
@@ -236,6 +260,10 @@
                 self.origins.apply(batch);
                 Answer::Done(self.config.revision)
             }
+            Command::RaiseLevel(level) => {
+                self.feature_level = self.feature_level.max(*level);
+                Answer::Done(self.config.revision)
+            }
         };
         assert!(self.config.revision >= before, "the revision decreased");
         answer
@@ -247,9 +275,9 @@
     ///
     /// Fails when the state can't be encoded, which is a bug.
     pub fn to_bytes(&self) -> error::Result<Vec<u8>> {
-        postcard::to_stdvec(&(self, &self.origins)).map_err(|e| {
-            error::Error::damaged(format!("replicated state: {e}"), "report this fault")
-        })
+        let mut trailer = trailer::Trailer::new();
+        trailer.add(trailer::section::FEATURE_LEVEL, &self.feature_level)?;
+        trailer.append_to(&(self, &self.origins))
     }
 
     /// Decodes a snapshot.
@@ -266,7 +294,10 @@
         };
         let (mut state, rest): (Self, _) = postcard::take_from_bytes(bytes).map_err(damaged)?;
         if !rest.is_empty() {
-            state.origins = postcard::from_bytes(rest).map_err(damaged)?;
+            let (origins, trailer) = trailer::Trailer::split(rest)?;
+            state.origins = origins;
+            let level = trailer.get(trailer::section::FEATURE_LEVEL)?;
+            state.feature_level = level.unwrap_or_default();
         }
         Ok(state)
     }
