The leader raises the feature level once no older process is left

Cause: nothing proposed RaiseLevel, so that no new command or message could ever be used.

Change: messages between replicas carry the protocol version of their sender in a trailer. The leader proposes the level of its build once all voters and learners have shown it and no older router has reported for 12 s of uninterrupted leadership, or at once in a group that this process formed or joined at its formation. Nodes that can't read the log are not admitted; older routers are served, logged and counted. The level and the versions are in the status, the command line and the metric buckthorncleat_feature_level. src/control uses the same log and never raises the level: none of its parts needs a later command. Links read a peer's incarnation before its version, so that a request is not checked against the version of the process before.

--- a/src/cli/view.rs
+++ b/src/cli/view.rs
@@ -13,6 +13,8 @@
 use crate::http::admin::wire;
 use crate::id;
 use crate::macros;
+use crate::peer::trailer;
+use crate::replica::group;
 use crate::state::model;
 use crate::state::subject;
 
@@ -166,17 +168,30 @@
     let group = &status.group;
     let leader = group.leader.as_ref().map_or("unknown", |id| id.as_str());
     format!(
-        "{} term {} leader {leader} revision {} epoch {} committed {} applied {} claims {}",
+        "{} term {} leader {leader} revision {} epoch {} committed {} applied {} claims {} \
+         level {} versions {}",
         group.instance,
         group.term,
         status.revision,
         status.epoch,
         group.committed,
         group.applied,
-        status.claims
+        status.claims,
+        group.feature_level.0,
+        versions(group),
     )
 }
 
+/// Formats the protocol versions of the members, `?` for one that has sent no message yet.
+fn versions(group: &group::Status) -> String {
+    let one = |(member, version): &(_, Option<trailer::ProtocolVersion>)| {
+        let version = version.map_or_else(|| "?".to_owned(), |v| v.to_string());
+        format!("{member}={version}")
+    };
+    let all: Vec<String> = group.versions.members.iter().map(one).collect();
+    all.join(",")
+}
+
 fn event_line(event: &event::Event) -> String {
     let kind = serde_json::to_value(event.kind).unwrap_or_default();
     let kind = kind.as_str().unwrap_or_default();
--- a/src/error.rs
+++ b/src/error.rs
@@ -60,6 +60,8 @@
     },
     #[error("{what} is damaged: {remedy}")]
     Damaged { what: String, remedy: String },
+    #[error("{what} can't be read: {remedy}")]
+    Unreadable { what: String, remedy: String },
     #[error("{action}: {source}")]
     Io { action: String, source: io::Error },
 }
@@ -116,6 +118,15 @@
         .into()
     }
 
+    /// Makes the error for intact data that this build can't read.
+    pub fn unreadable(what: impl Into<String>, remedy: impl Into<String>) -> Self {
+        ErrorCode::Unreadable {
+            what: what.into(),
+            remedy: remedy.into(),
+        }
+        .into()
+    }
+
     /// Wraps an error of the operating system; `action` names the failed operation.
     pub fn io(action: impl Into<String>, source: io::Error) -> Self {
         let action = action.into();
@@ -128,7 +139,7 @@
             ErrorCode::Conflict { .. } => Category::Conflict,
             ErrorCode::Missing { .. } => Category::Missing,
             ErrorCode::Unavailable { .. } => Category::Unavailable,
-            ErrorCode::Damaged { .. } => Category::Data,
+            ErrorCode::Damaged { .. } | ErrorCode::Unreadable { .. } => Category::Data,
             ErrorCode::Io { .. } => Category::Io,
         }
     }
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -73,13 +73,21 @@
 
 macros::data! {
     /// What reports have beyond those of the first release.
-    #[derive(Default)]
     pub struct ReportExtension {
         /// The protocol version of the gateway.
         pub version: trailer::ProtocolVersion,
     }
 }
 
+impl Default for ReportExtension {
+    /// Makes what a build of the first release adds, which is nothing.
+    fn default() -> Self {
+        Self {
+            version: trailer::FIRST,
+        }
+    }
+}
+
 impl ReportExtension {
     /// Makes what this build adds to a report.
     pub fn new() -> Self {
@@ -201,13 +209,21 @@
 
 macros::data! {
     /// What summaries have beyond those of the first release.
-    #[derive(Default)]
     pub struct SummaryExtension {
         /// The protocol version of the leader.
         pub version: trailer::ProtocolVersion,
     }
 }
 
+impl Default for SummaryExtension {
+    /// Makes what a build of the first release adds, which is nothing.
+    fn default() -> Self {
+        Self {
+            version: trailer::FIRST,
+        }
+    }
+}
+
 impl SummaryExtension {
     /// Makes what this build adds to a summary.
     pub fn new() -> Self {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -21,4 +21,5 @@
 pub mod quota;
 pub mod reach;
 pub mod totals;
+pub mod upgrade;
 pub mod window;
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -193,38 +193,40 @@
         identity: &Identity,
         request: &message::Request,
     ) -> error::Result<message::Reply> {
-        if let Some(version) = self.peer_version() {
-            check_version(request, version, self.address)?;
-        }
         let body = request.to_bytes()?;
         for _ in 0..MAX_CHALLENGES {
+            // The version is read after the incarnation in the header, and stored before it, so that
+            // it is not that of a former incarnation.
+            let header = self.header(identity);
+            if let Some(version) = self.peer_version() {
+                check_version(request, version, self.address)?;
+            }
             let frame = frame::Frame {
-                header: self.header(identity),
+                header,
                 body: body.clone(),
             };
             let reply = self.exchange(identity, &frame).await?;
-            let incarnation = reply.header.from_incarnation.as_u64();
-            self.peer_incarnation
-                .store(incarnation, atomic::Ordering::Relaxed);
             let (envelope, version) = Envelope::from_bytes(&reply.body)?;
             self.peer_version
-                .store(version.as_u64(), atomic::Ordering::Relaxed);
+                .store(version.as_u64(), atomic::Ordering::Release);
+            let incarnation = reply.header.from_incarnation.as_u64();
+            self.peer_incarnation
+                .store(incarnation, atomic::Ordering::Release);
             if let Envelope::Answer(answer) = envelope {
                 return Ok(*answer);
             }
-            check_version(request, version, self.address)?;
         }
         let reason = format!("{} restarted during each attempt", self.address);
         Err(error::Error::unavailable(reason, RETRY_AFTER))
     }
 
     fn peer_version(&self) -> Option<trailer::ProtocolVersion> {
-        let version = self.peer_version.load(atomic::Ordering::Relaxed);
+        let version = self.peer_version.load(atomic::Ordering::Acquire);
         (version > 0).then(|| trailer::ProtocolVersion::new(version))
     }
 
     fn header(&self, identity: &Identity) -> frame::Header {
-        let peer = self.peer_incarnation.load(atomic::Ordering::Relaxed);
+        let peer = self.peer_incarnation.load(atomic::Ordering::Acquire);
         frame::Header {
             from: identity.instance.clone(),
             from_incarnation: identity.incarnation,
--- a/src/replica/core/message.rs
+++ b/src/replica/core/message.rs
@@ -6,6 +6,7 @@
 use crate::error;
 use crate::id;
 use crate::macros;
+use crate::peer::trailer;
 use crate::replica::core;
 use crate::replica::core::members;
 
@@ -185,32 +186,23 @@
 }
 
 impl Message {
-    /// Encodes the message with postcard.
+    /// Encodes the message with postcard, and the protocol version of this build after it.
     ///
     /// # Errors
     ///
     /// Fails when the message can't be encoded, which indicates a bug.
     pub fn to_bytes(&self) -> error::Result<Vec<u8>> {
-        postcard::to_stdvec(self).map_err(|e| {
-            error::Error::damaged(
-                format!("message between replicas ({e})"),
-                "report this fault",
-            )
-        })
+        trailer::Trailer::new().append_to(self)
     }
 
-    /// Decodes a message from its postcard encoding.
+    /// Decodes a message and the protocol version of its sender.
     ///
     /// # Errors
     ///
-    /// Fails when the bytes are not a message of this version.
-    pub fn from_bytes(bytes: &[u8]) -> error::Result<Self> {
-        postcard::from_bytes(bytes).map_err(|e| {
-            error::Error::damaged(
-                format!("message between replicas ({e})"),
-                "run the same version of the program on all members",
-            )
-        })
+    /// Fails when the bytes are not a message that this build can read.
+    pub fn from_bytes(bytes: &[u8]) -> error::Result<(Self, trailer::ProtocolVersion)> {
+        let (message, trailer) = trailer::Trailer::split(bytes)?;
+        Ok((message, trailer.version))
     }
 }
 
--- a/src/replica/group/driver.rs
+++ b/src/replica/group/driver.rs
@@ -16,6 +16,7 @@
 use crate::event;
 use crate::id;
 use crate::peer::server;
+use crate::peer::trailer;
 use crate::replica::core;
 use crate::replica::core::members;
 use crate::replica::core::message;
@@ -25,6 +26,7 @@
 use crate::replica::group::Status;
 use crate::replica::group::disk;
 use crate::replica::group::peers;
+use crate::replica::group::versions;
 use crate::replica::storage;
 use crate::state::command;
 
@@ -50,6 +52,9 @@
     last_request: u64,
     /// The term in which this member is the leader, as last logged.
     led_term: Option<id::Term>,
+    versions: versions::Versions,
+    /// The feature level as last logged.
+    feature_level: Option<command::FeatureLevel>,
 }
 
 #[derive(Debug)]
@@ -76,6 +81,8 @@
         recorder: sync::Arc<event::Recorder>,
     ) -> Self {
         Self {
+            versions: versions::Versions::new(&replica),
+            feature_level: None,
             replica,
             shared,
             peers,
@@ -151,7 +158,9 @@
     /// Converts an event into an input of the replica, or answers it at once and returns `None`.
     fn handle_event(&mut self, event: Event) -> Option<message::Input> {
         match event {
-            Event::Message(message) => Some(message::Input::Message(message)),
+            Event::Message(message, version) => self
+                .accept_version(&message, version)
+                .then_some(message::Input::Message(message)),
             Event::Propose {
                 term,
                 command,
@@ -175,6 +184,34 @@
         }
     }
 
+    /// Records the version of a message's sender. Returns whether the message is handled: a node that
+    /// can't read the log of the group is not admitted, since it would stop at once.
+    fn accept_version(
+        &mut self,
+        message: &message::Message,
+        version: trailer::ProtocolVersion,
+    ) -> bool {
+        let from = &message.from;
+        let is_news = self.versions.record(self.replica.members(), from, version);
+        let level = self.shared.feature_level();
+        if version >= level.0 {
+            return true;
+        }
+        if is_news {
+            metrics::counter!("buckthorncleat_outdated_total", "kind" => "member").increment(1);
+            log::error!(
+                event = "outdated_member",
+                member = from.instance.as_str(),
+                version = version.as_u64(),
+                level = level.0.as_u64();
+                "{} speaks protocol version {version} and can't read the log at feature level {}: \
+                 install a build of version {} or later there and keep its data folder",
+                from.instance, level.0, level.0
+            );
+        }
+        !matches!(message.body, message::Body::JoinRequest { .. })
+    }
+
     fn is_leader_in(&self, term: id::Term) -> bool {
         self.replica.is_leader() && self.replica.term() == term
     }
@@ -286,10 +323,7 @@
     }
 
     fn apply_command(&self, bytes: &[u8]) -> error::Result<command::Answer> {
-        let command = postcard::from_bytes(bytes).map_err(|e| {
-            let remedy = "run the same version of the program on all members";
-            error::Error::damaged(format!("a command in the log ({e})"), remedy)
-        })?;
+        let command = command::Command::from_bytes(bytes, self.shared.feature_level())?;
         Ok(self.shared.apply(&command))
     }
 
@@ -318,6 +352,7 @@
         let leader = self.replica.leader().map(|l| l.instance.clone());
         let leads = self.replica.is_leader().then(|| self.replica.term());
         self.record_leadership_change(leads);
+        self.record_feature_level();
         self.shared.view.send_if_modified(|view| {
             let changed = view.leader != leader || view.leads != leads;
             view.leader.clone_from(&leader);
@@ -347,6 +382,16 @@
         self.led_term = leads;
     }
 
+    fn record_feature_level(&mut self) {
+        let level = self.shared.feature_level();
+        if self.feature_level == Some(level) {
+            return;
+        }
+        metrics::gauge!("buckthorncleat_feature_level").set(level.0.as_u64() as f64);
+        log::info!(event = "feature_level", level = level.0.as_u64(), version = trailer::CURRENT.as_u64(); "the group is at feature level {}; this build speaks protocol version {}", level.0, trailer::CURRENT);
+        self.feature_level = Some(level);
+    }
+
     fn status(&self, leader: Option<id::InstanceId>) -> Status {
         let members = self.replica.members();
         let address_of = |leader| self.replica.address_of(leader);
@@ -362,6 +407,8 @@
             addresses: members.map_or_else(Vec::new, |m| {
                 m.voters.values().map(|member| member.address).collect()
             }),
+            feature_level: self.shared.feature_level(),
+            versions: self.versions.of_members(&self.replica),
         }
     }
 }
--- a/src/replica/group/mod.rs
+++ b/src/replica/group/mod.rs
@@ -3,6 +3,7 @@
 mod disk;
 mod driver;
 mod peers;
+mod versions;
 mod view;
 
 use std::net;
@@ -21,12 +22,14 @@
 use crate::event;
 use crate::id;
 use crate::peer::link;
+use crate::peer::trailer;
 use crate::replica::core;
 use crate::replica::core::members;
 use crate::replica::core::message;
 use crate::replica::storage;
 use crate::state::command;
 
+pub use versions::MemberVersions;
 pub use view::{Outcome, Status, View};
 
 use view::Shared;
@@ -53,7 +56,7 @@
 /// An event for the driver.
 #[derive(Debug)]
 enum Event {
-    Message(message::Message),
+    Message(message::Message, trailer::ProtocolVersion),
     Propose {
         /// The only term in which the command may be proposed, or `None` for any.
         term: Option<id::Term>,
@@ -252,7 +255,7 @@
     ///
     /// Fails when the message can't be decoded, or names a sender other than that of its frame.
     pub fn handle_message(&self, from: &id::InstanceId, bytes: &[u8]) -> error::Result<()> {
-        let message = message::Message::from_bytes(bytes)?;
+        let (message, version) = message::Message::from_bytes(bytes)?;
         if message.from.instance != *from {
             let remedy = "give every process its own instance name";
             return Err(error::Error::bad_value(
@@ -263,7 +266,7 @@
         }
         if let Some(events) = &self.events {
             // When the queue is full, the message is dropped; Raft tolerates lost messages.
-            let _ = events.try_send(Event::Message(message));
+            let _ = events.try_send(Event::Message(message, version));
         }
         Ok(())
     }
--- a/src/replica/group/view.rs
+++ b/src/replica/group/view.rs
@@ -8,6 +8,7 @@
 use crate::config::settings;
 use crate::id;
 use crate::macros;
+use crate::replica::group::versions;
 use crate::state::command;
 
 macros::data! {
@@ -27,6 +28,12 @@
         pub learners: Vec<id::InstanceId>,
         /// The addresses at which the voters listen for other processes, in the order of `voters`.
         pub addresses: Vec<net::SocketAddr>,
+        /// The protocol version of whose commands and messages the group makes use.
+        #[serde(default)]
+        pub feature_level: command::FeatureLevel,
+        /// The protocol versions of the members.
+        #[serde(default)]
+        pub versions: versions::MemberVersions,
     }
 }
 
@@ -95,6 +102,8 @@
             voters: vec![instance.clone()],
             learners: Vec::new(),
             addresses: Vec::new(),
+            feature_level: state.feature_level(),
+            versions: versions::MemberVersions::default(),
         };
         Self {
             instance,
@@ -104,6 +113,14 @@
         }
     }
 
+    /// Returns the feature level of the state applied at this member.
+    pub fn feature_level(&self) -> command::FeatureLevel {
+        let state = self.state.read();
+        state
+            .unwrap_or_else(sync::PoisonError::into_inner)
+            .feature_level()
+    }
+
     /// Applies a command and publishes the new revision.
     pub fn apply(&self, command: &command::Command) -> command::Answer {
         let state = self.state.write();
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -191,6 +191,54 @@
     }
 }
 
+impl Command {
+    /// Decodes a command of the log, of a group at this feature level.
+    ///
+    /// # Errors
+    ///
+    /// Fails when this build can't read the command, or the level that it raises; the member must then
+    /// stop.
+    pub fn from_bytes(bytes: &[u8], level: FeatureLevel) -> error::Result<Self> {
+        let command = postcard::from_bytes(bytes).map_err(|e| {
+            let what = format!("a command in the log at feature level {}: {e}", level.0);
+            unreadable(&what, level)
+        })?;
+        match command {
+            Self::RaiseLevel(raised) if raised.0 > trailer::CURRENT => {
+                Err(unreadable("the log from here on", raised))
+            }
+            command => Ok(command),
+        }
+    }
+}
+
+/// Makes the error for data that another build wrote.
+fn unreadable(what: &str, level: FeatureLevel) -> error::Error {
+    let remedy = format!(
+        "this build speaks protocol version {} and the group is at feature level {}: install the \
+         newest build that ran in the group and keep the data folder",
+        trailer::CURRENT,
+        level.0,
+    );
+    error::Error::unreadable(what, remedy)
+}
+
+/// Starts the snapshots of a group that has raised its feature level; the level follows. The first
+/// release fails at it, because these bytes are no number and a snapshot of its own starts with one.
+const NOT_FIRST: [u8; 10] = [0xff; 10];
+
+/// Returns the feature level that a snapshot starts with, and what follows.
+fn split_level(bytes: &[u8]) -> (FeatureLevel, &[u8]) {
+    let level = bytes.strip_prefix(&NOT_FIRST);
+    match level.and_then(|l| l.split_first_chunk()) {
+        Some((level, rest)) => {
+            let level = trailer::ProtocolVersion::new(u64::from_le_bytes(*level));
+            (FeatureLevel(level), rest)
+        }
+        None => (FeatureLevel::default(), bytes),
+    }
+}
+
 /// Commits kept in the history; a gateway that is further behind gets the whole configuration.
 pub const MAX_HISTORY_COMMITS: usize = 4096;
 
@@ -271,27 +319,36 @@
 
     /// Encodes the whole state for a snapshot.
     ///
+    /// The first release reads it as long as the feature level is the first one. After that it must
+    /// not, since it would drop what the trailer holds.
+    ///
     /// # Errors
     ///
     /// Fails when the state can't be encoded, which is a bug.
     pub fn to_bytes(&self) -> error::Result<Vec<u8>> {
         let mut trailer = trailer::Trailer::new();
         trailer.add(trailer::section::FEATURE_LEVEL, &self.feature_level)?;
-        trailer.append_to(&(self, &self.origins))
+        let state = trailer.append_to(&(self, &self.origins))?;
+        if self.feature_level == FeatureLevel::default() {
+            return Ok(state);
+        }
+        let mut buf = NOT_FIRST.to_vec();
+        buf.extend(self.feature_level.0.as_u64().to_le_bytes());
+        buf.extend(state);
+        Ok(buf)
     }
 
     /// Decodes a snapshot.
     ///
     /// # Errors
     ///
-    /// Fails when the bytes are not a snapshot written by this version of the program.
+    /// Fails when the bytes are not a snapshot that this build can read.
     pub fn from_bytes(bytes: &[u8]) -> error::Result<Self> {
-        let damaged = |e: postcard::Error| {
-            error::Error::damaged(
-                format!("snapshot: {e}"),
-                "empty the data folder and let the member join again",
-            )
-        };
+        let (level, bytes) = split_level(bytes);
+        if level.0 > trailer::CURRENT {
+            return Err(unreadable("the snapshot", level));
+        }
+        let damaged = |e: postcard::Error| unreadable(&format!("the snapshot: {e}"), level);
         let (mut state, rest): (Self, _) = postcard::take_from_bytes(bytes).map_err(damaged)?;
         if !rest.is_empty() {
             let (origins, trailer) = trailer::Trailer::split(rest)?;
--- a/tests/replica_support/world.rs
+++ b/tests/replica_support/world.rs
@@ -263,7 +263,7 @@
         let node = self.nodes.iter().position(|n| n.name == to).unwrap();
         if self.nodes[node].is_running(self.now) {
             // Encode and decode, as over a real connection.
-            let message = message::Message::from_bytes(&message.to_bytes().unwrap()).unwrap();
+            let (message, _) = message::Message::from_bytes(&message.to_bytes().unwrap()).unwrap();
             self.step(node, message::Input::Message(message));
         }
     }
