--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -8,6 +8,7 @@
 use crate::fleet::budget;
 use crate::fleet::call_limit;
 use crate::fleet::crashes;
+use crate::fleet::evacuation;
 use crate::fleet::listing;
 use crate::fleet::permit;
 use crate::fleet::totals;
@@ -77,6 +78,9 @@
     pub struct ReportExtension {
         /// The protocol version of the gateway.
         pub version: trailer::ProtocolVersion,
+        /// The revision of the evacuations that is in force at the gateway; `None` before the first
+        /// notice of them.
+        pub evacuations: Option<evacuation::Revision>,
     }
 }
 
@@ -85,6 +89,7 @@
     pub fn new() -> Self {
         Self {
             version: trailer::CURRENT,
+            evacuations: None,
         }
     }
 
@@ -94,7 +99,11 @@
     ///
     /// Fails when a section can't be encoded, which is a bug.
     pub fn to_trailer(&self) -> error::Result<trailer::Trailer> {
-        Ok(trailer::Trailer::new())
+        let mut trailer = trailer::Trailer::new();
+        if let Some(revision) = &self.evacuations {
+            trailer.add(trailer::section::EVACUATIONS, revision)?;
+        }
+        Ok(trailer)
     }
 
     /// Decodes the sections.
@@ -105,6 +114,7 @@
     pub fn from_trailer(trailer: &trailer::Trailer) -> error::Result<Self> {
         Ok(Self {
             version: trailer.version,
+            evacuations: trailer.get(trailer::section::EVACUATIONS)?,
         })
     }
 }
@@ -205,6 +215,8 @@
     pub struct SummaryExtension {
         /// The protocol version of the leader.
         pub version: trailer::ProtocolVersion,
+        /// The evacuations; `None` from a leader of the first release, which knows none.
+        pub evacuated: Option<evacuation::Notice>,
     }
 }
 
@@ -213,6 +225,7 @@
     pub fn new() -> Self {
         Self {
             version: trailer::CURRENT,
+            evacuated: None,
         }
     }
 
@@ -222,7 +235,11 @@
     ///
     /// Fails when a section can't be encoded, which is a bug.
     pub fn to_trailer(&self) -> error::Result<trailer::Trailer> {
-        Ok(trailer::Trailer::new())
+        let mut trailer = trailer::Trailer::new();
+        if let Some(notice) = &self.evacuated {
+            trailer.add(trailer::section::EVACUATIONS, notice)?;
+        }
+        Ok(trailer)
     }
 
     /// Decodes the sections.
@@ -233,6 +250,7 @@
     pub fn from_trailer(trailer: &trailer::Trailer) -> error::Result<Self> {
         Ok(Self {
             version: trailer.version,
+            evacuated: trailer.get(trailer::section::EVACUATIONS)?,
         })
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 pub mod budget;
 pub mod call_limit;
 pub mod crashes;
+pub mod evacuation;
 pub mod failing;
 pub mod ledger;
 pub mod listing;
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::document;
 use crate::error;
+use crate::fleet::evacuation;
 use crate::fleet::origin;
 use crate::id;
 use crate::macros;
@@ -37,6 +38,10 @@
         /// Raises the feature level; a lower one than the current has no effect. Members of the first
         /// release can't read it.
         RaiseLevel(FeatureLevel),
+        /// Starts the evacuation of a data centre. Members of the first release can't read it.
+        StartEvacuation(id::DataCentre),
+        /// Finishes the evacuation of a data centre. Members of the first release can't read it.
+        FinishEvacuation(id::DataCentre),
     }
 }
 
@@ -188,6 +193,9 @@
         /// In the trailer of a snapshot; one without it has [`trailer::FIRST`].
         #[serde(skip)]
         feature_level: FeatureLevel,
+        /// In the trailer of a snapshot; one without it has none.
+        #[serde(skip)]
+        evacuations: evacuation::Evacuations,
     }
 }
 
@@ -214,6 +222,11 @@
         self.feature_level
     }
 
+    /// Returns the evacuations of data centres.
+    pub fn evacuations(&self) -> &evacuation::Evacuations {
+        &self.evacuations
+    }
+
     pub fn audit(&self) -> &audit::Log {
         &self.audit
     }
@@ -264,6 +277,11 @@
                 self.feature_level = self.feature_level.max(*level);
                 Answer::Done(self.config.revision)
             }
+            Command::StartEvacuation(data_centre) => self.start_evacuation(data_centre),
+            Command::FinishEvacuation(data_centre) => {
+                self.evacuations.finish(data_centre);
+                Answer::Done(self.config.revision)
+            }
         };
         assert!(self.config.revision >= before, "the revision decreased");
         answer
@@ -277,6 +295,7 @@
     pub fn to_bytes(&self) -> error::Result<Vec<u8>> {
         let mut trailer = trailer::Trailer::new();
         trailer.add(trailer::section::FEATURE_LEVEL, &self.feature_level)?;
+        trailer.add(trailer::section::EVACUATIONS, &self.evacuations)?;
         trailer.append_to(&(self, &self.origins))
     }
 
@@ -298,6 +317,8 @@
             state.origins = origins;
             let level = trailer.get(trailer::section::FEATURE_LEVEL)?;
             state.feature_level = level.unwrap_or_default();
+            let evacuations = trailer.get(trailer::section::EVACUATIONS)?;
+            state.evacuations = evacuations.unwrap_or_default();
         }
         Ok(state)
     }
@@ -315,6 +336,21 @@
         Answer::Done(self.config.revision)
     }
 
+    fn start_evacuation(&mut self, data_centre: &id::DataCentre) -> Answer {
+        match self.evacuations.start(data_centre) {
+            Ok(()) => Answer::Done(self.config.revision),
+            Err(evacuation::TooMany) => Answer::Refused(vec![check::Fault {
+                field: "evacuations".to_owned(),
+                value: data_centre.to_string(),
+                remedy: format!(
+                    "finish another one; at most {} data centres are evacuated at once",
+                    evacuation::MAX_EVACUATED
+                ),
+                missing: false,
+            }]),
+        }
+    }
+
     fn apply_operation(&mut self, operation: &Operation) -> Answer {
         if let Some(answer) = self.operations.stored_answer(operation) {
             return answer;
