Operators evacuate data centres; routers send nothing there

Cause: the platform's calls to start and finish an evacuation got 404.

Change: the calls go to the leader, are committed (feature level 2, else 503 with 1 s) and answered; one for what is so already after a linearizable read. Summaries carry the set; a router keeps the newest revision and checks the data centre when it picks a server, before it connects and before the first byte. Requests that no other data centre can serve are refused at once, also in the queue. KV caches in an evacuated data centre are not fetched. The tool lists, starts and finishes evacuations and shows the routers where the newest revision is not in force yet.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -104,6 +104,9 @@
     /// Manage the quarantine of requests that crash backend servers.
     #[command(subcommand)]
     Quarantine(Quarantine),
+    /// Manage the evacuations of data centres, with control members of a platform deployment.
+    #[command(subcommand)]
+    Evacuation(Evacuation),
     /// Check and apply planners' sheets.
     #[command(subcommand)]
     Sheet(Sheet),
@@ -389,6 +392,23 @@
     },
 }
 
+/// The commands on evacuations of data centres.
+#[derive(Debug, Subcommand)]
+pub enum Evacuation {
+    /// List the data centres that are being evacuated, and the routers where that is not in force yet.
+    List,
+    /// Send nothing more to the servers of a data centre; the running requests finish.
+    Start {
+        /// The name of the data centre.
+        data_centre: id::DataCentre,
+    },
+    /// Use the servers of a data centre again.
+    Finish {
+        /// The name of the data centre.
+        data_centre: id::DataCentre,
+    },
+}
+
 /// The commands on the members of the control group.
 #[derive(Debug, Subcommand)]
 pub enum Control {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -47,6 +47,7 @@
         Command::Server(command) => resource::server(&connect()?, command).await,
         Command::Route(command) => resource::route(&connect()?, command).await,
         Command::Quarantine(command) => resource::quarantine(&connect()?, command).await,
+        Command::Evacuation(command) => resource::evacuation(&connect()?, command).await,
         Command::Sheet(args::Sheet::Check(file)) => Ok(sheet::check(&file)?),
         Command::Sheet(args::Sheet::Diff(file)) => sheet::diff(&connect()?, &file).await,
         Command::Sheet(args::Sheet::Apply(file)) => sheet::apply(&connect()?, &file).await,
--- a/src/cli/resource.rs
+++ b/src/cli/resource.rs
@@ -1,4 +1,5 @@
-//! Commands on accounts, keys, models, servers, routes, the quarantine and control members.
+//! Commands on accounts, keys, models, servers, routes, the quarantine, evacuations and control
+//! members.
 
 use hyper::Method;
 use serde_json::json;
@@ -178,6 +179,45 @@
     }
 }
 
+/// Runs a command on evacuations of data centres.
+///
+/// # Errors
+///
+/// Fails if the request is refused or gets no answer.
+pub async fn evacuation(
+    cx: &session::Session,
+    command: args::Evacuation,
+) -> failure::Result<output::Output> {
+    let (method, data_centre) = match command {
+        args::Evacuation::List => return list_evacuations(cx).await,
+        args::Evacuation::Start { data_centre } => (Method::PUT, data_centre),
+        args::Evacuation::Finish { data_centre } => (Method::DELETE, data_centre),
+    };
+    let path = format!("{}/{data_centre}", target::EVACUATIONS_PATH);
+    let write = cx.change(method, path, Vec::new(), None);
+    revision_output(cx.client.write(&write).await?)
+}
+
+async fn list_evacuations(cx: &session::Session) -> failure::Result<output::Output> {
+    let all: wire::Evacuations = cx.client.read(target::EVACUATIONS_PATH).await?;
+    let mut table = output::Table::new(&["evacuated data centre"]);
+    for data_centre in &all.items {
+        table.push(&[data_centre]);
+    }
+    let behind: Vec<&str> = all.behind.iter().map(|r| r.as_str()).collect();
+    let in_force = match behind.as_slice() {
+        [] => format!("in force at all {} routers that report", all.routers),
+        behind => format!(
+            "not in force yet at {} of {} routers: {}",
+            behind.len(),
+            all.routers,
+            behind.join(" ")
+        ),
+    };
+    let text = format!("{table}\nrevision {}, {in_force}", all.revision);
+    Ok(output::Output::new(text, &all)?)
+}
+
 /// Returns the output of a change: the revision that it created.
 ///
 /// # Errors
--- a/src/explain/describe.rs
+++ b/src/explain/describe.rs
@@ -163,6 +163,20 @@
             entry.text("server"),
             entry.text("limit")
         ),
+        "evacuations" => format!(
+            "the data centres being evacuated were now: {} (revision {})",
+            match entry.text("data_centres") {
+                "" => "none",
+                names => names,
+            },
+            value("revision")
+        ),
+        "evacuation" => format!(
+            "an operator's call to {} the evacuation of data centre {}: {}",
+            entry.text("action"),
+            entry.text("data_centre"),
+            entry.text("outcome")
+        ),
         "leader_lost" => "no leader answers; serves with the last known state".to_owned(),
         "process" => format!(
             "the process started: build {}, settings {}",
--- a/src/explain/mod.rs
+++ b/src/explain/mod.rs
@@ -17,22 +17,24 @@
 
 /// Events that set the state by which a process handles requests. The last one of each before a
 /// request began is part of the request's explanation.
-const STATE_EVENTS: [&str; 6] = [
+const STATE_EVENTS: [&str; 7] = [
     "leader",
     "leader_lost",
     "document",
     "servers",
+    "evacuations",
     "phase",
     "log_sampled",
 ];
 
 /// Events of any process that may affect requests elsewhere: changes to what the leader sends to
 /// the other processes, starts of processes and losses of log lines.
-const CHANGE_EVENTS: [&str; 8] = [
+const CHANGE_EVENTS: [&str; 9] = [
     "list",
     "list_lost",
     "list_regained",
     "document_put",
+    "evacuation",
     "leads",
     "lead_lost",
     "process",
--- a/src/fleet/ledger/mod.rs
+++ b/src/fleet/ledger/mod.rs
@@ -7,6 +7,7 @@
 use crate::document;
 use crate::fleet::budget;
 use crate::fleet::crashes;
+use crate::fleet::evacuation;
 use crate::fleet::failing;
 use crate::fleet::message;
 use crate::fleet::permit;
@@ -79,6 +80,15 @@
     has_counted_loads: bool,
 }
 
+/// How many routers have a revision of the evacuations in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// The number of routers that report.
+    pub routers: usize,
+    /// Those of them that have not reported the revision yet, sorted.
+    pub behind: Vec<id::InstanceId>,
+}
+
 #[derive(Debug)]
 struct Account {
     quota: document::Quota,
@@ -359,6 +369,21 @@
         gateways.filter(move |(_, g)| now < g.received_at + max_age)
     }
 
+    /// Returns which of the gateways that report have a revision of the evacuations in force.
+    pub fn evacuation_progress(
+        &self,
+        now: clock::Millis,
+        revision: evacuation::Revision,
+    ) -> Progress {
+        let is_behind = |g: &Gateway| g.report.extension.evacuations < Some(revision);
+        let fresh = || self.fresh_gateways(now);
+        let behind = fresh().filter(|(_, g)| is_behind(g));
+        Progress {
+            routers: fresh().count(),
+            behind: behind.map(|(id, _)| id.clone()).collect(),
+        }
+    }
+
     /// Counts the data centres that have gateways.
     fn data_centres(&self) -> usize {
         let mut centres: Vec<&id::DataCentre> = self
--- a/src/http/admin/target.rs
+++ b/src/http/admin/target.rs
@@ -62,6 +62,9 @@
     }
 }
 
+/// The path of the evacuations of data centres, which only members of a platform's control group serve.
+pub const EVACUATIONS_PATH: &str = "/v1/evacuations";
+
 /// Returns the path of a collection, such as `/v1/accounts`.
 pub fn collection_path(kind: subject::Kind) -> &'static str {
     match kind {
--- a/src/http/admin/wire.rs
+++ b/src/http/admin/wire.rs
@@ -1,6 +1,7 @@
 //! The JSON bodies of the admin interface.
 
 use crate::event;
+use crate::fleet::evacuation;
 use crate::id;
 use crate::macros;
 use crate::replica::group;
@@ -40,6 +41,20 @@
     }
 }
 
+macros::data! {
+    /// The data centres that are being evacuated, and how far that is in force.
+    pub struct Evacuations {
+        /// The revision of the evacuations.
+        pub revision: evacuation::Revision,
+        /// The data centres, ordered by name.
+        pub items: Vec<id::DataCentre>,
+        /// The number of routers that report to the leader.
+        pub routers: usize,
+        /// Those of them that have not reported this revision yet.
+        pub behind: Vec<id::InstanceId>,
+    }
+}
+
 macros::data! {
     /// The response to a change that is committed.
     pub struct Written {
--- a/src/keeper/aggregator.rs
+++ b/src/keeper/aggregator.rs
@@ -1,6 +1,8 @@
 //! Answers routers' reports while this member leads: adds them up and sends newer documents and
 //! server lists.
 
+mod evacuations;
+
 use std::sync;
 
 use tokio::sync::watch;
@@ -9,6 +11,7 @@
 use crate::clock;
 use crate::document;
 use crate::fleet::budget;
+use crate::fleet::evacuation;
 use crate::fleet::ledger;
 use crate::fleet::listing;
 use crate::fleet::message as fleet;
@@ -56,6 +59,8 @@
     budget: budget::Settings,
     clock: clock::Clock,
     leader_state: sync::Mutex<LeaderState>,
+    /// Kept over terms: a member sees evacuations end also while it follows.
+    evacuation_ends: sync::Mutex<evacuation::EndTimes>,
 }
 
 /// State of a leader, kept in memory for the length of its term.
@@ -69,6 +74,8 @@
     config_revision: Option<id::Revision>,
     lists: listing::History,
     origins: origin::Registry,
+    /// The revision of the evacuations that is in force at all routers.
+    evacuations_in_force: Option<evacuation::Revision>,
 }
 
 impl Aggregator {
@@ -88,6 +95,7 @@
             budget,
             clock,
             leader_state: sync::Mutex::default(),
+            evacuation_ends: sync::Mutex::default(),
         }
     }
 
@@ -106,6 +114,7 @@
                 _ = interval.tick() => {}
                 () = server::stopped(&mut stop) => return,
             }
+            self.check_evacuations();
             let leader_term = self.group.watch().borrow().leads;
             self.set_term(leader_term);
             if leader_term.is_none() {
@@ -292,7 +301,10 @@
             sums,
             mixed: self.group.with_state(|s| s.origins().mixed()),
             members: self.group.status().addresses,
-            extension: fleet::SummaryExtension::new(),
+            extension: fleet::SummaryExtension {
+                evacuated: Some(self.evacuation_notice()),
+                ..fleet::SummaryExtension::new()
+            },
         }))
     }
 
--- a/src/keeper/operators.rs
+++ b/src/keeper/operators.rs
@@ -1,4 +1,4 @@
-//! Serves operators' calls: replace the document, read the newest one.
+//! Serves operators' calls: replace the document, read the newest one, evacuate data centres.
 
 use std::net;
 use std::sync;
@@ -10,6 +10,9 @@
 use crate::document;
 use crate::error;
 use crate::http::body;
+use crate::id;
+use crate::keeper::aggregator;
+use crate::keeper::evacuations;
 use crate::keeper::quarantine;
 use crate::replica::group;
 use crate::router::http_server;
@@ -27,6 +30,8 @@
     pub codec: sync::Arc<dyn protocol::Codec>,
     /// Address on which this member listens for operators; the other members use the same port.
     pub address: net::SocketAddr,
+    /// Knows which routers report.
+    pub aggregator: sync::Arc<aggregator::Aggregator>,
 }
 
 impl http_server::Handler for Operators {
@@ -38,18 +43,47 @@
         match self.codec.read_operator_call(req.method(), &path) {
             Some(protocol::OperatorCall::Replace) => self.replace(req, &path).await,
             Some(protocol::OperatorCall::Read) => self.read(&path).await,
-            None => {
-                let answer = quarantine::handle(&self.group, req.method(), &path).await;
-                answer.unwrap_or_else(|| {
-                    let reason = "no such call: unknown method or path";
-                    body::answer(hyper::StatusCode::NOT_FOUND, reason)
-                })
+            Some(protocol::OperatorCall::StartEvacuation(data_centre)) => {
+                let action = evacuations::Action::Start;
+                self.evacuate(action, &data_centre, &path).await
             }
+            Some(protocol::OperatorCall::FinishEvacuation(data_centre)) => {
+                let action = evacuations::Action::Finish;
+                self.evacuate(action, &data_centre, &path).await
+            }
+            None => self.handle_tool(req.method(), &path).await,
         }
     }
 }
 
 impl Operators {
+    /// Answers a call of the operators' tool.
+    async fn handle_tool(&self, method: &hyper::Method, path: &str) -> request::Response {
+        if let Some(answer) = quarantine::handle(&self.group, method, path).await {
+            return answer;
+        }
+        let (group, aggregator) = (&self.group, &self.aggregator);
+        let answer = evacuations::handle(group, aggregator, &*self.codec, method, path).await;
+        answer.unwrap_or_else(|| {
+            let reason = "no such call: unknown method or path";
+            body::answer(hyper::StatusCode::NOT_FOUND, reason)
+        })
+    }
+
+    async fn evacuate(
+        &self,
+        action: evacuations::Action,
+        data_centre: &id::DataCentre,
+        path: &str,
+    ) -> request::Response {
+        match evacuations::change(&self.group, action, data_centre).await {
+            evacuations::Outcome::NotLeader => {
+                evacuations::mark_busy(&*self.codec, self.redirect(path))
+            }
+            outcome => outcome.to_response(&*self.codec),
+        }
+    }
+
     async fn replace(
         &self,
         req: hyper::Request<hyper_body::Incoming>,
--- a/src/keeper/quarantine.rs
+++ b/src/keeper/quarantine.rs
@@ -83,7 +83,8 @@
     }
 }
 
-fn to_json<T: serde::Serialize>(value: &T) -> request::Response {
+/// Returns a response with a value as JSON.
+pub(super) fn to_json<T: serde::Serialize>(value: &T) -> request::Response {
     match serde_json::to_vec(value) {
         Ok(bytes) => body::json(bytes),
         Err(e) => body::answer(hyper::StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
--- a/src/keeper/run.rs
+++ b/src/keeper/run.rs
@@ -107,6 +107,7 @@
         group,
         codec: env.codec,
         address: settings.operator_address,
+        aggregator: sync::Arc::clone(&aggregator),
     });
     let mut tasks = tasks::Tasks::default();
     tasks.spawn("replicated log", replica_tasks.join());
--- a/src/router/availability.rs
+++ b/src/router/availability.rs
@@ -90,6 +90,8 @@
     Quiet { until: clock::Millis },
     /// It completes what it runs and takes nothing new, or is gone.
     Leaving,
+    /// Its data centre is being evacuated: it completes what it runs and takes nothing new.
+    Evacuated,
 }
 
 /// Whether a server may be picked.
@@ -110,12 +112,12 @@
     pub fn admission(self, purpose: Purpose) -> Admission {
         match self {
             Self::Open => Admission::Now,
-            Self::Leaving if purpose == Purpose::Release => Admission::Now,
+            Self::Leaving | Self::Evacuated if purpose == Purpose::Release => Admission::Now,
             Self::Full => Admission::WhenFree,
             Self::Ejected => Admission::LastResort,
             Self::Reopening => Admission::From(clock::Millis::ZERO),
             Self::Quiet { until } => Admission::From(until),
-            Self::Leaving => Admission::Never,
+            Self::Leaving | Self::Evacuated => Admission::Never,
         }
     }
 
@@ -125,7 +127,7 @@
         match self {
             Self::Open | Self::Full | Self::Ejected => true,
             Self::Reopening | Self::Quiet { .. } => false,
-            Self::Leaving => purpose == Purpose::Release,
+            Self::Leaving | Self::Evacuated => purpose == Purpose::Release,
         }
     }
 
@@ -138,6 +140,7 @@
             Self::Reopening => "reopening",
             Self::Quiet { .. } => "quiet",
             Self::Leaving => "leaving",
+            Self::Evacuated => "evacuated",
         }
     }
 }
@@ -154,6 +157,8 @@
     Quiet { until: clock::Millis },
     /// All candidates are leaving.
     Leaving,
+    /// All candidates are leaving or in data centres that are being evacuated.
+    Evacuated,
     /// There is no candidate.
     NoServer,
 }
@@ -164,13 +169,14 @@
 /// # Errors
 ///
 /// Fails with `Full` when a server takes work once it has capacity again, with `Quiet` when all want
-/// no calls, with `Leaving` when all are leaving, with `NoServer` when there is none.
+/// no calls, with `Leaving` when all are leaving, with `Evacuated` when some of those are being
+/// evacuated, with `NoServer` when there is none.
 pub fn pickable<T>(
     servers: impl Iterator<Item = (T, State)>,
     purpose: Purpose,
 ) -> Result<Vec<T>, PickError> {
     let (mut open, mut last_resort) = (Vec::new(), Vec::new());
-    let (mut is_any_busy, mut is_any_leaving) = (false, false);
+    let (mut is_any_busy, mut is_any_leaving, mut is_any_evacuated) = (false, false, false);
     let mut quiet_until: Option<clock::Millis> = None;
     for (server, state) in servers {
         match state.admission(purpose) {
@@ -180,6 +186,7 @@
             Admission::From(at) => {
                 quiet_until = Some(quiet_until.map_or(at, |first| first.min(at)));
             }
+            Admission::Never if state == State::Evacuated => is_any_evacuated = true,
             Admission::Never => is_any_leaving = true,
         }
     }
@@ -192,6 +199,7 @@
     } else {
         Err(match quiet_until {
             Some(until) => PickError::Quiet { until },
+            None if is_any_evacuated => PickError::Evacuated,
             None if is_any_leaving => PickError::Leaving,
             None => PickError::NoServer,
         })
--- a/src/router/balancer/mod.rs
+++ b/src/router/balancer/mod.rs
@@ -1,11 +1,13 @@
 //! Selects the backend server for each request, by load, data centre and recent failures.
 
+mod evacuations;
 mod limits;
 
 use std::net;
 
 use crate::clock;
 use crate::document;
+use crate::fleet::evacuation;
 use crate::fleet::message;
 use crate::id;
 use crate::router::availability;
@@ -49,12 +51,14 @@
     leaving: Vec<id::BackendServerId>,
     /// Limits of calls that servers name to any router, by the leader.
     limits: sorted::Map<id::BackendServerId, unit::CallRate>,
+    evacuations: evacuation::Known,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pick {
     pub id: id::BackendServerId,
     pub address: net::SocketAddr,
+    pub data_centre: id::DataCentre,
     /// The software version of the server; `None` when the list does not say.
     pub version: Option<id::SoftwareVersion>,
     /// Utilisation at the time of the pick, in percent of the server's capacity.
@@ -137,6 +141,7 @@
             ejected: Vec::new(),
             leaving: Vec::new(),
             limits: sorted::Map::new(),
+            evacuations: evacuation::Known::default(),
         }
     }
 
@@ -251,7 +256,8 @@
     /// # Errors
     ///
     /// Fails with `Full` when the queues of all candidates are full, with `Limited` when they need a
-    /// permit, with `Quiet` when they want no calls, with `Leaving` when they are leaving, with `NoServer` without a candidate.
+    /// permit, with `Quiet` when they want no calls, with `Leaving` or `Evacuated`
+    /// when they take nothing new, with `NoServer` without a candidate.
     pub fn pick_plain(
         &self,
         now: clock::Millis,
@@ -288,7 +294,8 @@
     /// # Errors
     ///
     /// Fails with `Full` when no candidate has the required capacity, with `Limited` when they need
-    /// a permit, with `Quiet` when they want no calls, with `Leaving` when they are leaving, with `NoServer` without a candidate.
+    /// a permit, with `Quiet` when they want no calls, with `Leaving` or `Evacuated`
+    /// when they take nothing new, with `NoServer` without a candidate.
     pub fn pick_decode(
         &self,
         now: clock::Millis,
@@ -496,6 +503,9 @@
     ) -> availability::State {
         let contains = |ids: &[id::BackendServerId]| ids.binary_search(&backend.server.id).is_ok();
         match state {
+            _ if self.evacuations.contains(&backend.server.data_centre) => {
+                availability::State::Evacuated
+            }
             _ if contains(&self.leaving) => availability::State::Leaving,
             availability::State::Open | availability::State::Full if contains(&self.ejected) => {
                 availability::State::Ejected
@@ -514,6 +524,7 @@
         Pick {
             id: backend.server.id.clone(),
             address: backend.server.address,
+            data_centre: backend.server.data_centre.clone(),
             version: backend.server.version.clone(),
             utilisation_percent: to_percent(utilisation),
             report_age: now - self.remote_loads_at,
@@ -563,8 +574,8 @@
     /// # Errors
     ///
     /// Fails with `Full` when a server takes work once it has capacity again, with `Limited` when
-    /// those that take calls need a permit, with `Quiet` when all want no calls, with `Leaving` when
-    /// all are leaving, with `NoServer` when there is none.
+    /// those that take calls need a permit, with `Quiet` when all want no calls, with `Leaving` or
+    /// `Evacuated` when all take nothing new, with `NoServer` when there is none.
     fn candidates(
         &self,
         now: clock::Millis,
--- a/src/router/call.rs
+++ b/src/router/call.rs
@@ -49,7 +49,13 @@
         let balancer = self.core.balancer();
         let state = balancer.state_under_call(self.core.clock.now(), &self.server);
         let has_version = balancer.has_version_of(pick);
+        let is_evacuated = balancer.is_evacuated(&pick.data_centre);
         drop(balancer);
+        // The list may name another data centre for the server since it was picked.
+        let state = match state {
+            _ if is_evacuated => availability::State::Evacuated,
+            state => state,
+        };
         if !has_version {
             return Err(withdrawn(pick, purpose, "other version"));
         }
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -11,6 +11,7 @@
 use crate::clock;
 use crate::document;
 use crate::fleet::budget;
+use crate::fleet::evacuation;
 use crate::fleet::message;
 use crate::fleet::permit;
 use crate::fleet::quota;
@@ -210,6 +211,24 @@
         lock(&self.balancer)
     }
 
+    /// Applies a leader's notice of the evacuations, unless this router knows a newer one. Waiting
+    /// requests look for a server again.
+    pub fn apply_evacuations(&self, notice: &evacuation::Notice) {
+        if !self.balancer().set_evacuations(notice) {
+            return;
+        }
+        let names: Vec<&str> = notice.data_centres.iter().map(|d| d.as_str()).collect();
+        metrics::gauge!("buckthorncleat_evacuated_data_centres").set(names.len() as f64);
+        metrics::gauge!("buckthorncleat_evacuations_revision").set(notice.revision.as_u64() as f64);
+        log::info!(
+            event = "evacuations",
+            revision = notice.revision.as_u64(),
+            data_centres = names.join(" ");
+            "the evacuated data centres changed; sending their servers nothing new"
+        );
+        self.capacity_freed.notify_waiters();
+    }
+
     /// Excludes a server from new streams for a short time, after it refused work for lack of
     /// capacity.
     pub fn mark_full(&self, server: &id::BackendServerId) {
--- a/src/router/generate/mod.rs
+++ b/src/router/generate/mod.rs
@@ -306,7 +306,13 @@
             return Attempt::NoRetry;
         }
         let now = self.req.core.clock.now();
-        let export = self.export.clone().filter(|e| now < e.usable_until);
+        let is_evacuated = |e: &prefill::Exported| {
+            let balancer = self.req.core.balancer();
+            balancer.is_evacuated(&e.data_centre)
+        };
+        let export = self.export.clone();
+        // The decode server would fetch the KV cache from the evacuated data centre.
+        let export = export.filter(|e| now < e.usable_until && !is_evacuated(e));
         let work = match &export {
             Some(exported) => protocol::Work::Decode {
                 from: exported.address,
--- a/src/router/generate/placement.rs
+++ b/src/router/generate/placement.rs
@@ -4,6 +4,8 @@
 
 use crate::clock;
 use crate::fleet::message;
+use crate::id;
+use crate::router::availability;
 use crate::router::balancer;
 use crate::router::generate;
 use crate::router::in_flight;
@@ -99,7 +101,7 @@
                     balancer.limited_decode(now, service, requirements, &excluded),
                 )
             } else {
-                (Err(balancer::PickError::Full), Vec::new())
+                (Err(self.error_in_queue(now, &excluded)), Vec::new())
             };
             let is_limited = picked == Err(balancer::PickError::Limited);
             if let Some((limited, need)) = self.limited_call(&picked, limited, deadline - now) {
@@ -137,6 +139,23 @@
         }
     }
 
+    /// Returns why a request that is not first in the queue gets no server now. It does not wait for its
+    /// turn when all servers that it could use are in evacuated data centres.
+    fn error_in_queue(
+        &self,
+        now: clock::Millis,
+        excluded: &[id::BackendServerId],
+    ) -> balancer::PickError {
+        let purpose = availability::Purpose::Decode;
+        let service = &self.req.service.id;
+        let balancer = self.req.core.balancer();
+        if balancer.is_service_evacuated(now, service, purpose, excluded) {
+            balancer::PickError::Evacuated
+        } else {
+            balancer::PickError::Full
+        }
+    }
+
     pub(super) fn decode_load(&self) -> message::Load {
         let generation = self.req.caller.generation.unwrap_or_default();
         message::Load {
--- a/src/router/prefill.rs
+++ b/src/router/prefill.rs
@@ -40,6 +40,7 @@
     /// The prefill server.
     pub server: id::BackendServerId,
     pub address: net::SocketAddr,
+    pub data_centre: id::DataCentre,
     /// The server's handle of the KV cache.
     pub export: protocol::Export,
     /// Until when a transfer may begin.
@@ -122,6 +123,7 @@
         return Outcome::Done(Exported {
             server: id.clone(),
             address: picked.pick.address,
+            data_centre: picked.pick.data_centre,
             export,
             usable_until: req.core.clock.now() + clock::Millis::new(export_ttl),
         });
--- a/src/router/protocol.rs
+++ b/src/router/protocol.rs
@@ -93,12 +93,16 @@
 }
 
 /// A call of an operator.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OperatorCall {
     /// Replaces the document.
     Replace,
     /// Returns the newest document.
     Read,
+    /// Asks that nothing more be sent to the servers of a data centre.
+    StartEvacuation(id::DataCentre),
+    /// Withdraws that.
+    FinishEvacuation(id::DataCentre),
 }
 
 /// What the headers of a caller's request say.
--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -229,7 +229,10 @@
             leaving,
             limits,
             sent_at: core.leader_time(now),
-            extension: message::ReportExtension::new(),
+            extension: message::ReportExtension {
+                evacuations: core.balancer().evacuations_revision(),
+                ..message::ReportExtension::new()
+            },
         };
         (report, told)
     }
@@ -257,6 +260,10 @@
         }
         self.leader = Some(from);
         self.last_summary_at = Some(now);
+        // Before the document and the list of this summary are used: they may be this router's first.
+        if let Some(notice) = &summary.extension.evacuated {
+            core.apply_evacuations(notice);
+        }
         core::set_timestamp_gauge("buckthorncleat_summary_timestamp_seconds");
         let sums = summary.sums;
         self.gateways = sums.gateways;
--- a/src/router/request/refusal.rs
+++ b/src/router/request/refusal.rs
@@ -47,6 +47,9 @@
             // Not known here when they take a call; see `limited`.
             balancer::PickError::Limited => ("servers limit calls", full),
             balancer::PickError::Leaving => ("servers leaving", retry_after::Cause::ServersLeaving),
+            balancer::PickError::Evacuated => {
+                ("data centre evacuated", retry_after::Cause::Evacuated)
+            }
             balancer::PickError::NoServer => ("no server", retry_after::Cause::ServersFailed),
         };
         Self::NotRun(reason, request::draw_retry_after(cause))
--- a/src/router/retry_after.rs
+++ b/src/router/retry_after.rs
@@ -21,6 +21,10 @@
 /// All servers of a service are leaving: the time in which a list with their successors arrives.
 const SERVERS_LEAVING: Range = Range::new(800, 800);
 
+/// All servers of a service are in data centres that are being evacuated, which lasts until an operator
+/// ends it or a list names other servers.
+const EVACUATED: Range = Range::new(1_000, 1_000);
+
 /// Shortest range over which callers return after a known time.
 const MIN_SPREAD: clock::Millis = clock::Millis::new(250);
 
@@ -45,6 +49,8 @@
     ServersFailed,
     /// All servers are leaving.
     ServersLeaving,
+    /// All servers are in data centres that are being evacuated.
+    Evacuated,
     /// The request may crash servers, which another one will tell.
     Suspect,
     /// No leader that knows the origin of a stream answers.
@@ -75,6 +81,7 @@
         Cause::PlainFull => PLAIN_FULL,
         Cause::ServersFailed => SERVERS_FAILED,
         Cause::ServersLeaving => SERVERS_LEAVING,
+        Cause::Evacuated => EVACUATED,
         Cause::Suspect => SUSPECT,
         Cause::OriginLate | Cause::OriginUnknown => ORIGIN_LATE,
         Cause::NotReady => NOT_READY,
