--- a/src/keeper/run.rs
+++ b/src/keeper/run.rs
@@ -149,7 +149,8 @@
     result
 }
 
-fn group_settings(settings: &Settings) -> group::Settings {
+/// Returns the settings of the member of the control group that a keeper runs.
+pub fn group_settings(settings: &Settings) -> group::Settings {
     group::Settings {
         instance: settings.instance.clone(),
         members: settings.members.clone(),
