--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -217,6 +217,9 @@
         if !self.balancer().set_evacuations(notice) {
             return;
         }
+        if notice.revision == evacuation::Revision::default() {
+            return;
+        }
         let names: Vec<&str> = notice.data_centres.iter().map(|d| d.as_str()).collect();
         metrics::gauge!("buckthorncleat_evacuated_data_centres").set(names.len() as f64);
         metrics::gauge!("buckthorncleat_evacuations_revision").set(notice.revision.as_u64() as f64);
