--- a/src/keeper/run.rs
+++ b/src/keeper/run.rs
@@ -107,6 +107,7 @@
         group,
         codec: env.codec,
         address: settings.operator_address,
+        aggregator: sync::Arc::clone(&aggregator),
     });
     let mut tasks = tasks::Tasks::default();
     tasks.spawn("replicated log", replica_tasks.join());
@@ -148,7 +149,8 @@
     result
 }
 
-fn group_settings(settings: &Settings) -> group::Settings {
+/// Returns the settings of the member of the control group that a keeper runs.
+pub fn group_settings(settings: &Settings) -> group::Settings {
     group::Settings {
         instance: settings.instance.clone(),
         members: settings.members.clone(),
