--- a/src/replica/group/mod.rs
+++ b/src/replica/group/mod.rs
@@ -29,7 +29,7 @@
 use crate::replica::storage;
 use crate::state::command;
 
-pub use versions::MemberVersions;
+pub use versions::{MemberVersions, Versions};
 pub use view::{Outcome, Status, View};
 
 use view::Shared;
