Intact data of a later build is not called damaged

After a roll-back that would lose data.

Change: such data stops the member with the protocol version of this build and the remedy to install the newest build that ran there and to keep the folder.

Measured: intact_data_of_a_later_build_is_not_called_damaged in tests/storage.rs failed first, then all 12 pass.

--- a/src/replica/storage/file.rs
+++ b/src/replica/storage/file.rs
@@ -6,6 +6,7 @@
 use std::path;
 
 use crate::error;
+use crate::peer::trailer;
 
 /// The suffix of files that are not complete yet.
 pub const TEMP_SUFFIX: &str = ".tmp";
@@ -71,3 +72,14 @@
 pub fn io_error(doing: &str, path: &path::Path, source: io::Error) -> error::Error {
     error::Error::io(format!("{doing} {}", path.display()), source)
 }
+
+/// Makes the error for data with the right checksum that can't be decoded: a later build wrote it.
+pub fn later_build(what: String) -> error::Error {
+    let remedy = format!(
+        "a build of a later protocol version than {} wrote it: this build speaks protocol version {}; \
+         install the newest build that ran here and keep the data folder",
+        trailer::CURRENT,
+        trailer::CURRENT,
+    );
+    error::Error::unreadable(what, remedy)
+}
--- a/src/replica/storage/record.rs
+++ b/src/replica/storage/record.rs
@@ -8,6 +8,7 @@
 use crate::error;
 use crate::macros;
 use crate::replica::core::message;
+use crate::replica::storage::file;
 
 const MAGIC: [u8; 4] = *b"bcr1";
 
@@ -69,13 +70,14 @@
 ///
 /// # Errors
 ///
-/// Fails when a synced record is damaged.
+/// Fails when a synced record is damaged, or is one of a later build.
 pub fn scan(bytes: &[u8], name: &str, is_last: bool) -> error::Result<Scan> {
     let mut records = Vec::new();
     let mut at = 0;
     while let Some(valid) = valid_record(bytes, at) {
         let record = postcard::from_bytes(valid.payload);
-        records.push(record.map_err(|_| damaged_segment(name, at))?);
+        let unreadable = |_| file::later_build(format!("log segment {name} at byte {at}"));
+        records.push(record.map_err(unreadable)?);
         at = valid.end;
     }
     let torn = at < bytes.len();
--- a/src/replica/storage/snapshot.rs
+++ b/src/replica/storage/snapshot.rs
@@ -38,11 +38,13 @@
     };
     let path = folder.join(name(newest));
     let bytes = fs::read(&path).map_err(|e| file::io_error("reading", &path, e))?;
-    let snapshot = decode(&bytes).ok_or_else(|| {
+    let encoded = intact(&bytes).ok_or_else(|| {
         let remedy = "while the other members are healthy, empty the data folder and start the \
                       member again: it joins as a learner";
         error::Error::damaged(path.display().to_string(), remedy)
     })?;
+    let snapshot = postcard::from_bytes(encoded);
+    let snapshot = snapshot.map_err(|_| file::later_build(path.display().to_string()))?;
     remove_before(folder, newest)?;
     Ok(Some(snapshot))
 }
@@ -61,13 +63,11 @@
     Ok(())
 }
 
-fn decode(bytes: &[u8]) -> Option<message::Snapshot> {
+/// Returns the encoded snapshot if its checksum is right.
+fn intact(bytes: &[u8]) -> Option<&[u8]> {
     let (sum, encoded) = bytes.split_at_checked(CHECKSUM_BYTES)?;
     let sum = u32::from_le_bytes(sum.try_into().ok()?);
-    if crc32fast::hash(encoded) != sum {
-        return None;
-    }
-    postcard::from_bytes(encoded).ok()
+    (crc32fast::hash(encoded) == sum).then_some(encoded)
 }
 
 fn indexes(folder: &path::Path) -> error::Result<Vec<id::LogIndex>> {
--- a/tests/storage.rs
+++ b/tests/storage.rs
@@ -280,3 +280,28 @@
     let error = writer.write(&[entries(4..=4, 1)]).unwrap_err();
     assert!(error.to_string().contains("restart the member"), "{error}");
 }
+
+/// UPGRADE: an intact record or snapshot of a later build was reported as a damaged disk, with the
+/// remedy to empty the folder.
+#[test]
+fn intact_data_of_a_later_build_is_not_called_damaged() {
+    let folder = tempfile::tempdir().unwrap();
+    drop(open(folder.path()).unwrap());
+    let record = [0x7f_u8, 1, 2, 3];
+    let mut checked = (record.len() as u32).to_le_bytes().to_vec();
+    checked.extend(0_u64.to_le_bytes());
+    let sum = crc32fast::hash(&[&checked[..], &record].concat());
+    let segment = [b"bcr1", &checked[..], &sum.to_le_bytes(), &record].concat();
+    fs::write(folder.path().join(format!("log-{:020}.seg", 0)), segment).unwrap();
+    check_unreadable(folder.path());
+    let name = format!("snapshot-{:020}.snap", 1);
+    let snapshot = [&crc32fast::hash(&record).to_le_bytes()[..], &record].concat();
+    fs::write(folder.path().join(name), snapshot).unwrap();
+    check_unreadable(folder.path());
+}
+
+fn check_unreadable(folder: &path::Path) {
+    let error = open(folder).unwrap_err().to_string();
+    assert!(error.contains("protocol version 2"), "{error}");
+    assert!(error.contains("keep the data folder"), "{error}");
+}
