Streams survive the loss of all routers around a release

A leader whose list came before its document never rotated. A stream that is taken up again and again was forgotten with the generation in which it began. A version was kept for one period after it left the list, but a stream may last for two. A changed route led unrecorded streams to the only version of another service. A version that came back was used without a leader. The caller may name a later attempt, which was not recorded.

Records and versions are carried on at a rotation. router::origins::decide has the rule for callers that come back. Section 5 of a summary has the age of the list: a resumed stream avoids a server that could not be reached until a later list shows it.

--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -205,6 +205,9 @@
     pub struct SummaryExtension {
         /// The protocol version of the leader.
         pub version: trailer::ProtocolVersion,
+        /// The time since the leader began to read the newest list of servers; `None` before it has
+        /// one, and from a leader of the first release.
+        pub list_age: Option<clock::Millis>,
     }
 }
 
@@ -213,6 +216,7 @@
     pub fn new() -> Self {
         Self {
             version: trailer::CURRENT,
+            list_age: None,
         }
     }
 
@@ -222,7 +226,11 @@
     ///
     /// Fails when a section can't be encoded, which is a bug.
     pub fn to_trailer(&self) -> error::Result<trailer::Trailer> {
-        Ok(trailer::Trailer::new())
+        let mut trailer = trailer::Trailer::new();
+        if let Some(list_age) = &self.list_age {
+            trailer.add(trailer::section::ORIGINS, list_age)?;
+        }
+        Ok(trailer)
     }
 
     /// Decodes the sections.
@@ -233,6 +241,7 @@
     pub fn from_trailer(trailer: &trailer::Trailer) -> error::Result<Self> {
         Ok(Self {
             version: trailer.version,
+            list_age: trailer.get(trailer::section::ORIGINS)?,
         })
     }
 }
--- a/src/fleet/origin.rs
+++ b/src/fleet/origin/mod.rs
@@ -6,26 +6,20 @@
 //! in the log before any router may use its servers. So where the log has one version of a service,
 //! each stream of it began there; where it has several, a stream that it does not name is unknown.
 
-use crate::clock;
+mod registry;
+mod release;
+
 use crate::document;
 use crate::fleet::message;
 use crate::id;
 use crate::macros;
 use crate::sorted;
 
+pub use registry::Registry;
+
 /// The most streams that one generation holds; further ones are unknown.
 pub const MAX_STREAMS: usize = 32_768;
 
-/// The most streams that one batch adds.
-const MAX_BATCH: usize = 1_024;
-
-/// The time after its time limit for which a stream's origin is kept.
-const RETENTION_MARGIN: clock::Millis = clock::Millis::from_secs(15);
-
-/// The time after its first list in which a new leader knows that routers may not have told it of all
-/// their streams.
-const TAKEOVER_TIME: clock::Millis = clock::Millis::new(1_000);
-
 macros::data! {copy
     /// The XXH3 digest of a client account and the request id of the attempt that began a stream.
     pub struct StreamId(u128);
@@ -40,6 +34,18 @@
         hasher.update(request.as_bytes());
         Self(hasher.digest128())
     }
+
+    /// Makes the id under which the log has that routes which send streams to `service` sent them to
+    /// `former` before.
+    fn for_succession(service: &document::ServiceId, former: &document::ServiceId) -> Self {
+        let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+        // No account's name is empty or begins so; see `new`.
+        hasher.update(b"\0succession\0");
+        hasher.update(service.as_str().as_bytes());
+        hasher.update(&[0]);
+        hasher.update(former.as_str().as_bytes());
+        Self(hasher.digest128())
+    }
 }
 
 macros::data! {key
@@ -130,6 +136,11 @@
         current.or_else(|| self.previous.streams.get(stream))
     }
 
+    /// Returns whether a stream is not forgotten at the next rotation.
+    fn has_current_stream(&self, stream: &StreamId) -> bool {
+        self.current.streams.contains(stream)
+    }
+
     /// Returns whether a version is kept for the full time from now on, also if a rotation is being
     /// committed.
     fn has_current(&self, origin: &Origin) -> bool {
@@ -155,10 +166,14 @@
     }
 
     /// Returns the version at which every stream of these services began; `None` when there is none or
-    /// more than one.
-    fn only_version(&self, services: &[document::ServiceId]) -> Option<&Origin> {
+    /// more than one. Those that are `withheld` from all routers have begun none.
+    fn only_version(
+        &self,
+        services: &[document::ServiceId],
+        withheld: &[&Origin],
+    ) -> Option<&Origin> {
         let mut versions = self.versions();
-        versions.retain(|v| services.contains(&v.service));
+        versions.retain(|v| services.contains(&v.service) && !withheld.contains(v));
         match versions[..] {
             [only] => Some(only),
             _ => None,
@@ -194,122 +209,3 @@
         Unknown,
     }
 }
-
-/// What a leader adds to the replicated origins.
-#[derive(Debug)]
-pub struct Registry {
-    /// Streams that are not in the replicated origins yet.
-    pending: sorted::Map<StreamId, Origin>,
-    /// The versions of the newest list, sorted; empty before the first one.
-    listed: Vec<Origin>,
-    /// When this leader had its first list.
-    listed_at: Option<clock::Millis>,
-    next_rotation: clock::Millis,
-    retention: clock::Millis,
-}
-
-impl Default for Registry {
-    fn default() -> Self {
-        Self {
-            pending: sorted::Map::new(),
-            listed: Vec::new(),
-            listed_at: None,
-            next_rotation: clock::Millis::ZERO,
-            retention: clock::Millis::MAX,
-        }
-    }
-}
-
-impl Registry {
-    /// Sets the longest time that a stream may last.
-    pub fn set_time_limit(&mut self, time_limit: clock::Millis) {
-        self.retention = time_limit + RETENTION_MARGIN;
-    }
-
-    /// Takes note of the versions of a list; returns those that must be committed before routers may
-    /// get the list.
-    pub fn set_listed(
-        &mut self,
-        now: clock::Millis,
-        servers: &[message::Server],
-        origins: &Origins,
-    ) -> Vec<Origin> {
-        self.listed = servers.iter().filter_map(Origin::from_server).collect();
-        self.listed.sort();
-        self.listed.dedup();
-        self.listed_at.get_or_insert(now);
-        let new = self.listed.iter().filter(|v| !origins.has_current(v));
-        new.cloned().collect()
-    }
-
-    /// Adds streams that a router has begun.
-    pub fn record(&mut self, streams: Vec<Record>) {
-        for record in streams {
-            if self.pending.len() < MAX_STREAMS {
-                self.pending
-                    .get_or_insert_with(record.stream, || record.origin);
-            }
-        }
-    }
-
-    /// Answers a question.
-    pub fn answer(&self, now: clock::Millis, origins: &Origins, question: &Question) -> Answer {
-        let recorded = question.stream.and_then(|stream| {
-            let committed = origins.get(&stream);
-            committed.or_else(|| self.pending.get(&stream))
-        });
-        if let Some(origin) = recorded.or_else(|| origins.only_version(&question.services)) {
-            return Answer::Known(origin.clone());
-        }
-        let is_new = self.listed_at.is_none_or(|at| now < at + TAKEOVER_TIME);
-        if is_new && question.stream.is_some() {
-            Answer::Wait
-        } else {
-            Answer::Unknown
-        }
-    }
-
-    /// Returns the next change to commit; `None` when there is none.
-    pub fn next_batch(&mut self, now: clock::Millis, origins: &Origins) -> Option<Batch> {
-        self.pending
-            .retain(|stream, _| origins.get(stream).is_none());
-        let space = MAX_STREAMS - origins.current.streams.len();
-        let streams = self.pending.iter().take(MAX_BATCH.min(space));
-        let streams: Vec<Record> = streams
-            .map(|(stream, origin)| Record {
-                stream: *stream,
-                origin: origin.clone(),
-            })
-            .collect();
-        let rotate = self.is_rotation_due(now, origins);
-        if !rotate && streams.is_empty() {
-            return None;
-        }
-        let versions = if rotate {
-            // One that was not committed in time may be committed later, so none follows soon.
-            self.next_rotation = now + self.retention;
-            self.listed.clone()
-        } else {
-            Vec::new()
-        };
-        Some(Batch {
-            rotate,
-            versions,
-            streams,
-        })
-    }
-
-    /// Returns whether a generation has lasted for as long as a stream may, under this leader.
-    fn is_rotation_due(&mut self, now: clock::Millis, origins: &Origins) -> bool {
-        let Some(listed_at) = self.listed_at else {
-            return false;
-        };
-        if self.listed.is_empty() || origins.is_empty_but(&self.listed) {
-            // Nothing to forget; what begins from now on is kept for its full time.
-            self.next_rotation = now + self.retention;
-            return false;
-        }
-        self.next_rotation = self.next_rotation.max(listed_at + self.retention);
-        now >= self.next_rotation
-    }
-}
--- a/src/keeper/aggregator.rs
+++ b/src/keeper/aggregator.rs
@@ -1,6 +1,8 @@
 //! Answers routers' reports while this member leads: adds them up and sends newer documents and
 //! server lists.
 
+mod origins;
+
 use std::sync;
 
 use tokio::sync::watch;
@@ -41,8 +43,8 @@
 /// list.
 const LEADER_CHECK_INTERVAL: clock::Millis = clock::Millis::new(40);
 
-/// Interval between two commits of the origins of streams.
-const SAVE_INTERVAL: clock::Millis = clock::Millis::new(200);
+/// Interval between two checks whether routers may get the servers of a version that is held back.
+const RELEASE_CHECK_INTERVAL: clock::Millis = clock::Millis::new(50);
 
 /// Share of the allowed calls to the server list that one leader uses.
 const LIST_CALL_SHARE: f64 = 0.5;
@@ -68,6 +70,8 @@
     /// The revision of the replicated configuration whose quarantine the ledger has.
     config_revision: Option<id::Revision>,
     lists: listing::History,
+    /// When the read of the newest list began.
+    list_read_at: Option<clock::Millis>,
     origins: origin::Registry,
 }
 
@@ -126,16 +130,27 @@
     pub async fn read_lists(&self, mut stop: watch::Receiver<bool>) {
         let mut interval = LEADER_CHECK_INTERVAL;
         let mut reachable = true;
+        // The last list of which routers got a part.
+        let mut held: Option<(id::Term, discovery::Listed)> = None;
         loop {
+            let delay = held.as_ref().map_or(interval, |_| RELEASE_CHECK_INTERVAL);
             tokio::select! {
-                () = time::sleep(interval.as_duration()) => {}
+                () = time::sleep(delay.min(interval).as_duration()) => {}
                 () = server::stopped(&mut stop) => return,
             }
+            interval = interval - delay;
+            if let Some((term, listed)) = held.take_if(|_| interval > clock::Millis::ZERO) {
+                if self.publish(term, &listed) {
+                    held = Some((term, listed));
+                }
+                continue;
+            }
             if !self.is_confirmed() {
                 interval = LEADER_CHECK_INTERVAL;
                 continue;
             }
             interval = LIST_READ_INTERVAL;
+            let read_at = self.clock.now();
             match discovery::read(&*self.codec, &self.list_settings).await {
                 Ok(listed) => {
                     if !reachable {
@@ -145,7 +160,7 @@
                     let min_interval_ms = f64::from(listed.calls) * 1_000.0
                         / (self.list_settings.calls_per_second * LIST_CALL_SHARE).max(0.1);
                     interval = interval.max(clock::Millis::new(min_interval_ms as u64));
-                    self.set_list(listed).await;
+                    held = self.set_list(read_at, listed).await;
                 }
                 Err(e) => {
                     if reachable {
@@ -157,90 +172,6 @@
         }
     }
 
-    async fn set_list(&self, mut listed: discovery::Listed) {
-        self.admit_versions(&mut listed.servers).await;
-        let list = match listing::List::new(listed.servers) {
-            Ok(list) => list,
-            Err(e) => return log::error!("{e}"),
-        };
-        let (digest, servers) = (list.digest().0, list.servers().len());
-        if self.leader_state().lists.set(list) {
-            log::info!(
-                event = "list",
-                digest = digest,
-                servers = servers,
-                damaged = listed.damaged;
-                "the platform's server list changed"
-            );
-        }
-    }
-
-    /// Commits the software versions of a list that are new. Servers whose version is not committed are
-    /// left out until it is.
-    async fn admit_versions(&self, servers: &mut Vec<fleet::Server>) {
-        let now = self.clock.now();
-        let (term, new) = {
-            let mut leader_state = self.leader_state();
-            let new = self
-                .group
-                .with_state(|s| leader_state.origins.set_listed(now, servers, s.origins()));
-            (leader_state.term, new)
-        };
-        let Some(term) = term.filter(|_| !new.is_empty()) else {
-            return;
-        };
-        let batch = origin::Batch {
-            versions: new.clone(),
-            ..Default::default()
-        };
-        if self.commit_origins(term, batch).await {
-            return;
-        }
-        let is_new = |o| new.binary_search(&o).is_ok();
-        servers.retain(|s| !origin::Origin::from_server(s).is_some_and(is_new));
-        log::warn!(
-            event = "versions_not_committed",
-            count = new.len();
-            "new software versions are not committed; leaving out their servers until the next list"
-        );
-    }
-
-    /// Commits the origins of streams while this member leads, until `stop` becomes true.
-    pub async fn save_origins(&self, mut stop: watch::Receiver<bool>) {
-        let mut interval = time::interval(SAVE_INTERVAL.as_duration());
-        interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-        loop {
-            tokio::select! {
-                _ = interval.tick() => {}
-                () = server::stopped(&mut stop) => return,
-            }
-            let now = self.clock.now();
-            let (term, batch) = {
-                let mut leader_state = self.leader_state();
-                let batch = self
-                    .group
-                    .with_state(|s| leader_state.origins.next_batch(now, s.origins()));
-                (leader_state.term, batch)
-            };
-            if let (Some(term), Some(batch)) = (term, batch) {
-                self.commit_origins(term, batch).await;
-            }
-        }
-    }
-
-    /// Commits a change of the origins; returns whether that is certain.
-    async fn commit_origins(&self, term: id::Term, batch: origin::Batch) -> bool {
-        let command = command::Command::Origins(batch);
-        match self.group.submit_in_term(term, &command).await {
-            Ok(group::Outcome::Applied(_)) => true,
-            Ok(_) => false,
-            Err(e) => {
-                log::error!("origins of streams can't be committed: {e}");
-                false
-            }
-        }
-    }
-
     fn set_term(&self, leader_term: Option<id::Term>) {
         let mut leader_state = self.leader_state();
         if leader_state.term != leader_term {
@@ -273,12 +204,18 @@
         self.update_quarantine(&mut leader_state);
         let router_list = report.list;
         let router_document = report.document;
+        let is_first = report.known.is_none();
         let sums = leader_state.ledger.report(now, from, report);
         // Documents can be large, and almost every report comes with the newest version, so the
         // document is copied only when it is needed.
         let newer_document = (router_document < current_version)
             .then(|| self.document())
             .flatten();
+        leader_state.origins.record_summary(now, from, is_first);
+        let origins = &leader_state.origins;
+        let mixed = self
+            .group
+            .with_state(|s| origins.told_services(s.origins()));
         let list = leader_state.lists.update_for(router_list);
         let list = list.unwrap_or_else(|e| {
             log::error!("{e}; the router keeps its list until the next report");
@@ -290,9 +227,12 @@
             document: newer_document,
             list,
             sums,
-            mixed: self.group.with_state(|s| s.origins().mixed()),
+            mixed,
             members: self.group.status().addresses,
-            extension: fleet::SummaryExtension::new(),
+            extension: fleet::SummaryExtension {
+                list_age: leader_state.list_read_at.map(|at| now - at),
+                ..fleet::SummaryExtension::new()
+            },
         }))
     }
 
@@ -332,34 +272,6 @@
         }
     }
 
-    /// Takes note of streams that began at a router, or names the leader if this member's leadership is
-    /// not confirmed.
-    pub fn record_begun(&self, streams: Vec<origin::Record>) -> message::Reply {
-        let mut leader_state = self.leader_state();
-        let is_confirmed = leader_state.is_confirmed(self.clock.now());
-        match leader_state.term.filter(|_| is_confirmed) {
-            Some(term) => {
-                leader_state.origins.record(streams);
-                message::Reply::Begun(term)
-            }
-            None => message::Reply::NotLeader(self.group.status().leader_peer()),
-        }
-    }
-
-    /// Answers where a stream began, or names the leader if this member's leadership was not confirmed
-    /// just now.
-    pub fn ask_origin(&self, question: &origin::Question) -> message::Reply {
-        let now = self.clock.now();
-        let leader_state = self.leader_state();
-        if leader_state.is_confirmed_within(now, permit::MAX_CONFIRMATION_AGE) {
-            let origins = &leader_state.origins;
-            let answer = |s: &command::State| origins.answer(now, s.origins(), question);
-            message::Reply::Origin(self.group.with_state(answer))
-        } else {
-            message::Reply::NotLeader(self.group.status().leader_peer())
-        }
-    }
-
     /// Saves new verdicts in the replicated log, so that they outlast this leader.
     async fn save_verdicts(&self) {
         let (term, verdicts) = {
@@ -409,12 +321,7 @@
         match protocol::read_packed(&*self.codec, &packed) {
             Ok(document) => {
                 leader_state.ledger.configure(&document.accounts);
-                let streams = document
-                    .routes
-                    .iter()
-                    .filter(|r| r.retry_policy.is_stream());
-                let longest = streams.map(|r| r.time_limit).max().unwrap_or_default();
-                leader_state.origins.set_time_limit(longest);
+                leader_state.origins.set_routes(&document.routes);
             }
             Err(e) => log::error!(
                 "can't decode the document of the replicated log; keeping the accounts known before: {e}"
--- a/src/peer/trailer.rs
+++ b/src/peer/trailer.rs
@@ -27,6 +27,8 @@
     pub const COLD_SERVERS: u32 = 2;
     /// The version that all processes speak.
     pub const FEATURE_LEVEL: u32 = 3;
+    /// How old the server list is.
+    pub const ORIGINS: u32 = 5;
 }
 
 macros::data! {
--- a/src/router/availability.rs
+++ b/src/router/availability.rs
@@ -236,6 +236,9 @@
     ramp: Option<Ramp>,
     ejected_until: clock::Millis,
     consecutive_failures: u32,
+    /// When the server accepted no connection last; `None` for one that did, or has started again by
+    /// the list.
+    unreachable_at: Option<clock::Millis>,
     /// Whether the last failure was a connection that could not be opened.
     connect_failed: bool,
     full_until: clock::Millis,
@@ -320,6 +323,14 @@
         }
     }
 
+    /// Returns whether the server may have started again, with other software, without being shown so by
+    /// a list that was read at a time. A connection that breaks off is no sign of it: most of them do so
+    /// at servers that go on.
+    pub fn may_have_restarted(&self, list_read_at: clock::Millis) -> bool {
+        self.unreachable_at
+            .is_some_and(|at| list_read_at < at + LIST_LAG)
+    }
+
     /// Returns whether the server itself says that it is leaving.
     pub fn says_leaving(&self) -> bool {
         self.leaving.is_some()
@@ -409,6 +420,9 @@
             Outcome::Lost | Outcome::ConnectFailed => {}
         }
         self.connect_failed = outcome == Outcome::ConnectFailed;
+        if self.connect_failed {
+            self.unreachable_at = Some(now);
+        }
         let ejection = MIN_EJECTION * (1 << self.consecutive_failures.min(8));
         self.consecutive_failures += 1;
         self.ejected_until = now + ejection.min(MAX_EJECTION);
--- a/src/router/balancer/mod.rs
+++ b/src/router/balancer/mod.rs
@@ -47,6 +47,8 @@
     ejected: Vec<id::BackendServerId>,
     /// Servers that told another router that they are leaving, sorted by id.
     leaving: Vec<id::BackendServerId>,
+    /// When the read of the list in force began, at the earliest.
+    list_read_at: clock::Millis,
     /// Limits of calls that servers name to any router, by the leader.
     limits: sorted::Map<id::BackendServerId, unit::CallRate>,
 }
@@ -136,6 +138,7 @@
             report_interval: clock::Millis::ZERO,
             ejected: Vec::new(),
             leaving: Vec::new(),
+            list_read_at: clock::Millis::ZERO,
             limits: sorted::Map::new(),
         }
     }
@@ -158,6 +161,11 @@
         self.prune(now);
     }
 
+    /// Records that the list in force was read from `read_at` on, at the earliest.
+    pub fn set_list_read_at(&mut self, read_at: clock::Millis) {
+        self.list_read_at = self.list_read_at.max(read_at);
+    }
+
     /// Sets the load that the other routers have on each server.
     pub fn set_remote_loads(
         &mut self,
@@ -234,6 +242,18 @@
         others.map(|s| s.id.clone()).collect()
     }
 
+    /// Returns the servers of a service that this router could not connect to so lately that they may have
+    /// started again with another software version than the list shows.
+    pub fn servers_of_uncertain_version(
+        &self,
+        service: &document::ServiceId,
+    ) -> Vec<id::BackendServerId> {
+        let servers = self.servers.iter().filter(|(_, b)| {
+            b.server.service == *service && b.availability.may_have_restarted(self.list_read_at)
+        });
+        servers.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Returns whether a server still runs the software version that it had when it was picked.
     pub fn has_version_of(&self, pick: &Pick) -> bool {
         let backend = self.servers.get(&pick.id);
--- a/src/router/generate/mod.rs
+++ b/src/router/generate/mod.rs
@@ -85,8 +85,9 @@
     pub resume_after: Option<u64>,
     /// Where the stream began, and alone may go on; `None` before its first event.
     origin: Option<origin::Origin>,
-    /// Under which id the origin is recorded.
-    stream_id: origin::StreamId,
+    /// Under which ids the origin is recorded: that of the attempt which the caller names, and the
+    /// request's own, since the caller may name either when it comes back again.
+    stream_ids: Vec<origin::StreamId>,
 }
 
 /// A stream whose first chunk has arrived.
@@ -132,14 +133,15 @@
     let account = req.account.as_ref();
     let taken_up = origin_gate::find(&req.core, account, &req.caller, &req.route).await?;
     let own_id = origin::StreamId::new(account, req.log_id());
-    let (stream_id, origin) = match taken_up {
-        Some((id, origin)) => (id.unwrap_or(own_id), Some(origin)),
-        None => (own_id, None),
+    let (named, origin) = match taken_up {
+        Some((id, origin)) => (id.filter(|id| *id != own_id), Some(origin)),
+        None => (None, None),
     };
+    let stream_ids = named.into_iter().chain([own_id]).collect();
     if let Some(origin) = &origin {
         req.use_service(&origin.service)?;
     }
-    let mut stream = StreamRequest::new(req, stream_id, origin);
+    let mut stream = StreamRequest::new(req, stream_ids, origin);
     let opened = match stream.open().await? {
         Ok(opened) => opened,
         Err(failed) => return Ok(failed),
@@ -158,7 +160,7 @@
 impl StreamRequest {
     fn new(
         req: request::Request,
-        stream_id: origin::StreamId,
+        stream_ids: Vec<origin::StreamId>,
         origin: Option<origin::Origin>,
     ) -> Self {
         Self {
@@ -176,7 +178,7 @@
             waited: clock::Millis::ZERO,
             resume_after: req.caller.resume_after,
             origin,
-            stream_id,
+            stream_ids,
             req,
         }
     }
--- a/src/router/generate/origins.rs
+++ b/src/router/generate/origins.rs
@@ -24,20 +24,31 @@
         let ends_by = self.req.received_at + self.req.route.time_limit;
         let now = core.clock.now();
         let mut origins = core.origins();
-        origins.record(now, self.stream_id, origin.clone(), ends_by);
+        for id in &self.stream_ids {
+            origins.record(now, *id, origin.clone(), ends_by);
+        }
         drop(origins);
         core.origins_due.notify_one();
     }
 
     /// Returns the servers that the request must not be sent to: those that were tried, and those of
-    /// another software version than the one that began the stream.
+    /// another software version than the one that began the stream, or that may have another one since
+    /// they could not be reached.
     pub(super) fn excluded(&self) -> Vec<id::BackendServerId> {
         let mut excluded = self.tried.clone();
         if let Some(origin) = &self.origin {
             let balancer = self.req.core.balancer();
             let version = origin.version.as_ref();
             excluded.extend(balancer.servers_of_other_versions(&origin.service, version));
+            excluded.extend(balancer.servers_of_uncertain_version(&origin.service));
         }
         excluded
     }
+
+    /// Returns whether the stream may go on at a server that was picked. The list may have changed after
+    /// [`Self::excluded`] looked at it.
+    pub(super) fn may_go_on_at(&self, pick: &balancer::Pick) -> bool {
+        let origin = self.origin.as_ref();
+        origin.is_none_or(|o| o.version == pick.version)
+    }
 }
--- a/src/router/generate/placement.rs
+++ b/src/router/generate/placement.rs
@@ -33,6 +33,10 @@
         deadline: clock::Millis,
     ) -> Result<Option<Placement>, Refusal> {
         let (pick, guard) = self.wait_for_server(deadline).await?;
+        if !self.may_go_on_at(&pick) {
+            guard.finish(balancer::Outcome::Neutral);
+            return Ok(None);
+        }
         self.reservation_calls += 1;
         let req = &self.req;
         let memory = guard.load().memory;
--- a/src/router/origin_gate.rs
+++ b/src/router/origin_gate.rs
@@ -14,18 +14,13 @@
 use crate::peer::message;
 use crate::router::core;
 use crate::router::http_server;
+use crate::router::origins;
 use crate::router::protocol;
 use crate::router::request;
 use crate::router::retry_after;
 
 use request::Refusal;
 
-/// How long a caller waits for a leader that knows the origin of its stream.
-const MAX_ANSWER_WAIT: clock::Millis = clock::Millis::new(1_000);
-
-/// The time between two questions for one origin.
-const ASK_INTERVAL: clock::Millis = clock::Millis::new(50);
-
 /// How long streams that begin are collected before the leader is told of them.
 const BATCH_TIME: clock::Millis = clock::Millis::new(10);
 
@@ -49,8 +44,11 @@
     let begun_by = caller.resumes.as_deref();
     let stream = begun_by.map(|request| origin::StreamId::new(account, request));
     let own = stream.and_then(|stream| core.origins().get(&stream).cloned());
-    let found = match own {
-        Some(origin) => Ok(origin),
+    let found = match own.map(origin::Answer::Known) {
+        Some(own) => match origins::decide(Some(own), clock::Millis::ZERO, &route.split) {
+            origins::Step::GoOn(origin) => Ok(origin),
+            _ => Err(retry_after::Cause::OriginUnknown),
+        },
         None => ask_leader(core, stream, route).await,
     };
     let outcome = match &found {
@@ -60,12 +58,7 @@
     };
     metrics::counter!("buckthorncleat_streams_taken_up_total", "origin" => outcome).increment(1);
     let origin = found.map_err(refusal)?;
-    let is_routed = |s: &document::Share| s.service == origin.service && s.weight > 0;
-    if route.split.iter().any(is_routed) {
-        Ok(Some((stream, origin)))
-    } else {
-        Err(refusal(retry_after::Cause::OriginUnknown))
-    }
+    Ok(Some((stream, origin)))
 }
 
 /// Refuses a stream whose origin can't be used. The answer does not tell why: the stream may be another
@@ -88,17 +81,16 @@
         stream,
         services: services.collect(),
     });
-    let give_up_at = core.clock.now() + MAX_ANSWER_WAIT;
+    let asked_at = core.clock.now();
     loop {
-        match ask(core, &question).await {
-            Some(origin::Answer::Known(origin)) => return Ok(origin),
-            Some(origin::Answer::Unknown) => return Err(retry_after::Cause::OriginUnknown),
-            Some(origin::Answer::Wait) | None => {}
-        }
-        if core.clock.now() + ASK_INTERVAL >= give_up_at {
-            return Err(retry_after::Cause::OriginLate);
+        let answer = ask(core, &question).await;
+        let waited = core.clock.now() - asked_at;
+        match origins::decide(answer, waited, &route.split) {
+            origins::Step::GoOn(origin) => return Ok(origin),
+            origins::Step::RefuseUnknown => return Err(retry_after::Cause::OriginUnknown),
+            origins::Step::RefuseLate => return Err(retry_after::Cause::OriginLate),
+            origins::Step::AskAgain => time::sleep(origins::ASK_INTERVAL.as_duration()).await,
         }
-        time::sleep(ASK_INTERVAL.as_duration()).await;
     }
 }
 
--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -14,6 +14,7 @@
 use crate::fleet::totals;
 use crate::id;
 use crate::peer::message as peer_message;
+use crate::peer::trailer;
 use crate::router::core;
 use crate::router::directory;
 use crate::router::discovery;
@@ -44,8 +45,12 @@
 /// a lost report costs nothing.
 const NEWS_MARGIN: clock::Millis = clock::Millis::new(1_000);
 
+/// The age that a list has at most which a leader of the first release sends, as far as is known.
+const UNNAMED_LIST_AGE: clock::Millis = clock::Millis::new(2_000);
+
 /// What a report said of this router, which the summaries that answer it contain.
 struct Reported {
+    sent_at: clock::Millis,
     spent: sorted::Map<id::ClientAccountId, i64>,
     loads: sorted::Map<id::BackendServerId, message::Load>,
 }
@@ -127,6 +132,7 @@
         let (report, told) = self.report();
         let settled = report.settled.clone();
         let reported = Reported {
+            sent_at: self.core.clock.now(),
             spent: report.spent.clone(),
             loads: report.loads.clone(),
         };
@@ -280,6 +286,14 @@
         if let Some(update) = &summary.list {
             self.update_list(update);
         }
+        let list_age = match summary.extension.version {
+            trailer::FIRST => Some(UNNAMED_LIST_AGE),
+            _ => summary.extension.list_age,
+        };
+        if let (Some(list_age), Some(_)) = (list_age, &self.list) {
+            let read_at = reported.sent_at - list_age;
+            self.core.balancer().set_list_read_at(read_at);
+        }
         let is_new_term = self
             .view
             .known()
@@ -396,12 +410,21 @@
         }
         let interval = self.list_read_interval().max(MIN_LIST_READ_INTERVAL);
         self.next_list_read = now + interval + random_part(interval);
+        let read_at = now;
         let settings = &self.core.settings.list;
         match discovery::read(&*self.core.codec, settings).await {
             Ok(mut listed) => {
+                let versions = listed.servers.iter();
+                let versions = versions.filter_map(origin::Origin::from_server);
+                let mut versions: Vec<_> = versions.collect();
+                versions.sort();
+                self.core.origins().retain_admitted(&versions);
                 listed.servers.retain(|s| self.may_use(s));
                 match listing::List::new(listed.servers) {
-                    Ok(list) => self.put_list(list, "platform"),
+                    Ok(list) => {
+                        self.put_list(list, "platform");
+                        self.core.balancer().set_list_read_at(read_at);
+                    }
                     Err(e) => log::error!("{e}"),
                 }
             }
