--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -225,6 +225,9 @@
         pub version: trailer::ProtocolVersion,
         /// The evacuations; `None` from a leader of the first release, which knows none.
         pub evacuated: Option<evacuation::Notice>,
+        /// The time since the leader began to read the newest list of servers; `None` before it has
+        /// one, and from a leader of the first release.
+        pub list_age: Option<clock::Millis>,
     }
 }
 
@@ -234,6 +237,7 @@
         Self {
             version: trailer::FIRST,
             evacuated: None,
+            list_age: None,
         }
     }
 }
@@ -244,6 +248,7 @@
         Self {
             version: trailer::CURRENT,
             evacuated: None,
+            list_age: None,
         }
     }
 
@@ -257,6 +262,9 @@
         if let Some(notice) = &self.evacuated {
             trailer.add(trailer::section::EVACUATIONS, notice)?;
         }
+        if let Some(list_age) = &self.list_age {
+            trailer.add(trailer::section::ORIGINS, list_age)?;
+        }
         Ok(trailer)
     }
 
@@ -269,6 +277,7 @@
         Ok(Self {
             version: trailer.version,
             evacuated: trailer.get(trailer::section::EVACUATIONS)?,
+            list_age: trailer.get(trailer::section::ORIGINS)?,
         })
     }
 }
