Quotas hold though use was not reported: shares from the leader, allowances in the log

The leader now commits ahead what routers may charge, and a new leader counts what the log allowed as used. Each router gets a share of what remains by its demand; before, each spent all of it until its next summary.

--- a/src/fleet/ledger/mod.rs
+++ b/src/fleet/ledger/mod.rs
@@ -1,5 +1,6 @@
 //! Aggregates the reports of all gateways at the leader.
 
+mod quotas;
 mod runs;
 mod servers;
 
@@ -12,7 +13,6 @@
 use crate::fleet::permit;
 use crate::fleet::quota;
 use crate::fleet::totals;
-use crate::fleet::window;
 use crate::id;
 use crate::sorted;
 
@@ -66,7 +66,13 @@
     /// `previous_gateway_count` is ignored.
     previous_count_until: Option<clock::Millis>,
     quota_window: clock::Millis,
-    accounts: sorted::Map<id::ClientAccountId, Account>,
+    accounts: sorted::Map<id::ClientAccountId, quotas::Account>,
+    /// When this leader took over what the replicated log has of the accounts' use.
+    taken_over_at: Option<clock::Millis>,
+    /// Whether gateways may use only what the replicated log allows.
+    is_use_logged: bool,
+    /// Whether the reports to this leader name all use before its term.
+    is_use_known: bool,
     crashes: crashes::Crashes,
     next_standings: clock::Millis,
 }
@@ -77,12 +83,10 @@
     received_at: clock::Millis,
     /// Whether its loads are contained in the totals.
     has_counted_loads: bool,
-}
-
-#[derive(Debug)]
-struct Account {
-    quota: document::Quota,
-    used: window::Window,
+    /// The units that it may charge to each account without a further summary.
+    held: sorted::Map<id::ClientAccountId, u64>,
+    /// The units of each account that it was asked for lately in a report interval.
+    demand: sorted::Map<id::ClientAccountId, u64>,
 }
 
 impl Ledger {
@@ -102,38 +106,25 @@
         self
     }
 
-    /// Replaces the accounts by those of a document; their use so far is kept.
-    pub fn configure(&mut self, accounts: &[document::Account]) {
-        self.accounts
-            .retain(|id, _| accounts.iter().any(|a| a.id == *id && a.quota.is_some()));
-        let window = self.quota_window;
-        for account in accounts {
-            let Some(quota) = account.quota else { continue };
-            let fresh = || Account {
-                quota,
-                used: window::Window::new(window),
-            };
-            let entry = self.accounts.get_or_insert_with(account.id.clone(), fresh);
-            entry.quota = quota;
-        }
-    }
-
     /// Records a report and returns the sums for its sender.
     pub fn report(
         &mut self,
         now: clock::Millis,
         from: &id::InstanceId,
-        report: message::Report,
+        mut report: message::Report,
     ) -> message::Sums {
+        self.keep_newest_claims(from, &mut report);
         self.record_spending(now, from, &report);
         self.record_gateway_count(now, report.gateways);
+        let demand = self.demand(now, from, &report);
         let known = report.known.filter(|(term, _)| *term == self.term);
         let sent_at = self.own_time(report.sent_at);
         self.record_runs(now, sent_at, &report);
         self.permits.hear(now, sent_at, &report.limits);
         self.retries
             .hear(now, sent_at, known.is_some(), from, &report);
-        self.store(now, from, report);
+        self.store(now, from, report, demand);
+        self.find_continuity(now);
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
             self.expire(now);
@@ -187,8 +178,16 @@
     }
 
     /// Replaces the last report of a gateway and updates the totals.
-    fn store(&mut self, now: clock::Millis, from: &id::InstanceId, report: message::Report) {
+    fn store(
+        &mut self,
+        now: clock::Millis,
+        from: &id::InstanceId,
+        report: message::Report,
+        demand: sorted::Map<id::ClientAccountId, u64>,
+    ) {
         let none = sorted::Map::new();
+        let is_repeated = self.is_repeated(from, &report);
+        let mut repeated_held = None;
         let previous = self.gateways.remove(from);
         let counted = previous.as_ref().filter(|g| g.has_counted_loads);
         let before = counted.map_or(&none, |g| &g.report.loads);
@@ -199,6 +198,11 @@
             }
             if previous.report.incarnation == report.incarnation {
                 self.remove_attempts(&previous.report);
+                if is_repeated {
+                    repeated_held = Some(previous.held);
+                } else {
+                    self.release_held(&previous.held);
+                }
             } else {
                 self.previous_incarnations.push(previous);
             }
@@ -211,10 +215,13 @@
                 .get_or_insert_with(service.clone(), Default::default)
                 .add(*count);
         }
+        let held = repeated_held.unwrap_or_else(|| self.hold(&report));
         let received = Gateway {
             report,
             received_at: now,
             has_counted_loads: true,
+            held,
+            demand,
         };
         self.gateways.insert(from.clone(), received);
     }
@@ -247,6 +254,7 @@
         removed.extend(self.previous_incarnations.extract_if(.., |g| is_silent(g)));
         for gateway in removed {
             self.remove_attempts(&gateway.report);
+            self.release_held(&gateway.held);
         }
     }
 
@@ -259,30 +267,6 @@
         self.attempts.retain(|_, sum| !sum.is_zero());
     }
 
-    fn record_spending(
-        &mut self,
-        now: clock::Millis,
-        from: &id::InstanceId,
-        report: &message::Report,
-    ) {
-        let previous = self.gateways.get(from).map(|g| &g.report);
-        let previous = previous.filter(|b| b.incarnation == report.incarnation);
-        for (id, spent) in report.spent.iter() {
-            let Some(account) = self.accounts.get_mut(id) else {
-                continue;
-            };
-            if let Some(counted) = previous.and_then(|b| b.spent.get(id)) {
-                account.used.add(now, spent - counted);
-                continue;
-            }
-            // This incarnation has not reported this account to this leader before: what it spent
-            // in the window, it spent under a previous leader.
-            for (age, units) in report.spent_in_window.get(id).into_iter().flatten() {
-                account.used.add_past(now - *age, *units);
-            }
-        }
-    }
-
     /// Returns the number of gateways among which quotas are shared.
     ///
     /// A new leader has not heard from all of them yet, so it uses the previous leader's count if
@@ -306,22 +290,6 @@
         }
     }
 
-    /// Returns the remaining units of each quota, less the shares of silent gateways.
-    fn remaining(&mut self, now: clock::Millis) -> sorted::Map<id::ClientAccountId, i64> {
-        let gateway_count = i64::from(self.gateway_count(now));
-        let active =
-            |g: &&Gateway| now < g.received_at + self.report_interval() * MAX_MISSED_REPORTS;
-        let active = self.gateways.values().filter(active).count() as i64;
-        let silent = (gateway_count - active).max(0);
-        let window = self.quota_window;
-        let ids: Vec<id::ClientAccountId> = self.accounts.keys().cloned().collect();
-        let remaining = self.accounts.values_mut().map(|account| {
-            let limit = account.quota.limit(window);
-            limit - limit * silent / gateway_count - account.used.sum(now)
-        });
-        ids.into_iter().zip(remaining).collect()
-    }
-
     fn sums(
         &mut self,
         now: clock::Millis,
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -10,6 +10,7 @@
 use crate::fleet::crashes;
 use crate::fleet::listing;
 use crate::fleet::permit;
+use crate::fleet::share;
 use crate::fleet::totals;
 use crate::id;
 use crate::macros;
@@ -77,6 +78,8 @@
     pub struct ReportExtension {
         /// The protocol version of the gateway.
         pub version: trailer::ProtocolVersion,
+        /// The gateway's use of quotas; `None` from one that knows no shares.
+        pub quotas: Option<share::Claims>,
     }
 }
 
@@ -85,6 +88,7 @@
     pub fn new() -> Self {
         Self {
             version: trailer::CURRENT,
+            ..Self::default()
         }
     }
 
@@ -94,7 +98,11 @@
     ///
     /// Fails when a section can't be encoded, which is a bug.
     pub fn to_trailer(&self) -> error::Result<trailer::Trailer> {
-        Ok(trailer::Trailer::new())
+        let mut trailer = trailer::Trailer::new();
+        if let Some(quotas) = &self.quotas {
+            trailer.add(trailer::section::QUOTAS, quotas)?;
+        }
+        Ok(trailer)
     }
 
     /// Decodes the sections.
@@ -105,6 +113,7 @@
     pub fn from_trailer(trailer: &trailer::Trailer) -> error::Result<Self> {
         Ok(Self {
             version: trailer.version,
+            quotas: trailer.get(trailer::section::QUOTAS)?,
         })
     }
 }
@@ -205,6 +214,8 @@
     pub struct SummaryExtension {
         /// The protocol version of the leader.
         pub version: trailer::ProtocolVersion,
+        /// What the gateway may charge; `None` from a leader that issues no shares.
+        pub quotas: Option<share::Shares>,
     }
 }
 
@@ -213,6 +224,7 @@
     pub fn new() -> Self {
         Self {
             version: trailer::CURRENT,
+            ..Self::default()
         }
     }
 
@@ -222,7 +234,11 @@
     ///
     /// Fails when a section can't be encoded, which is a bug.
     pub fn to_trailer(&self) -> error::Result<trailer::Trailer> {
-        Ok(trailer::Trailer::new())
+        let mut trailer = trailer::Trailer::new();
+        if let Some(quotas) = &self.quotas {
+            trailer.add(trailer::section::QUOTAS, quotas)?;
+        }
+        Ok(trailer)
     }
 
     /// Decodes the sections.
@@ -233,6 +249,7 @@
     pub fn from_trailer(trailer: &trailer::Trailer) -> error::Result<Self> {
         Ok(Self {
             version: trailer.version,
+            quotas: trailer.get(trailer::section::QUOTAS)?,
         })
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 //! gateway without a recent summary continues with its last known state and uses only its share of
 //! each quota and budget.
 
+pub mod allowance;
 pub mod budget;
 pub mod call_limit;
 pub mod crashes;
@@ -20,5 +21,6 @@
 pub mod permit;
 pub mod quota;
 pub mod reach;
+pub mod share;
 pub mod totals;
 pub mod window;
--- a/src/fleet/quota.rs
+++ b/src/fleet/quota.rs
@@ -1,13 +1,15 @@
 //! Quotas of client accounts at one gateway.
 //!
 //! In any window of the configured length, an account may use its rate times that length plus its
-//! burst, over the whole fleet. The leader adds up what all gateways spent and sends the remaining
-//! units with every summary; between two summaries a gateway subtracts what it spends itself. A
-//! gateway that received no summary for [`STALE_REPORTS`] report intervals spends an equal share of
-//! each quota, which the leader reserves for it.
+//! burst, over the whole fleet. The leader adds up what all gateways spent and sends with every
+//! summary how much this gateway may charge until the next ([`share`]). A leader of the first release
+//! sends only the units that remain in the whole fleet; between two summaries a gateway subtracts what
+//! it spends itself. A gateway that received no summary for [`STALE_REPORTS`] report intervals spends
+//! an equal share of each quota, which the leader reserves for it.
 
 use crate::clock;
 use crate::document;
+use crate::fleet::share;
 use crate::fleet::window;
 use crate::id;
 use crate::sorted;
@@ -27,11 +29,16 @@
 #[derive(Debug)]
 pub struct Quotas {
     window: clock::Millis,
+    /// Accounts that lost their quota stay, so that their sums never fall.
     accounts: sorted::Map<id::ClientAccountId, Meter>,
     /// When the last summary becomes too old to use.
     stale_at: clock::Millis,
     /// The number of gateways among which quotas are shared.
     gateways: u32,
+    /// Whether the leader issues shares.
+    has_shares: bool,
+    /// The number of the last report.
+    report_number: u64,
 }
 
 /// The reason why an account can't be charged for a request.
@@ -48,11 +55,14 @@
     pub share_only: bool,
     /// How long the last summary is still valid; zero when `share_only`.
     pub fresh_for: clock::Millis,
+    /// Whether the next summary probably brings a share for the request.
+    pub may_wait: bool,
 }
 
 #[derive(Debug)]
 struct Meter {
-    quota: document::Quota,
+    /// `None` while the account has no quota.
+    quota: Option<document::Quota>,
     /// Units spent since the start of the process.
     spent: i64,
     /// Units spent at this gateway in the window.
@@ -60,6 +70,9 @@
     /// The remaining units over the whole fleet: those of the last summary less what this gateway
     /// spent since.
     remaining: i64,
+    claim: share::Claim,
+    /// The units that no gateway held when the leader answered.
+    free: u64,
 }
 
 impl document::Quota {
@@ -77,29 +90,37 @@
             accounts: sorted::Map::new(),
             stale_at: clock::Millis::ZERO,
             gateways: 1,
+            has_shares: false,
+            report_number: 0,
         }
     }
 
-    /// Replaces the quotas by those of a document; accounts that stay keep what they have spent.
+    /// Replaces the quotas by those of a document; all accounts keep what they have spent.
     pub fn configure(&mut self, accounts: &[document::Account]) {
         let window = self.window;
+        for (id, meter) in self.accounts.iter_mut() {
+            let account = accounts.iter().find(|a| a.id == *id);
+            if account.is_none_or(|a| a.quota.is_none()) {
+                meter.quota = None;
+            }
+        }
         for account in accounts {
             let Some(quota) = account.quota else { continue };
             let fresh = || Meter {
-                quota,
+                quota: None,
                 spent: 0,
                 spent_in_window: window::Window::new(window),
-                remaining: quota.limit(window),
+                remaining: 0,
+                claim: share::Claim::default(),
+                free: 0,
             };
             let meter = self.accounts.get_or_insert_with(account.id.clone(), fresh);
-            meter.remaining += quota.limit(window) - meter.quota.limit(window);
-            meter.quota = quota;
+            match meter.quota {
+                Some(before) => meter.remaining += quota.limit(window) - before.limit(window),
+                None => meter.remaining = quota.limit(window),
+            }
+            meter.quota = Some(quota);
         }
-        let limited = |id: &id::ClientAccountId| {
-            let account = accounts.iter().find(|a| a.id == *id);
-            account.is_some_and(|a| a.quota.is_some())
-        };
-        self.accounts.retain(|id, _| limited(id));
     }
 
     /// Returns the units that each account spent at this gateway since the start of the process.
@@ -113,21 +134,37 @@
         &mut self,
         now: clock::Millis,
     ) -> sorted::Map<id::ClientAccountId, Vec<(clock::Millis, i64)>> {
-        let ids: Vec<id::ClientAccountId> = self.accounts.keys().cloned().collect();
-        let amounts = self
-            .accounts
-            .values_mut()
-            .map(|m| m.spent_in_window.amounts_with_ages(now));
-        ids.into_iter()
-            .zip(amounts)
+        self.accounts
+            .iter_mut()
+            .map(|(id, m)| (id.clone(), m.spent_in_window.amounts_with_ages(now)))
             .filter(|(_, amounts)| !amounts.is_empty())
             .collect()
     }
 
+    /// Returns what the next report says of shares, and counts it.
+    pub fn next_claims(&mut self) -> share::Claims {
+        self.report_number += 1;
+        let accounts = self.accounts.iter_mut().map(|(id, meter)| {
+            let claim = meter.claim;
+            meter.claim.wanted = 0;
+            (id.clone(), claim)
+        });
+        share::Claims {
+            number: self.report_number,
+            accounts: accounts.collect(),
+        }
+    }
+
+    /// Returns whether requests wait for a share that no report named yet.
+    pub fn wants_share(&self) -> bool {
+        self.accounts.values().any(|m| m.claim.wanted > 0)
+    }
+
     /// Returns the remaining units of an account over the whole fleet, as of the last summary and
     /// this gateway's own charges since; `None` for an account without a quota.
     pub fn remaining(&self, account: &id::ClientAccountId) -> Option<i64> {
-        self.accounts.get(account).map(|meter| meter.remaining)
+        let meter = self.accounts.get(account);
+        meter.filter(|m| m.quota.is_some()).map(|m| m.remaining)
     }
 
     /// Returns the number of gateways among which quotas are shared.
@@ -137,17 +174,20 @@
 
     /// Sets the remaining units from the summary that answers a report.
     ///
-    /// `reported` is what that report named as spent; units charged since then are subtracted.
+    /// `sent_at` is when that report was sent, and `reported` is what it named as spent; units
+    /// charged since then are subtracted. What the summary allows expires by the time of the report:
+    /// a gateway that was frozen before it read the summary must not use it.
     pub fn apply_summary(
         &mut self,
-        now: clock::Millis,
+        sent_at: clock::Millis,
         reported: &sorted::Map<id::ClientAccountId, i64>,
         remaining: &sorted::Map<id::ClientAccountId, i64>,
         gateways: u32,
         report_interval: clock::Millis,
     ) {
-        self.stale_at = now + report_interval * STALE_REPORTS;
+        self.stale_at = sent_at + report_interval * STALE_REPORTS;
         self.gateways = gateways;
+        self.has_shares = false;
         for (id, remaining) in remaining.iter() {
             if let Some(meter) = self.accounts.get_mut(id) {
                 let since = meter.spent - reported.get(id).copied().unwrap_or_default();
@@ -156,6 +196,21 @@
         }
     }
 
+    /// Sets the marks from the summary that answers the last report; called after
+    /// [`Self::apply_summary`].
+    pub fn apply_shares(&mut self, shares: &share::Shares) {
+        self.has_shares = true;
+        if shares.number != self.report_number {
+            return;
+        }
+        for (id, share) in shares.accounts.iter() {
+            if let Some(meter) = self.accounts.get_mut(id) {
+                meter.claim.mark = share.mark;
+                meter.free = share.free;
+            }
+        }
+    }
+
     /// Charges an account for a request; an account without a quota is never refused.
     ///
     /// # Errors
@@ -166,45 +221,85 @@
         now: clock::Millis,
         account: &id::ClientAccountId,
         units: u64,
+    ) -> Result<(), Exceeded> {
+        self.charge_again(now, account, units, true)
+    }
+
+    /// Charges as [`Self::charge`] does; `is_first` is false for a request that waited for a share.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::charge`].
+    pub fn charge_again(
+        &mut self,
+        now: clock::Millis,
+        account: &id::ClientAccountId,
+        units: u64,
+        is_first: bool,
     ) -> Result<(), Exceeded> {
         let share_only = now >= self.stale_at;
         let (window, gateways) = (self.window, i64::from(self.gateways.max(1)));
-        let Some(meter) = self.accounts.get_mut(account) else {
+        let meter = self.accounts.get_mut(account);
+        let Some((meter, quota)) = meter.and_then(|m| m.quota.map(|q| (m, q))) else {
             return Ok(());
         };
-        let remaining = if share_only {
-            meter.quota.limit(window) / gateways - meter.spent_in_window.sum(now)
+        if is_first {
+            meter.claim.asked += units;
+            meter.claim.largest = units.max(meter.claim.largest * 7 / 8);
+        }
+        let limit = quota.limit(window);
+        let may_wait = !share_only && self.has_shares && meter.free >= units;
+        let remaining = if self.stale_at == clock::Millis::ZERO {
+            // Before the first summary this gateway does not know how many share the quota.
+            0
+        } else if share_only {
+            limit / gateways - meter.spent_in_window.sum(now)
+        } else if self.has_shares {
+            meter.claim.open() as i64
         } else {
             meter.remaining
         };
         let missing = units as i64 - remaining;
         if missing <= 0 {
-            meter.spend(now, units as i64);
+            meter.spend(now, units);
             return Ok(());
         }
-        let retry_after = clock::Millis::new(missing as u64 * 1_000 / meter.quota.rate.max(1));
+        if may_wait {
+            // Reset with each report; a request that still waits then is counted again.
+            meter.claim.wanted += units;
+        }
+        let retry_after = clock::Millis::new(missing as u64 * 1_000 / quota.rate.max(1));
         Err(Exceeded {
             retry_after: retry_after.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
             units,
-            remaining,
-            quota: meter.quota,
+            remaining: if self.has_shares && !share_only {
+                meter.remaining
+            } else {
+                remaining
+            },
+            quota,
             share_only,
             fresh_for: self.stale_at - now,
+            may_wait,
         })
     }
 
-    /// Returns the units of a request that did not run to its account.
+    /// Returns the units of a request that did not run to its account. The request must have been
+    /// charged within the window; what was charged before is no longer counted.
     pub fn refund(&mut self, now: clock::Millis, account: &id::ClientAccountId, units: u64) {
         if let Some(meter) = self.accounts.get_mut(account) {
-            meter.spend(now, -(units as i64));
+            meter.spent -= units as i64;
+            meter.remaining += units as i64;
+            meter.spent_in_window.remove(now, units as i64);
         }
     }
 }
 
 impl Meter {
-    fn spend(&mut self, now: clock::Millis, units: i64) {
-        self.spent += units;
-        self.remaining -= units;
-        self.spent_in_window.add(now, units);
+    fn spend(&mut self, now: clock::Millis, units: u64) {
+        self.claim.charged += units;
+        self.spent += units as i64;
+        self.remaining -= units as i64;
+        self.spent_in_window.add(now, units as i64);
     }
 }
--- a/src/fleet/window.rs
+++ b/src/fleet/window.rs
@@ -26,7 +26,7 @@
         }
     }
 
-    /// Adds an amount; a negative one undoes an amount that was added shortly before.
+    /// Adds an amount.
     pub fn add(&mut self, now: clock::Millis, amount: i64) {
         if amount == 0 {
             return;
@@ -44,6 +44,18 @@
         }
     }
 
+    /// Takes away an amount that was added within the window, from the oldest slots on. So what remains
+    /// leaves the window no sooner than if the amount had never been added.
+    pub fn remove(&mut self, now: clock::Millis, amount: i64) {
+        let mut rest = amount.min(self.sum(now));
+        for (_, slot) in &mut self.slots {
+            let part = rest.min(*slot).max(0);
+            *slot -= part;
+            self.sum -= part;
+            rest -= part;
+        }
+    }
+
     /// Adds an amount at an earlier time, which may lie before amounts that were added already.
     pub fn add_past(&mut self, at: clock::Millis, amount: i64) {
         let after = self.slots.partition_point(|(begin, _)| *begin <= at);
--- a/src/keeper/aggregator.rs
+++ b/src/keeper/aggregator.rs
@@ -8,6 +8,7 @@
 
 use crate::clock;
 use crate::document;
+use crate::fleet::allowance;
 use crate::fleet::budget;
 use crate::fleet::ledger;
 use crate::fleet::listing;
@@ -49,26 +50,27 @@
 
 /// The part of a control member that serves routers.
 pub struct Aggregator {
-    group: group::Group,
+    pub(super) group: group::Group,
     codec: sync::Arc<dyn protocol::Codec>,
     list_settings: core::ListSettings,
-    quota_window: clock::Millis,
+    pub(super) quota_window: clock::Millis,
     budget: budget::Settings,
-    clock: clock::Clock,
+    pub(super) clock: clock::Clock,
     leader_state: sync::Mutex<LeaderState>,
 }
 
 /// State of a leader, kept in memory for the length of its term.
 #[derive(Debug, Default)]
-struct LeaderState {
-    term: Option<id::Term>,
+pub(super) struct LeaderState {
+    pub(super) term: Option<id::Term>,
     confirmed_at: Option<clock::Millis>,
-    ledger: ledger::Ledger,
-    configured_version: Option<document::DocumentVersion>,
+    pub(super) ledger: ledger::Ledger,
+    pub(super) configured_version: Option<document::DocumentVersion>,
     /// The revision of the replicated configuration whose quarantine the ledger has.
     config_revision: Option<id::Revision>,
     lists: listing::History,
     origins: origin::Registry,
+    pub(super) allowances: allowance::Planner,
 }
 
 impl Aggregator {
@@ -91,7 +93,7 @@
         }
     }
 
-    fn leader_state(&self) -> sync::MutexGuard<'_, LeaderState> {
+    pub(super) fn leader_state(&self) -> sync::MutexGuard<'_, LeaderState> {
         self.leader_state
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
@@ -115,6 +117,9 @@
             if self.group.ensure_linearizable().await.is_ok() {
                 let mut leader_state = self.leader_state();
                 if leader_state.term == leader_term {
+                    if leader_state.confirmed_at.is_none() {
+                        self.take_over_use(&mut leader_state);
+                    }
                     leader_state.confirmed_at = Some(confirm_started_at);
                 }
             }
@@ -230,12 +235,15 @@
 
     /// Commits a change of the origins; returns whether that is certain.
     async fn commit_origins(&self, term: id::Term, batch: origin::Batch) -> bool {
-        let command = command::Command::Origins(batch);
-        match self.group.submit_in_term(term, &command).await {
+        self.commit(term, &command::Command::Origins(batch)).await
+    }
+
+    pub(super) async fn commit(&self, term: id::Term, command: &command::Command) -> bool {
+        match self.group.submit_in_term(term, command).await {
             Ok(group::Outcome::Applied(_)) => true,
             Ok(_) => false,
             Err(e) => {
-                log::error!("origins of streams can't be committed: {e}");
+                log::error!("a change of the replicated state can't be committed: {e}");
                 false
             }
         }
@@ -274,6 +282,10 @@
         let router_list = report.list;
         let router_document = report.document;
         let sums = leader_state.ledger.report(now, from, report);
+        let extension = fleet::SummaryExtension {
+            quotas: leader_state.ledger.shares(now, from),
+            ..fleet::SummaryExtension::new()
+        };
         // Documents can be large, and almost every report comes with the newest version, so the
         // document is copied only when it is needed.
         let newer_document = (router_document < current_version)
@@ -292,7 +304,7 @@
             sums,
             mixed: self.group.with_state(|s| s.origins().mixed()),
             members: self.group.status().addresses,
-            extension: fleet::SummaryExtension::new(),
+            extension,
         }))
     }
 
@@ -401,7 +413,7 @@
         self.group.with_state(|s| s.document().cloned())
     }
 
-    fn configure(&self, leader_state: &mut LeaderState) {
+    pub(super) fn configure(&self, leader_state: &mut LeaderState) {
         let Some(packed) = self.document() else {
             return;
         };
@@ -424,7 +436,7 @@
 }
 
 impl LeaderState {
-    fn is_confirmed(&self, now: clock::Millis) -> bool {
+    pub(super) fn is_confirmed(&self, now: clock::Millis) -> bool {
         self.is_confirmed_within(now, MAX_CONFIRMATION_AGE)
     }
 
--- a/src/keeper/run.rs
+++ b/src/keeper/run.rs
@@ -129,6 +129,11 @@
         saving.save_origins(stop).await;
         Ok(())
     });
+    let (allowing, stop) = (sync::Arc::clone(&aggregator), shutdown.subscribe());
+    tasks.spawn("allowances", async move {
+        allowing.allow_use(stop).await;
+        Ok(())
+    });
     let stop = shutdown.subscribe();
     tasks.spawn("server list", async move {
         aggregator.read_lists(stop).await;
--- a/src/peer/trailer.rs
+++ b/src/peer/trailer.rs
@@ -27,6 +27,8 @@
     pub const COLD_SERVERS: u32 = 2;
     /// The version that all processes speak.
     pub const FEATURE_LEVEL: u32 = 3;
+    /// Shares of quotas; in a snapshot, what accounts were allowed.
+    pub const QUOTAS: u32 = 4;
 }
 
 macros::data! {
--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -46,6 +46,8 @@
 
 /// What a report said of this router, which the summaries that answer it contain.
 struct Reported {
+    /// When the report was made.
+    sent_at: clock::Millis,
     spent: sorted::Map<id::ClientAccountId, i64>,
     loads: sorted::Map<id::BackendServerId, message::Load>,
 }
@@ -113,7 +115,7 @@
     /// Waits until something is to be reported before its time.
     async fn wait_for_news(&self, delay: clock::Millis) {
         time::sleep(MIN_REPORT_GAP.min(delay).as_duration()).await;
-        while !self.core.suspects().has_news() {
+        while !self.core.suspects().has_news() && !self.core.quotas().wants_share() {
             self.core.report_due.notified().await;
         }
     }
@@ -127,6 +129,8 @@
         let (report, told) = self.report();
         let settled = report.settled.clone();
         let reported = Reported {
+            // The clock starts with the process.
+            sent_at: report.uptime,
             spent: report.spent.clone(),
             loads: report.loads.clone(),
         };
@@ -173,12 +177,13 @@
     fn report(&self) -> (message::Report, suspects::Reported) {
         let core = &self.core;
         let now = core.clock.now();
-        let (gateways, spent, spent_in_window) = {
+        let (gateways, spent, spent_in_window, claims) = {
             let mut quotas = core.quotas();
             (
                 quotas.gateways(),
                 quotas.spent(),
                 quotas.spent_in_window(now),
+                quotas.next_claims(),
             )
         };
         let max_news_age = self.max_news_age();
@@ -229,7 +234,10 @@
             leaving,
             limits,
             sent_at: core.leader_time(now),
-            extension: message::ReportExtension::new(),
+            extension: message::ReportExtension {
+                quotas: Some(claims),
+                ..message::ReportExtension::new()
+            },
         };
         (report, told)
     }
@@ -293,13 +301,19 @@
                 suspects.repeat();
             }
         }
-        core.quotas().apply_summary(
-            now,
-            &reported.spent,
-            &sums.remaining,
-            sums.gateways,
-            sums.report_interval,
-        );
+        {
+            let mut quotas = core.quotas();
+            quotas.apply_summary(
+                reported.sent_at,
+                &reported.spent,
+                &sums.remaining,
+                sums.gateways,
+                sums.report_interval,
+            );
+            if let Some(shares) = &summary.extension.quotas {
+                quotas.apply_shares(shares);
+            }
+        }
         let window_s = core.settings.budget.window.as_secs_f64();
         let rates = sums.attempts.iter().map(|(service, attempts)| {
             let rate = (attempts.requests as f64 / window_s).round() as u64;
--- a/src/router/request/mod.rs
+++ b/src/router/request/mod.rs
@@ -19,6 +19,7 @@
 use crate::document;
 use crate::fleet::budget;
 use crate::fleet::crashes;
+use crate::fleet::quota;
 use crate::http::body;
 use crate::http::hop;
 use crate::id;
@@ -47,6 +48,10 @@
 /// Servers that may be tried beyond the allowed attempts because earlier ones could not be reached.
 pub const MAX_CONNECT_FAILURES: u32 = 3;
 
+/// The longest wait of a request for a share of its account's quota: a report before its time, and
+/// another one when that was lost.
+const MAX_SHARE_WAIT: clock::Millis = clock::Millis::new(300);
+
 /// An admitted request: read, routed and charged.
 pub struct Request {
     pub core: sync::Arc<core::Core>,
@@ -158,7 +163,9 @@
         &log_context.request_id,
         account,
         caller.generation.as_ref(),
-    )?;
+    )
+    .await?;
+    let charged_at = core.clock.now();
     let max_wait = caller.max_wait.unwrap_or(route.time_limit);
     let priority =
         account.map_or(0, |a| u16::from(a.priority.min(63))) << 8 | u16::from(route.priority);
@@ -189,13 +196,18 @@
         && refusal.is_not_run()
     {
         let now = core.clock.now();
-        core.quotas().refund(now, &account, cost);
+        if now < charged_at + core.settings.quota_window {
+            core.quotas().refund(now, &account, cost);
+        }
     }
     result
 }
 
 /// Charges a request to its account; returns its cost and the units that the account has left.
-fn charge(
+///
+/// While much of the quota remains in the fleet, a request that is beyond this router's share waits
+/// for the next summary.
+async fn charge(
     core: &core::Core,
     table: &table::Table,
     request: &str,
@@ -207,8 +219,11 @@
     };
     let cost = account.cost(generation);
     let account_label = table.account_label(account);
-    let mut quotas = core.quotas();
-    let charged = quotas.charge(core.clock.now(), &account.id, cost);
+    let now = core.clock.now();
+    let mut charged = core.quotas().charge(now, &account.id, cost);
+    if charged.is_err_and(|e| e.may_wait) {
+        charged = wait_for_share(core, &account.id, cost).await;
+    }
     let outcome = if charged.is_ok() {
         "charged"
     } else {
@@ -224,7 +239,35 @@
         log_lines::log_over_quota(request, &account.id, exceeded);
         return Err(Refusal::OverQuota(exceeded.retry_after));
     }
-    Ok((cost, quotas.remaining(&account.id).unwrap_or_default()))
+    let left = core.quotas().remaining(&account.id);
+    Ok((cost, left.unwrap_or_default()))
+}
+
+/// Charges a request after a summary has brought a share for it.
+async fn wait_for_share(
+    core: &core::Core,
+    account: &id::ClientAccountId,
+    cost: u64,
+) -> Result<(), quota::Exceeded> {
+    let deadline = core.clock.now() + MAX_SHARE_WAIT;
+    loop {
+        let answered = core.report_answered.notified();
+        core.report_due.notify_one();
+        let rest = deadline - core.clock.now();
+        let is_late = time::timeout(rest.as_duration(), answered).await.is_err();
+        let now = core.clock.now();
+        let charged = core.quotas().charge_again(now, account, cost, false);
+        if is_late || !charged.is_err_and(|e| e.may_wait) {
+            let outcome = if charged.is_ok() {
+                "granted"
+            } else {
+                "refused"
+            };
+            metrics::counter!("buckthorncleat_quota_waits_total", "outcome" => outcome)
+                .increment(1);
+            return charged;
+        }
+    }
 }
 
 fn host_of(head: &hyper::http::request::Parts) -> Option<String> {
--- a/src/sorted.rs
+++ b/src/sorted.rs
@@ -96,6 +96,11 @@
         self.entries.iter().map(|e| (&e.key, &e.value))
     }
 
+    /// Iterates over the entries in the order of their keys, by mutable reference to the values.
+    pub fn iter_mut(&mut self) -> impl DoubleEndedIterator<Item = (&K, &mut V)> {
+        self.entries.iter_mut().map(|e| (&e.key, &mut e.value))
+    }
+
     /// Iterates over the keys in order.
     pub fn keys(&self) -> impl DoubleEndedIterator<Item = &K> {
         self.entries.iter().map(|e| &e.key)
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::document;
 use crate::error;
+use crate::fleet::allowance;
 use crate::fleet::origin;
 use crate::id;
 use crate::macros;
@@ -37,6 +38,8 @@
         /// Raises the feature level; a lower one than the current has no effect. Members of the first
         /// release can't read it.
         RaiseLevel(FeatureLevel),
+        /// Records what client accounts may have used. Needs feature level 2.
+        Allow(allowance::Batch),
     }
 }
 
@@ -188,6 +191,9 @@
         /// In the trailer of a snapshot; one without it has [`trailer::FIRST`].
         #[serde(skip)]
         feature_level: FeatureLevel,
+        /// In the trailer of a snapshot.
+        #[serde(skip)]
+        allowances: allowance::Allowances,
     }
 }
 
@@ -214,6 +220,11 @@
         self.feature_level
     }
 
+    /// Returns what client accounts may have used.
+    pub fn allowances(&self) -> &allowance::Allowances {
+        &self.allowances
+    }
+
     pub fn audit(&self) -> &audit::Log {
         &self.audit
     }
@@ -264,6 +275,10 @@
                 self.feature_level = self.feature_level.max(*level);
                 Answer::Done(self.config.revision)
             }
+            Command::Allow(batch) => {
+                self.allowances.apply(batch);
+                Answer::Done(self.config.revision)
+            }
         };
         assert!(self.config.revision >= before, "the revision decreased");
         answer
@@ -277,6 +292,7 @@
     pub fn to_bytes(&self) -> error::Result<Vec<u8>> {
         let mut trailer = trailer::Trailer::new();
         trailer.add(trailer::section::FEATURE_LEVEL, &self.feature_level)?;
+        trailer.add(trailer::section::QUOTAS, &self.allowances)?;
         trailer.append_to(&(self, &self.origins))
     }
 
@@ -298,6 +314,8 @@
             state.origins = origins;
             let level = trailer.get(trailer::section::FEATURE_LEVEL)?;
             state.feature_level = level.unwrap_or_default();
+            let allowances = trailer.get(trailer::section::QUOTAS)?;
+            state.allowances = allowances.unwrap_or_default();
         }
         Ok(state)
     }
