--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -11,6 +11,7 @@
 use crate::fleet::evacuation;
 use crate::fleet::listing;
 use crate::fleet::permit;
+use crate::fleet::share;
 use crate::fleet::totals;
 use crate::id;
 use crate::macros;
@@ -80,6 +81,8 @@
         /// The revision of the evacuations that is in force at the gateway; `None` before the first
         /// notice of them.
         pub evacuations: Option<evacuation::Revision>,
+        /// The gateway's use of quotas; `None` from one that knows no shares.
+        pub quotas: Option<share::Claims>,
     }
 }
 
@@ -89,6 +92,7 @@
         Self {
             version: trailer::FIRST,
             evacuations: None,
+            quotas: None,
         }
     }
 }
@@ -98,7 +102,7 @@
     pub fn new() -> Self {
         Self {
             version: trailer::CURRENT,
-            evacuations: None,
+            ..Self::default()
         }
     }
 
@@ -112,6 +116,9 @@
         if let Some(revision) = &self.evacuations {
             trailer.add(trailer::section::EVACUATIONS, revision)?;
         }
+        if let Some(quotas) = &self.quotas {
+            trailer.add(trailer::section::QUOTAS, quotas)?;
+        }
         Ok(trailer)
     }
 
@@ -124,6 +131,7 @@
         Ok(Self {
             version: trailer.version,
             evacuations: trailer.get(trailer::section::EVACUATIONS)?,
+            quotas: trailer.get(trailer::section::QUOTAS)?,
         })
     }
 }
@@ -228,6 +236,8 @@
         /// The time since the leader began to read the newest list of servers; `None` before it has
         /// one, and from a leader of the first release.
         pub list_age: Option<clock::Millis>,
+        /// What the gateway may charge; `None` from a leader that issues no shares.
+        pub quotas: Option<share::Shares>,
     }
 }
 
@@ -238,6 +248,7 @@
             version: trailer::FIRST,
             evacuated: None,
             list_age: None,
+            quotas: None,
         }
     }
 }
@@ -247,8 +258,7 @@
     pub fn new() -> Self {
         Self {
             version: trailer::CURRENT,
-            evacuated: None,
-            list_age: None,
+            ..Self::default()
         }
     }
 
@@ -265,6 +275,9 @@
         if let Some(list_age) = &self.list_age {
             trailer.add(trailer::section::ORIGINS, list_age)?;
         }
+        if let Some(quotas) = &self.quotas {
+            trailer.add(trailer::section::QUOTAS, quotas)?;
+        }
         Ok(trailer)
     }
 
@@ -278,6 +291,7 @@
             version: trailer.version,
             evacuated: trailer.get(trailer::section::EVACUATIONS)?,
             list_age: trailer.get(trailer::section::ORIGINS)?,
+            quotas: trailer.get(trailer::section::QUOTAS)?,
         })
     }
 }
--- a/src/keeper/aggregator.rs
+++ b/src/keeper/aggregator.rs
@@ -11,6 +11,7 @@
 
 use crate::clock;
 use crate::document;
+use crate::fleet::allowance;
 use crate::fleet::budget;
 use crate::fleet::evacuation;
 use crate::fleet::ledger;
@@ -55,12 +56,12 @@
 
 /// The part of a control member that serves routers.
 pub struct Aggregator {
-    group: group::Group,
+    pub(super) group: group::Group,
     codec: sync::Arc<dyn protocol::Codec>,
     list_settings: core::ListSettings,
-    quota_window: clock::Millis,
+    pub(super) quota_window: clock::Millis,
     budget: budget::Settings,
-    clock: clock::Clock,
+    pub(super) clock: clock::Clock,
     leader_state: sync::Mutex<LeaderState>,
     /// Kept over terms: a member sees evacuations end also while it follows.
     evacuation_ends: sync::Mutex<evacuation::EndTimes>,
@@ -68,11 +69,11 @@
 
 /// State of a leader, kept in memory for the length of its term.
 #[derive(Debug, Default)]
-struct LeaderState {
-    term: Option<id::Term>,
+pub(super) struct LeaderState {
+    pub(super) term: Option<id::Term>,
     confirmed_at: Option<clock::Millis>,
-    ledger: ledger::Ledger,
-    configured_version: Option<document::DocumentVersion>,
+    pub(super) ledger: ledger::Ledger,
+    pub(super) configured_version: Option<document::DocumentVersion>,
     /// The revision of the replicated configuration whose quarantine the ledger has.
     config_revision: Option<id::Revision>,
     lists: listing::History,
@@ -82,6 +83,7 @@
     upgrade: upgrade::Watch,
     /// The revision of the evacuations that is in force at all routers.
     evacuations_in_force: Option<evacuation::Revision>,
+    pub(super) allowances: allowance::Planner,
 }
 
 impl Aggregator {
@@ -105,7 +107,7 @@
         }
     }
 
-    fn leader_state(&self) -> sync::MutexGuard<'_, LeaderState> {
+    pub(super) fn leader_state(&self) -> sync::MutexGuard<'_, LeaderState> {
         self.leader_state
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
@@ -130,6 +132,9 @@
             if self.group.ensure_linearizable().await.is_ok() {
                 let mut leader_state = self.leader_state();
                 if leader_state.term == leader_term {
+                    if leader_state.confirmed_at.is_none() {
+                        self.take_over_use(&mut leader_state);
+                    }
                     leader_state.confirmed_at = Some(confirm_started_at);
                 }
             }
@@ -219,6 +224,12 @@
         let router_document = report.document;
         let is_first = report.known.is_none();
         let sums = leader_state.ledger.report(now, from, report);
+        let extension = fleet::SummaryExtension {
+            quotas: leader_state.ledger.shares(now, from),
+            evacuated: Some(self.evacuation_notice()),
+            list_age: leader_state.list_read_at.map(|at| now - at),
+            ..fleet::SummaryExtension::new()
+        };
         // Documents can be large, and almost every report comes with the newest version, so the
         // document is copied only when it is needed.
         let newer_document = (router_document < current_version)
@@ -242,11 +253,7 @@
             sums,
             mixed,
             members: self.group.status().addresses,
-            extension: fleet::SummaryExtension {
-                evacuated: Some(self.evacuation_notice()),
-                list_age: leader_state.list_read_at.map(|at| now - at),
-                ..fleet::SummaryExtension::new()
-            },
+            extension,
         }))
     }
 
@@ -382,7 +389,7 @@
         self.group.with_state(|s| s.document().cloned())
     }
 
-    fn configure(&self, leader_state: &mut LeaderState) {
+    pub(super) fn configure(&self, leader_state: &mut LeaderState) {
         let Some(packed) = self.document() else {
             return;
         };
@@ -400,7 +407,7 @@
 }
 
 impl LeaderState {
-    fn is_confirmed(&self, now: clock::Millis) -> bool {
+    pub(super) fn is_confirmed(&self, now: clock::Millis) -> bool {
         self.is_confirmed_within(now, MAX_CONFIRMATION_AGE)
     }
 
--- a/src/keeper/aggregator/origins.rs
+++ b/src/keeper/aggregator/origins.rs
@@ -131,12 +131,20 @@
 
     /// Commits a change of the origins; returns whether that is certain.
     async fn commit_origins(&self, term: id::Term, batch: origin::Batch) -> bool {
-        let command = command::Command::Origins(batch);
-        match self.group.submit_in_term(term, &command).await {
+        self.commit(term, &command::Command::Origins(batch)).await
+    }
+
+    /// Commits a command of the leader in `term`; returns whether that is certain.
+    pub(in crate::keeper) async fn commit(
+        &self,
+        term: id::Term,
+        command: &command::Command,
+    ) -> bool {
+        match self.group.submit_in_term(term, command).await {
             Ok(group::Outcome::Applied(_)) => true,
             Ok(_) => false,
             Err(e) => {
-                log::error!("origins of streams can't be committed: {e}");
+                log::error!("a change of the replicated state can't be committed: {e}");
                 false
             }
         }
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::document;
 use crate::error;
+use crate::fleet::allowance;
 use crate::fleet::evacuation;
 use crate::fleet::origin;
 use crate::id;
@@ -42,6 +43,8 @@
         StartEvacuation(id::DataCentre),
         /// Finishes the evacuation of a data centre. Members of the first release can't read it.
         FinishEvacuation(id::DataCentre),
+        /// Records what client accounts may have used. Needs feature level 2.
+        Allow(allowance::Batch),
     }
 }
 
@@ -196,6 +199,9 @@
         /// In the trailer of a snapshot; one without it has none.
         #[serde(skip)]
         evacuations: evacuation::Evacuations,
+        /// In the trailer of a snapshot.
+        #[serde(skip)]
+        allowances: allowance::Allowances,
     }
 }
 
@@ -275,6 +281,11 @@
         &self.evacuations
     }
 
+    /// Returns what client accounts may have used.
+    pub fn allowances(&self) -> &allowance::Allowances {
+        &self.allowances
+    }
+
     pub fn audit(&self) -> &audit::Log {
         &self.audit
     }
@@ -330,6 +341,10 @@
                 self.evacuations.finish(data_centre);
                 Answer::Done(self.config.revision)
             }
+            Command::Allow(batch) => {
+                self.allowances.apply(batch);
+                Answer::Done(self.config.revision)
+            }
         };
         assert!(self.config.revision >= before, "the revision decreased");
         answer
@@ -347,6 +362,7 @@
         let mut trailer = trailer::Trailer::new();
         trailer.add(trailer::section::FEATURE_LEVEL, &self.feature_level)?;
         trailer.add(trailer::section::EVACUATIONS, &self.evacuations)?;
+        trailer.add(trailer::section::QUOTAS, &self.allowances)?;
         let state = trailer.append_to(&(self, &self.origins))?;
         if self.feature_level == FeatureLevel::default() {
             return Ok(state);
@@ -376,6 +392,8 @@
             state.feature_level = level.unwrap_or_default();
             let evacuations = trailer.get(trailer::section::EVACUATIONS)?;
             state.evacuations = evacuations.unwrap_or_default();
+            let allowances = trailer.get(trailer::section::QUOTAS)?;
+            state.allowances = allowances.unwrap_or_default();
         }
         Ok(state)
     }
