Cold servers get calls only with the leader's permits

A server that restarts crashes when it gets many more calls than its service's cold rate, and routers found out by calling it. The leader now keeps what is proven of each server, sets the limit of those that are or may be cold, and passes its word on in the summary's trailer. A router calls a server without a permit only while its newest proof of warmth is younger than the shortest restart. Services without a cold rate are as before.

Also: a load that was added while its server was unlisted no longer underflows when the server is back.

--- a/benches/router_balancer.rs
+++ b/benches/router_balancer.rs
@@ -25,6 +25,7 @@
             export_ttl: clock::Millis::new(500),
             max_reservation_ttl: clock::Millis::from_secs(2),
         }),
+        cold_start: None,
     }
 }
 
--- a/src/document.rs
+++ b/src/document.rs
@@ -148,6 +148,17 @@
         pub connections: u32,
         /// `None` for a service that runs no model.
         pub engine: Option<Engine>,
+        /// `None` for a service whose servers are never cold.
+        pub cold_start: Option<ColdStart>,
+    }
+}
+
+macros::data! {copy
+    /// The time after its start in which a server takes few calls, and how many.
+    pub struct ColdStart {
+        pub time: clock::Millis,
+        /// The calls a second from all routers together; above 0.
+        pub rate: unit::CallRate,
     }
 }
 
--- a/src/fleet/ledger/mod.rs
+++ b/src/fleet/ledger/mod.rs
@@ -1,11 +1,13 @@
 //! Aggregates the reports of all gateways at the leader.
 
+mod cold_servers;
 mod runs;
 mod servers;
 
 use crate::clock;
 use crate::document;
 use crate::fleet::budget;
+use crate::fleet::cold;
 use crate::fleet::crashes;
 use crate::fleet::failing;
 use crate::fleet::message;
@@ -68,6 +70,7 @@
     quota_window: clock::Millis,
     accounts: sorted::Map<id::ClientAccountId, Account>,
     crashes: crashes::Crashes,
+    cold: cold::Registry,
     next_standings: clock::Millis,
 }
 
@@ -102,6 +105,13 @@
         self
     }
 
+    /// Sets the bounds for calls to cold servers.
+    #[must_use]
+    pub fn with_cold(mut self, settings: cold::Settings) -> Self {
+        self.cold = cold::Registry::new(settings);
+        self
+    }
+
     /// Replaces the accounts by those of a document; their use so far is kept.
     pub fn configure(&mut self, accounts: &[document::Account]) {
         self.accounts
@@ -131,6 +141,7 @@
         let sent_at = self.own_time(report.sent_at);
         self.record_runs(now, sent_at, &report);
         self.permits.hear(now, sent_at, &report.limits);
+        self.cold.record(now, sent_at, &report.extension.cold);
         self.retries
             .hear(now, sent_at, known.is_some(), from, &report);
         self.store(now, from, report);
@@ -153,6 +164,7 @@
         ask: &permit::Ask,
     ) -> permit::Answer {
         let sent_at = self.own_time(ask.sent_at);
+        self.limit_cold(now, &ask.servers);
         self.permits.ask(now, sent_at, from, ask)
     }
 
@@ -174,6 +186,7 @@
 
     /// Brings the limits in the totals up to date.
     fn update_limits(&mut self, now: clock::Millis) {
+        self.update_cold(now);
         self.permits.expire(now);
         let limits: sorted::Map<_, _> = self.permits.limits(now).collect();
         for server in self.totals.limited() {
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -7,6 +7,7 @@
 use crate::error;
 use crate::fleet::budget;
 use crate::fleet::call_limit;
+use crate::fleet::cold;
 use crate::fleet::crashes;
 use crate::fleet::listing;
 use crate::fleet::permit;
@@ -77,6 +78,8 @@
     pub struct ReportExtension {
         /// The protocol version of the gateway.
         pub version: trailer::ProtocolVersion,
+        /// What its calls say of servers that may be cold; nothing from a gateway of version 1.
+        pub cold: cold::Evidence,
     }
 }
 
@@ -85,6 +88,7 @@
     pub fn new() -> Self {
         Self {
             version: trailer::CURRENT,
+            cold: cold::Evidence::default(),
         }
     }
 
@@ -94,7 +98,11 @@
     ///
     /// Fails when a section can't be encoded, which is a bug.
     pub fn to_trailer(&self) -> error::Result<trailer::Trailer> {
-        Ok(trailer::Trailer::new())
+        let mut trailer = trailer::Trailer::new();
+        if self.cold != cold::Evidence::default() {
+            trailer.add(trailer::section::COLD_SERVERS, &self.cold)?;
+        }
+        Ok(trailer)
     }
 
     /// Decodes the sections.
@@ -105,6 +113,9 @@
     pub fn from_trailer(trailer: &trailer::Trailer) -> error::Result<Self> {
         Ok(Self {
             version: trailer.version,
+            cold: trailer
+                .get(trailer::section::COLD_SERVERS)?
+                .unwrap_or_default(),
         })
     }
 }
@@ -205,6 +216,9 @@
     pub struct SummaryExtension {
         /// The protocol version of the leader.
         pub version: trailer::ProtocolVersion,
+        /// What the leader knows of servers that may be cold; `None` when no service has a cold start,
+        /// and from a leader of version 1.
+        pub cold: Option<cold::Word>,
     }
 }
 
@@ -213,6 +227,7 @@
     pub fn new() -> Self {
         Self {
             version: trailer::CURRENT,
+            cold: None,
         }
     }
 
@@ -222,7 +237,11 @@
     ///
     /// Fails when a section can't be encoded, which is a bug.
     pub fn to_trailer(&self) -> error::Result<trailer::Trailer> {
-        Ok(trailer::Trailer::new())
+        let mut trailer = trailer::Trailer::new();
+        if let Some(cold) = &self.cold {
+            trailer.add(trailer::section::COLD_SERVERS, cold)?;
+        }
+        Ok(trailer)
     }
 
     /// Decodes the sections.
@@ -233,6 +252,7 @@
     pub fn from_trailer(trailer: &trailer::Trailer) -> error::Result<Self> {
         Ok(Self {
             version: trailer.version,
+            cold: trailer.get(trailer::section::COLD_SERVERS)?,
         })
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod budget;
 pub mod call_limit;
+pub mod cold;
 pub mod crashes;
 pub mod failing;
 pub mod ledger;
--- a/src/fleet/permit.rs
+++ b/src/fleet/permit.rs
@@ -149,7 +149,9 @@
 /// The calls that one server is to get.
 #[derive(Debug, Default)]
 struct Schedule {
-    limit: call_limit::NamedLimit,
+    named: call_limit::NamedLimit,
+    /// The limit while the server is or may be cold.
+    cold: Option<unit::CallRate>,
     /// The calls that the server has got or will get, less those that its limit has allowed since,
     /// in millionths of a call.
     backlog: u64,
@@ -185,7 +187,7 @@
                 .get_or_insert_with(server.clone(), || Schedule::new(now));
             schedule.drain(now);
             schedule.mentioned_at = now;
-            schedule.limit.record(call_limit::Said {
+            schedule.named.record(call_limit::Said {
                 at: sent_at.unwrap_or(now) - news.age,
                 rate: news.rate,
             });
@@ -252,7 +254,7 @@
         let mut best: Option<(clock::Millis, &id::BackendServerId)> = None;
         for server in &ask.servers {
             let schedule = self.servers.get_mut(server);
-            let Some(schedule) = schedule.filter(|s| s.limit.rate(now).is_some()) else {
+            let Some(schedule) = schedule.filter(|s| s.limit(now).is_some()) else {
                 return Answer::Unlimited {
                     server: server.clone(),
                 };
@@ -320,18 +322,56 @@
         (return_in, clock::Millis::new(ONE_CALL / total_rate))
     }
 
+    /// Sets the limit of a server that is or may be cold; `None` when it is not.
+    pub fn set_cold(
+        &mut self,
+        now: clock::Millis,
+        server: &id::BackendServerId,
+        rate: Option<unit::CallRate>,
+    ) {
+        let Some(schedule) = self.servers.get_mut(server) else {
+            if rate.is_some() {
+                // It has had no calls lately, or those of before its start, which do not count.
+                let schedule = Schedule {
+                    cold: rate,
+                    backlog: 0,
+                    ..Schedule::new(now)
+                };
+                self.servers.insert(server.clone(), schedule);
+            }
+            return;
+        };
+        if rate.is_some() {
+            schedule.mentioned_at = now;
+        }
+        if schedule.cold == rate {
+            return;
+        }
+        if schedule.cold.is_some() {
+            schedule.drain(now);
+        }
+        schedule.cold = rate;
+    }
+
+    /// Returns the servers that are limited since they are or may be cold.
+    pub fn cold(&self) -> Vec<id::BackendServerId> {
+        let cold = self.servers.iter().filter(|(_, s)| s.cold.is_some());
+        cold.map(|(server, _)| server.clone()).collect()
+    }
+
     /// Returns the limits that hold, of all servers that any router has mentioned.
     pub fn limits(
         &self,
         now: clock::Millis,
     ) -> impl Iterator<Item = (&id::BackendServerId, Option<unit::CallRate>)> {
         let servers = self.servers.iter();
-        servers.map(move |(server, schedule)| (server, schedule.limit.rate(now)))
+        servers.map(move |(server, schedule)| (server, schedule.limit(now)))
     }
 
     /// Forgets the limits that no router mentions any more.
     pub fn expire(&mut self, now: clock::Millis) {
-        self.servers.retain(|_, s| now < s.mentioned_at + RETENTION);
+        self.servers
+            .retain(|_, s| s.cold.is_some() || now < s.mentioned_at + RETENTION);
         self.grants
             .retain(|_, g| now < g.granted_at + GRANT_RETENTION);
     }
@@ -368,9 +408,15 @@
         }
     }
 
+    /// Returns the lower one of the limit that the server names and the one while it may be cold.
+    fn limit(&self, now: clock::Millis) -> Option<unit::CallRate> {
+        let named = self.named.rate(now);
+        named.into_iter().chain(self.cold).min()
+    }
+
     /// Returns the rate in millionths of a call per millisecond.
     fn rate(&self, now: clock::Millis) -> u64 {
-        let rate = self.limit.rate(now).unwrap_or_default();
+        let rate = self.limit(now).unwrap_or_default();
         rate.clamp(MIN_RATE, MAX_RATE).as_millicalls()
     }
 
--- a/src/keeper/aggregator.rs
+++ b/src/keeper/aggregator.rs
@@ -9,6 +9,7 @@
 use crate::clock;
 use crate::document;
 use crate::fleet::budget;
+use crate::fleet::cold;
 use crate::fleet::ledger;
 use crate::fleet::listing;
 use crate::fleet::message as fleet;
@@ -54,6 +55,7 @@
     list_settings: core::ListSettings,
     quota_window: clock::Millis,
     budget: budget::Settings,
+    cold: cold::Settings,
     clock: clock::Clock,
     leader_state: sync::Mutex<LeaderState>,
 }
@@ -78,6 +80,7 @@
         list_settings: core::ListSettings,
         quota_window: clock::Millis,
         budget: budget::Settings,
+        cold: cold::Settings,
         clock: clock::Clock,
     ) -> Self {
         Self {
@@ -86,6 +89,7 @@
             list_settings,
             quota_window,
             budget,
+            cold,
             clock,
             leader_state: sync::Mutex::default(),
         }
@@ -159,12 +163,21 @@
 
     async fn set_list(&self, mut listed: discovery::Listed) {
         self.admit_versions(&mut listed.servers).await;
-        let list = match listing::List::new(listed.servers) {
+        let list = match listing::List::new(std::mem::take(&mut listed.servers)) {
             Ok(list) => list,
             Err(e) => return log::error!("{e}"),
         };
         let (digest, servers) = (list.digest().0, list.servers().len());
-        if self.leader_state().lists.set(list) {
+        let is_changed = {
+            let now = self.clock.now();
+            let mut leader_state = self.leader_state();
+            self.update_document(&mut leader_state);
+            leader_state
+                .ledger
+                .set_list(now, list.servers(), &listed.cold);
+            leader_state.lists.set(list)
+        };
+        if is_changed {
             log::info!(
                 event = "list",
                 digest = digest,
@@ -247,7 +260,8 @@
             *leader_state = LeaderState {
                 term: leader_term,
                 ledger: ledger::Ledger::new(leader_term.unwrap_or_default(), self.quota_window)
-                    .with_budget(self.budget),
+                    .with_budget(self.budget)
+                    .with_cold(self.cold),
                 ..LeaderState::default()
             };
         }
@@ -267,9 +281,7 @@
         let Some(term) = leader_state.term.filter(|_| leader_state.is_confirmed(now)) else {
             return message::Reply::NotLeader(self.group.status().leader_peer());
         };
-        if leader_state.configured_version != current_version {
-            self.configure(&mut leader_state);
-        }
+        self.update_document(&mut leader_state);
         self.update_quarantine(&mut leader_state);
         let router_list = report.list;
         let router_document = report.document;
@@ -284,6 +296,12 @@
             log::error!("{e}; the router keeps its list until the next report");
             None
         });
+        let extension = fleet::SummaryExtension {
+            cold: leader_state
+                .ledger
+                .cold_word(now, leader_state.lists.newest()),
+            ..fleet::SummaryExtension::new()
+        };
         message::Reply::Summary(Box::new(fleet::Summary {
             term,
             time: now,
@@ -292,7 +310,7 @@
             sums,
             mixed: self.group.with_state(|s| s.origins().mixed()),
             members: self.group.status().addresses,
-            extension: fleet::SummaryExtension::new(),
+            extension,
         }))
     }
 
@@ -401,6 +419,14 @@
         self.group.with_state(|s| s.document().cloned())
     }
 
+    /// Applies the document of the replicated state, if that has changed.
+    fn update_document(&self, leader_state: &mut LeaderState) {
+        let current_version = self.group.with_state(|s| s.document().map(|d| d.version));
+        if leader_state.configured_version != current_version {
+            self.configure(leader_state);
+        }
+    }
+
     fn configure(&self, leader_state: &mut LeaderState) {
         let Some(packed) = self.document() else {
             return;
@@ -409,6 +435,7 @@
         match protocol::read_packed(&*self.codec, &packed) {
             Ok(document) => {
                 leader_state.ledger.configure(&document.accounts);
+                leader_state.ledger.configure_cold(&document.services);
                 let streams = document
                     .routes
                     .iter()
--- a/src/keeper/run.rs
+++ b/src/keeper/run.rs
@@ -11,6 +11,7 @@
 use crate::error;
 use crate::event;
 use crate::fleet::budget;
+use crate::fleet::cold;
 use crate::id;
 use crate::keeper::aggregator;
 use crate::keeper::operators;
@@ -58,6 +59,8 @@
     pub quota_window: clock::Millis,
     /// The retry budget.
     pub budget: budget::Settings,
+    /// The bounds for calls to cold servers.
+    pub cold: cold::Settings,
 }
 
 pub struct Environment {
@@ -98,6 +101,7 @@
         settings.list,
         settings.quota_window,
         settings.budget,
+        settings.cold,
         clock,
     );
     let aggregator = sync::Arc::new(aggregator);
--- a/src/router/availability.rs
+++ b/src/router/availability.rs
@@ -397,6 +397,12 @@
         self.ejected_until = now + MISDIRECTED_EJECTION;
     }
 
+    /// Ends the time after a failure in which the server gets no work.
+    pub fn end_ejection(&mut self) {
+        self.ejected_until = clock::Millis::ZERO;
+        self.connect_failed = false;
+    }
+
     /// Records how work at the server ended.
     pub fn record_outcome(&mut self, now: clock::Millis, outcome: Outcome) {
         match outcome {
--- a/src/router/backend.rs
+++ b/src/router/backend.rs
@@ -6,6 +6,7 @@
 use crate::fleet::call_limit;
 use crate::fleet::message;
 use crate::router::availability;
+use crate::router::warmth;
 use crate::unit;
 
 /// Assumed prefill speed of a server until its first prefill was measured.
@@ -36,6 +37,7 @@
     pub limit: call_limit::NamedLimit,
     /// The limit that its answers to other routers named, by the leader.
     pub fleet_limit: Option<unit::CallRate>,
+    pub warmth: warmth::Warmth,
     /// When the last calls ended, and whether they were lost; oldest first.
     endings: collections::VecDeque<(clock::Millis, bool)>,
     pub own_load: message::Load,
@@ -52,6 +54,7 @@
             availability: availability::Availability::default(),
             limit: call_limit::NamedLimit::default(),
             fleet_limit: None,
+            warmth: warmth::Warmth::default(),
             endings: collections::VecDeque::new(),
             own_load: message::Load::default(),
             remote_load: message::Load::default(),
@@ -65,6 +68,15 @@
         self.limit.rate(now).or(self.fleet_limit)
     }
 
+    /// Forgets whether the server was warm when its entry in a new list shows another start.
+    pub fn forget_former_start(&mut self, listed: &message::Server) {
+        let is_later =
+            self.server.started_at.is_some() && listed.started_at > self.server.started_at;
+        if is_later || listed.address != self.server.address {
+            self.warmth = warmth::Warmth::default();
+        }
+    }
+
     /// Records how work at the server ended.
     pub fn record_outcome(&mut self, now: clock::Millis, outcome: availability::Outcome) {
         let sample = match outcome {
--- a/src/router/balancer/limits.rs
+++ b/src/router/balancer/limits.rs
@@ -52,18 +52,19 @@
 
     pub(super) fn is_any_limited(&self, now: clock::Millis) -> bool {
         let mut servers = self.servers.values();
-        servers.any(|b| b.call_limit(now).is_some())
+        servers.any(|b| self.needs_permit(now, b))
     }
 
     /// Returns whether calls to a server need a permit.
     pub fn is_limited(&self, now: clock::Millis, id: &id::BackendServerId) -> bool {
         let backend = self.servers.get(id);
-        backend.is_some_and(|b| b.call_limit(now).is_some())
+        backend.is_some_and(|b| self.needs_permit(now, b))
     }
 
     /// Ends the limit of a server, unless an answer to this router named one after `since`.
     pub fn end_limit(&mut self, since: clock::Millis, id: &id::BackendServerId) {
         self.limits.remove(id);
+        self.confirm_warm(since, id);
         if let Some(backend) = self.servers.get_mut(id) {
             backend.fleet_limit = None;
             if backend.limit.last().is_some_and(|last| last.at < since) {
--- a/src/router/balancer/mod.rs
+++ b/src/router/balancer/mod.rs
@@ -1,5 +1,6 @@
 //! Selects the backend server for each request, by load, data centre and recent failures.
 
+mod cold;
 mod limits;
 
 use std::net;
@@ -49,6 +50,7 @@
     leaving: Vec<id::BackendServerId>,
     /// Limits of calls that servers name to any router, by the leader.
     limits: sorted::Map<id::BackendServerId, unit::CallRate>,
+    cold: cold::ColdStarts,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -137,6 +139,7 @@
             ejected: Vec::new(),
             leaving: Vec::new(),
             limits: sorted::Map::new(),
+            cold: cold::ColdStarts::default(),
         }
     }
 
@@ -151,6 +154,7 @@
                 .servers
                 .get_or_insert_with(server.id.clone(), || backend::Backend::new(server.clone()));
             backend.availability.list(now, &backend.server, server);
+            backend.forget_former_start(server);
             backend.server = server.clone();
             backend.fleet_limit = self.limits.get(&server.id).copied();
             backend.remote_load = load_of(&self.remote_loads, &server.id);
@@ -394,10 +398,12 @@
         outcome: Outcome,
     ) {
         if let Some(backend) = self.servers.get_mut(id) {
-            backend.own_load.requests -= load.requests;
+            // The server may have left the list when the load was added, and be back by now.
+            backend.own_load.requests = backend.own_load.requests.saturating_sub(load.requests);
             backend.own_load.memory = backend.own_load.memory.saturating_sub(load.memory);
             backend.own_load.prompts = backend.own_load.prompts.saturating_sub(load.prompts);
             backend.record_outcome(now, outcome);
+            Self::record_loss(backend, now, outcome);
         }
         self.prune(now);
     }
@@ -579,7 +585,7 @@
         }
         let with_state = servers.map(|b| (b, self.with_news(b, b.availability.state(now))));
         let (limited, free): (Vec<_>, Vec<_>) =
-            with_state.partition(|(b, _)| b.call_limit(now).is_some());
+            with_state.partition(|(b, _)| self.needs_permit(now, b));
         if access == Access::WithPermit {
             return availability::pickable(limited.into_iter(), purpose);
         }
--- a/src/router/call.rs
+++ b/src/router/call.rs
@@ -99,8 +99,14 @@
     if caller.is_some_and(|c| !c.begin_arrival(pick, purpose)) {
         return Err(withdrawn(pick, purpose, "no retry budget"));
     }
+    let sent_at = core.clock.now();
     let answer = upstream::exchange(stream, req, timeout).await?;
     let head = core.codec.read_server_head(answer.status, &answer.headers);
+    // Another server at the address proves nothing.
+    if head.execution != protocol::Execution::Misdirected {
+        let now = core.clock.now();
+        core.balancer().record_proof(now, sent_at, &pick.id);
+    }
     core.record_answer(&pick.id, &head);
     Ok((head, answer))
 }
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -193,6 +193,7 @@
             return;
         }
         self.quotas().configure(&document.accounts);
+        self.balancer().configure_cold(&document.services);
         let routes = document.routes.len();
         let next = sync::Arc::new(table::Table::new(document));
         let previous = self.table.send_replace(Some(next));
--- a/src/router/discovery.rs
+++ b/src/router/discovery.rs
@@ -6,6 +6,7 @@
 use crate::clock;
 use crate::error;
 use crate::fleet::message;
+use crate::id;
 use crate::router::core;
 use crate::router::protocol;
 use crate::router::upstream;
@@ -53,6 +54,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
     pub servers: Vec<message::Server>,
+    /// The servers that were cold when their page was read, and for how much longer.
+    pub cold: Vec<(id::BackendServerId, clock::Millis)>,
     /// Number of entries that could not be decoded.
     pub damaged: usize,
     /// Number of calls that were made.
@@ -70,6 +73,7 @@
 ) -> error::Result<Listed> {
     let mut listed = Listed {
         servers: Vec::new(),
+        cold: Vec::new(),
         damaged: 0,
         calls: 0,
     };
@@ -77,6 +81,7 @@
     for _ in 0..MAX_PAGES {
         let next = read_page_patiently(codec, settings, page.as_deref(), &mut listed.calls).await?;
         listed.servers.extend(next.servers);
+        listed.cold.extend(next.cold);
         listed.damaged += next.damaged;
         page = next.next;
         if page.is_none() {
--- a/src/router/generate/limited_call.rs
+++ b/src/router/generate/limited_call.rs
@@ -18,7 +18,11 @@
         let servers = match picked {
             _ if limited.is_empty() => return None,
             Err(_) => limited,
-            Ok(_) => vec![limited::to_refresh(&self.req.core, &limited)?],
+            Ok(pick) => {
+                let percent = pick.utilisation_percent;
+                let core = &self.req.core;
+                limited::to_call_beside(core, &limited, |p| p.utilisation_percent <= percent)?
+            }
         };
         let earliest = self.predicted_prefill();
         let wait = if picked.is_err() {
--- a/src/router/generate/mod.rs
+++ b/src/router/generate/mod.rs
@@ -98,6 +98,8 @@
     /// Counts the load at the server.
     pub guard: in_flight::Guard,
     pub pick: balancer::Pick,
+    /// When a chunk was awaited whose arrival will prove that the server was up then.
+    pub awaited_at: clock::Millis,
 }
 
 /// A decode server that was picked, with the load counted there.
@@ -399,6 +401,7 @@
             first_chunk,
             guard,
             pick: pick.clone(),
+            awaited_at: self.req.core.clock.now(),
         }))
     }
 
--- a/src/router/limited.rs
+++ b/src/router/limited.rs
@@ -33,18 +33,57 @@
 
 /// Returns a limited server that has not been asked for a call for long, so that it is to be called
 /// although others are free: only calls tell that a limit has ended.
-pub fn to_refresh(core: &core::Core, limited: &[balancer::Pick]) -> Option<balancer::Pick> {
+fn to_refresh(core: &core::Core, limited: &[balancer::Pick]) -> Option<balancer::Pick> {
     if limited.is_empty() {
         return None;
     }
     let routers = core.quotas().gateways();
     let now = core.clock.now();
+    let is_open = |p: &&balancer::Pick| {
+        let balancer = core.balancer();
+        !balancer.may_be_cold(now, &p.id) || balancer.is_open(now, &p.id)
+    };
+    let servers: Vec<&balancer::Pick> = limited.iter().filter(is_open).collect();
     let permits = core.permits();
-    let mut servers = limited.iter();
-    let due = servers.find(|p| permits.needs_refresh(now, &p.id, routers));
+    let due = servers
+        .into_iter()
+        .find(|p| permits.needs_refresh(now, &p.id, routers));
     due.cloned()
 }
 
+/// Returns the limited servers of which one is to be called although there is a server that needs no
+/// permit: one that has not been asked for long, or those that may be cold and are preferred to it;
+/// `None` when there is none.
+pub fn to_call_beside(
+    core: &core::Core,
+    limited: &[balancer::Pick],
+    is_preferred: impl Fn(&balancer::Pick) -> bool,
+) -> Option<Vec<balancer::Pick>> {
+    if let Some(server) = to_refresh(core, limited) {
+        return Some(vec![server]);
+    }
+    let cold = preferred_cold(core, limited, is_preferred);
+    (!cold.is_empty()).then_some(cold)
+}
+
+/// Returns those of `limited` that may be cold and are preferred to a server that needs no permit. They
+/// take few calls, but these they take as well as any other server.
+fn preferred_cold(
+    core: &core::Core,
+    limited: &[balancer::Pick],
+    is_preferred: impl Fn(&balancer::Pick) -> bool,
+) -> Vec<balancer::Pick> {
+    if limited.is_empty() || core.leader().is_none() {
+        return Vec::new();
+    }
+    let now = core.clock.now();
+    let balancer = core.balancer();
+    let is_usable = |p: &&balancer::Pick| {
+        is_preferred(p) && balancer.may_be_cold(now, &p.id) && balancer.is_open(now, &p.id)
+    };
+    limited.iter().filter(is_usable).cloned().collect()
+}
+
 /// Refuses a caller that has waited for one of `candidates` in vain, after `denial`.
 pub fn refuse(
     core: &core::Core,
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -38,5 +38,6 @@
 pub mod suspects;
 pub mod table;
 pub mod upstream;
+pub mod warmth;
 
 pub use run::run;
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -168,9 +168,11 @@
             Some((limited, need))
         }
         Ok(pick) if pick.utilisation_percent >= 100 => Some((limited, at_once)),
-        Ok(_) => {
-            let server = limited::to_refresh(&req.core, &limited)?;
-            Some((vec![server], at_once))
+        Ok(pick) => {
+            let percent = pick.utilisation_percent;
+            let is_preferred = |p: &balancer::Pick| p.utilisation_percent <= percent;
+            let servers = limited::to_call_beside(&req.core, &limited, is_preferred)?;
+            Some((servers, at_once))
         }
     }
 }
--- a/src/router/prefill.rs
+++ b/src/router/prefill.rs
@@ -175,11 +175,13 @@
     limited.retain(|p| p.time <= MAX_PREDICTED_PREFILL);
     let mut candidates: Vec<balancer::Pick> = limited.iter().map(|p| p.pick.clone()).collect();
     let mut max_wait = MAX_PERMIT_WAIT;
-    if picked.is_some() {
-        let Some(server) = limited::to_refresh(&req.core, &candidates) else {
+    if let Some(free) = &picked {
+        let time_of = |pick: &balancer::Pick| limited.iter().find(|p| p.pick.id == pick.id);
+        let is_faster = |pick: &balancer::Pick| time_of(pick).is_some_and(|p| p.time < free.time);
+        let Some(servers) = limited::to_call_beside(&req.core, &candidates, is_faster) else {
             return picked;
         };
-        candidates = vec![server];
+        candidates = servers;
         max_wait = clock::Millis::ZERO;
     }
     if candidates.is_empty() {
--- a/src/router/protocol.rs
+++ b/src/router/protocol.rs
@@ -229,6 +229,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListPage {
     pub servers: Vec<message::Server>,
+    /// The servers that are cold, and for how much longer.
+    pub cold: Vec<(id::BackendServerId, clock::Millis)>,
     /// Number of entries that could not be decoded.
     pub damaged: usize,
     /// Token of the next page; `None` on the last one.
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -11,6 +11,9 @@
 use crate::router::generate;
 use crate::router::upstream;
 
+/// Within this time a router that was paused has read all that its connections had for it.
+const PROOF_INTERVAL: clock::Millis = clock::Millis::new(100);
+
 /// Lower bound of the time without an event after which a stream is resumed elsewhere. A server that
 /// runs long prefills between tokens pauses for up to half a second.
 const MIN_IDLE_TIMEOUT: clock::Millis = clock::Millis::new(1_500);
@@ -244,6 +247,17 @@
     }
 }
 
+/// Takes a chunk for a proof that the server was up when this router awaited it [`PROOF_INTERVAL`]
+/// before. A chunk that has just been awaited may be older, when the process was paused.
+fn record_proof(stream: &generate::StreamRequest, opened: &mut generate::OpenStream) {
+    let core = &stream.req.core;
+    let now = core.clock.now();
+    if now >= opened.awaited_at + PROOF_INTERVAL {
+        let at = std::mem::replace(&mut opened.awaited_at, now);
+        core.balancer().record_proof(now, at, &opened.pick.id);
+    }
+}
+
 /// Waits for the next chunk of an answer, until the idle timeout or the deadline of the request.
 async fn next_chunk(
     stream: &generate::StreamRequest,
@@ -257,6 +271,9 @@
         chunk = time::timeout(timeout.as_duration(), opened.answer.next_chunk()) => chunk,
         () = tx.closed() => return Err(Relayed::CallerGone),
     };
+    if matches!(chunk, Ok(Ok(Some(_)))) {
+        record_proof(stream, opened);
+    }
     match chunk {
         Ok(Ok(chunk)) => Ok(chunk),
         Ok(Err(failure)) => Err(Relayed::Lost(failure)),
--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -44,10 +44,15 @@
 /// a lost report costs nothing.
 const NEWS_MARGIN: clock::Millis = clock::Millis::new(1_000);
 
+/// Losses of servers are reported for at most this time, which is longer than a leader change takes.
+const MAX_LOSS_AGE: clock::Millis = clock::Millis::from_secs(5);
+
 /// What a report said of this router, which the summaries that answer it contain.
 struct Reported {
     spent: sorted::Map<id::ClientAccountId, i64>,
     loads: sorted::Map<id::BackendServerId, message::Load>,
+    /// When it was sent.
+    sent_at: clock::Millis,
 }
 
 /// Sends one router's reports and applies the summaries.
@@ -129,6 +134,7 @@
         let reported = Reported {
             spent: report.spent.clone(),
             loads: report.loads.clone(),
+            sent_at: report.uptime,
         };
         let request = peer_message::Request::Report(Box::new(report));
         let links = &self.core.links;
@@ -182,7 +188,7 @@
             )
         };
         let max_news_age = self.max_news_age();
-        let (loads, unreachable, endings, leaving, limits) = {
+        let (loads, unreachable, endings, leaving, limits, cold) = {
             let balancer = core.balancer();
             (
                 balancer.loads(),
@@ -190,6 +196,7 @@
                 balancer.endings(now),
                 balancer.leaving(),
                 balancer.limit_news(now, max_news_age),
+                balancer.cold_evidence(now, max_news_age.min(MAX_LOSS_AGE)),
             )
         };
         let (requests, attempts, settled) = {
@@ -229,7 +236,10 @@
             leaving,
             limits,
             sent_at: core.leader_time(now),
-            extension: message::ReportExtension::new(),
+            extension: message::ReportExtension {
+                cold,
+                ..message::ReportExtension::new()
+            },
         };
         (report, told)
     }
@@ -314,6 +324,11 @@
             balancer.set_ejected(sums.unreachable);
             balancer.set_leaving(sums.leaving);
             balancer.set_limits(self.view.limits());
+            let word = summary.extension.cold.as_ref();
+            let list = self.list.as_ref();
+            let list = list.filter(|l| word.is_some_and(|w| w.list == Some(l.digest())));
+            let servers = list.map(listing::List::servers).unwrap_or_default();
+            balancer.apply_cold(reported.sent_at, servers, word);
             core.permits().retain(|id| balancer.is_limited(now, id));
         }
         core.set_entries(self.view.entries(), sums.is_cut_off);
--- a/src/sorted.rs
+++ b/src/sorted.rs
@@ -107,6 +107,11 @@
     }
 
     /// Iterates over the values in the order of their keys, by mutable reference.
+    /// Returns the keys with their values, which may be changed.
+    pub fn iter_mut(&mut self) -> impl DoubleEndedIterator<Item = (&K, &mut V)> {
+        self.entries.iter_mut().map(|e| (&e.key, &mut e.value))
+    }
+
     pub fn values_mut(&mut self) -> impl DoubleEndedIterator<Item = &mut V> {
         self.entries.iter_mut().map(|e| &mut e.value)
     }
--- a/tests/router_units.rs
+++ b/tests/router_units.rs
@@ -22,6 +22,7 @@
         id: "model".parse().unwrap(),
         connections: 100,
         engine,
+        cold_start: None,
     }
 }
 
--- a/tests/support/model_service.rs
+++ b/tests/support/model_service.rs
@@ -17,5 +17,6 @@
             export_ttl: Millis::new(500),
             max_reservation_ttl: Millis::new(2_000),
         }),
+        cold_start: None,
     }
 }
