--- a/src/fleet/ledger/mod.rs
+++ b/src/fleet/ledger/mod.rs
@@ -1,5 +1,6 @@
 //! Aggregates the reports of all gateways at the leader.
 
+mod cold_servers;
 mod quotas;
 mod runs;
 mod servers;
@@ -7,6 +8,7 @@
 use crate::clock;
 use crate::document;
 use crate::fleet::budget;
+use crate::fleet::cold;
 use crate::fleet::crashes;
 use crate::fleet::evacuation;
 use crate::fleet::failing;
@@ -75,6 +77,7 @@
     /// Whether the reports to this leader name all use before its term.
     is_use_known: bool,
     crashes: crashes::Crashes,
+    cold: cold::Registry,
     next_standings: clock::Millis,
 }
 
@@ -116,6 +119,13 @@
         self
     }
 
+    /// Sets the bounds for calls to cold servers.
+    #[must_use]
+    pub fn with_cold(mut self, settings: cold::Settings) -> Self {
+        self.cold = cold::Registry::new(settings);
+        self
+    }
+
     /// Records a report and returns the sums for its sender.
     pub fn report(
         &mut self,
@@ -131,6 +141,7 @@
         let sent_at = self.own_time(report.sent_at);
         self.record_runs(now, sent_at, &report);
         self.permits.hear(now, sent_at, &report.limits);
+        self.cold.record(now, sent_at, &report.extension.cold);
         self.retries
             .hear(now, sent_at, known.is_some(), from, &report);
         self.store(now, from, report, demand);
@@ -154,6 +165,7 @@
         ask: &permit::Ask,
     ) -> permit::Answer {
         let sent_at = self.own_time(ask.sent_at);
+        self.limit_cold(now, &ask.servers);
         self.permits.ask(now, sent_at, from, ask)
     }
 
@@ -175,6 +187,7 @@
 
     /// Brings the limits in the totals up to date.
     fn update_limits(&mut self, now: clock::Millis) {
+        self.update_cold(now);
         self.permits.expire(now);
         let limits: sorted::Map<_, _> = self.permits.limits(now).collect();
         for server in self.totals.limited() {
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -7,6 +7,7 @@
 use crate::error;
 use crate::fleet::budget;
 use crate::fleet::call_limit;
+use crate::fleet::cold;
 use crate::fleet::crashes;
 use crate::fleet::evacuation;
 use crate::fleet::listing;
@@ -83,6 +84,8 @@
         pub evacuations: Option<evacuation::Revision>,
         /// The gateway's use of quotas; `None` from one that knows no shares.
         pub quotas: Option<share::Claims>,
+        /// What its calls say of servers that may be cold; nothing from a gateway of version 1.
+        pub cold: cold::Evidence,
     }
 }
 
@@ -93,6 +96,7 @@
             version: trailer::FIRST,
             evacuations: None,
             quotas: None,
+            cold: cold::Evidence::default(),
         }
     }
 }
@@ -119,6 +123,9 @@
         if let Some(quotas) = &self.quotas {
             trailer.add(trailer::section::QUOTAS, quotas)?;
         }
+        if self.cold != cold::Evidence::default() {
+            trailer.add(trailer::section::COLD_SERVERS, &self.cold)?;
+        }
         Ok(trailer)
     }
 
@@ -132,6 +139,9 @@
             version: trailer.version,
             evacuations: trailer.get(trailer::section::EVACUATIONS)?,
             quotas: trailer.get(trailer::section::QUOTAS)?,
+            cold: trailer
+                .get(trailer::section::COLD_SERVERS)?
+                .unwrap_or_default(),
         })
     }
 }
@@ -238,6 +248,9 @@
         pub list_age: Option<clock::Millis>,
         /// What the gateway may charge; `None` from a leader that issues no shares.
         pub quotas: Option<share::Shares>,
+        /// What the leader knows of servers that may be cold; `None` when no service has a cold start,
+        /// and from a leader of version 1.
+        pub cold: Option<cold::Word>,
     }
 }
 
@@ -249,6 +262,7 @@
             evacuated: None,
             list_age: None,
             quotas: None,
+            cold: None,
         }
     }
 }
@@ -278,6 +292,9 @@
         if let Some(quotas) = &self.quotas {
             trailer.add(trailer::section::QUOTAS, quotas)?;
         }
+        if let Some(cold) = &self.cold {
+            trailer.add(trailer::section::COLD_SERVERS, cold)?;
+        }
         Ok(trailer)
     }
 
@@ -292,6 +309,7 @@
             evacuated: trailer.get(trailer::section::EVACUATIONS)?,
             list_age: trailer.get(trailer::section::ORIGINS)?,
             quotas: trailer.get(trailer::section::QUOTAS)?,
+            cold: trailer.get(trailer::section::COLD_SERVERS)?,
         })
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 pub mod allowance;
 pub mod budget;
 pub mod call_limit;
+pub mod cold;
 pub mod crashes;
 pub mod evacuation;
 pub mod failing;
--- a/src/keeper/aggregator.rs
+++ b/src/keeper/aggregator.rs
@@ -13,6 +13,7 @@
 use crate::document;
 use crate::fleet::allowance;
 use crate::fleet::budget;
+use crate::fleet::cold;
 use crate::fleet::evacuation;
 use crate::fleet::ledger;
 use crate::fleet::listing;
@@ -61,6 +62,7 @@
     list_settings: core::ListSettings,
     pub(super) quota_window: clock::Millis,
     budget: budget::Settings,
+    cold: cold::Settings,
     pub(super) clock: clock::Clock,
     leader_state: sync::Mutex<LeaderState>,
     /// Kept over terms: a member sees evacuations end also while it follows.
@@ -81,6 +83,8 @@
     list_read_at: Option<clock::Millis>,
     origins: origin::Registry,
     upgrade: upgrade::Watch,
+    /// The revision of the evacuations that routers are told.
+    evacuations_told: Option<evacuation::Revision>,
     /// The revision of the evacuations that is in force at all routers.
     evacuations_in_force: Option<evacuation::Revision>,
     pub(super) allowances: allowance::Planner,
@@ -101,12 +105,19 @@
             list_settings,
             quota_window,
             budget,
+            cold: cold::Settings::default(),
             clock,
             leader_state: sync::Mutex::default(),
             evacuation_ends: sync::Mutex::default(),
         }
     }
 
+    /// Sets the bounds for calls to cold servers; without them, these get one call in ten seconds.
+    #[must_use]
+    pub fn with_cold(self, cold: cold::Settings) -> Self {
+        Self { cold, ..self }
+    }
+
     pub(super) fn leader_state(&self) -> sync::MutexGuard<'_, LeaderState> {
         self.leader_state
             .lock()
@@ -195,7 +206,8 @@
             *leader_state = LeaderState {
                 term: leader_term,
                 ledger: ledger::Ledger::new(leader_term.unwrap_or_default(), self.quota_window)
-                    .with_budget(self.budget),
+                    .with_budget(self.budget)
+                    .with_cold(self.cold),
                 ..LeaderState::default()
             };
         }
@@ -215,21 +227,20 @@
         let Some(term) = leader_state.term.filter(|_| leader_state.is_confirmed(now)) else {
             return message::Reply::NotLeader(self.group.status().leader_peer());
         };
-        if leader_state.configured_version != current_version {
-            self.configure(&mut leader_state);
-        }
+        self.update_document(&mut leader_state);
         self.update_quarantine(&mut leader_state);
         self.check_version(&mut leader_state, from, report.extension.version);
         let router_list = report.list;
         let router_document = report.document;
         let is_first = report.known.is_none();
+        let evacuated = self.evacuation_notice();
+        if leader_state.evacuations_told != Some(evacuated.revision) {
+            // Before any router learns that it may use a data centre again.
+            leader_state.evacuations_told = Some(evacuated.revision);
+            let ledger = &mut leader_state.ledger;
+            ledger.set_data_centres_back(now, &evacuated.ended);
+        }
         let sums = leader_state.ledger.report(now, from, report);
-        let extension = fleet::SummaryExtension {
-            quotas: leader_state.ledger.shares(now, from),
-            evacuated: Some(self.evacuation_notice()),
-            list_age: leader_state.list_read_at.map(|at| now - at),
-            ..fleet::SummaryExtension::new()
-        };
         // Documents can be large, and almost every report comes with the newest version, so the
         // document is copied only when it is needed.
         let newer_document = (router_document < current_version)
@@ -245,6 +256,15 @@
             log::error!("{e}; the router keeps its list until the next report");
             None
         });
+        let extension = fleet::SummaryExtension {
+            evacuated: Some(evacuated),
+            list_age: leader_state.list_read_at.map(|at| now - at),
+            quotas: leader_state.ledger.shares(now, from),
+            cold: leader_state
+                .ledger
+                .cold_word(now, leader_state.lists.newest()),
+            ..fleet::SummaryExtension::new()
+        };
         message::Reply::Summary(Box::new(fleet::Summary {
             term,
             time: now,
@@ -389,6 +409,14 @@
         self.group.with_state(|s| s.document().cloned())
     }
 
+    /// Applies the document of the replicated state, if that has changed.
+    fn update_document(&self, leader_state: &mut LeaderState) {
+        let current_version = self.group.with_state(|s| s.document().map(|d| d.version));
+        if leader_state.configured_version != current_version {
+            self.configure(leader_state);
+        }
+    }
+
     pub(super) fn configure(&self, leader_state: &mut LeaderState) {
         let Some(packed) = self.document() else {
             return;
@@ -398,6 +426,7 @@
             Ok(document) => {
                 leader_state.ledger.configure(&document.accounts);
                 leader_state.origins.set_routes(&document.routes);
+                leader_state.ledger.configure_cold(&document.services);
             }
             Err(e) => log::error!(
                 "can't decode the document of the replicated log; keeping the accounts known before: {e}"
--- a/src/keeper/aggregator/origins.rs
+++ b/src/keeper/aggregator/origins.rs
@@ -61,6 +61,11 @@
             }
         };
         let (digest, servers) = (list.digest().0, list.servers().len());
+        let ended = self.evacuation_notice().ended;
+        self.update_document(&mut leader_state);
+        let ledger = &mut leader_state.ledger;
+        ledger.set_list(now, list.servers(), &listed.cold);
+        ledger.set_data_centres_back(now, &ended);
         if leader_state.lists.set(list) {
             log::info!(
                 event = "list",
--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -47,6 +47,8 @@
 
 /// The age that a list has at most which a leader of the first release sends, as far as is known.
 const UNNAMED_LIST_AGE: clock::Millis = clock::Millis::new(2_000);
+/// Losses of servers are reported for at most this time, which is longer than a leader change takes.
+const MAX_LOSS_AGE: clock::Millis = clock::Millis::from_secs(5);
 
 /// What a report said of this router, which the summaries that answer it contain.
 struct Reported {
@@ -191,7 +193,7 @@
             )
         };
         let max_news_age = self.max_news_age();
-        let (loads, unreachable, endings, leaving, limits) = {
+        let (loads, unreachable, endings, leaving, limits, cold) = {
             let balancer = core.balancer();
             (
                 balancer.loads(),
@@ -199,6 +201,7 @@
                 balancer.endings(now),
                 balancer.leaving(),
                 balancer.limit_news(now, max_news_age),
+                balancer.cold_evidence(now, max_news_age.min(MAX_LOSS_AGE)),
             )
         };
         let (requests, attempts, settled) = {
@@ -241,6 +244,7 @@
             extension: message::ReportExtension {
                 evacuations: core.balancer().evacuations_revision(),
                 quotas: Some(claims),
+                cold,
                 ..message::ReportExtension::new()
             },
         };
@@ -345,6 +349,11 @@
             balancer.set_ejected(sums.unreachable);
             balancer.set_leaving(sums.leaving);
             balancer.set_limits(self.view.limits());
+            let word = summary.extension.cold.as_ref();
+            let list = self.list.as_ref();
+            let list = list.filter(|l| word.is_some_and(|w| w.list == Some(l.digest())));
+            let servers = list.map(listing::List::servers).unwrap_or_default();
+            balancer.apply_cold(reported.sent_at, servers, word);
             core.permits().retain(|id| balancer.is_limited(now, id));
         }
         core.set_entries(self.view.entries(), sums.is_cut_off);
