The feature level has a module of its own in the keeper

Change: keeper/level.rs has the part that raises the level and reports older routers.

Measured: tests/feature_level.rs, golden_bytes.rs and mixed_groups.rs pass.

--- a/src/keeper/aggregator.rs
+++ b/src/keeper/aggregator.rs
@@ -16,9 +16,9 @@
 use crate::fleet::permit;
 use crate::fleet::upgrade;
 use crate::id;
+use crate::keeper::level;
 use crate::peer::message;
 use crate::peer::server;
-use crate::peer::trailer;
 use crate::replica::group;
 use crate::router::core;
 use crate::router::discovery;
@@ -275,7 +275,8 @@
             self.configure(&mut leader_state);
         }
         self.update_quarantine(&mut leader_state);
-        self.check_version(&mut leader_state, from, report.extension.version);
+        let version = report.extension.version;
+        level::record_router(&self.group, &mut leader_state.upgrade, now, from, version);
         let router_list = report.list;
         let router_document = report.document;
         let sums = leader_state.ledger.report(now, from, report);
@@ -301,58 +302,19 @@
         }))
     }
 
-    /// Records the version of a router. One that is older than the feature level is still served, since
-    /// it would otherwise go on with old documents and lists.
-    fn check_version(
-        &self,
-        leader_state: &mut LeaderState,
-        from: &id::InstanceId,
-        version: trailer::ProtocolVersion,
-    ) {
-        let watch = &mut leader_state.upgrade;
-        watch.record_report(self.clock.now(), version);
-        let level = self.group.with_state(command::State::feature_level);
-        if watch.is_newly_outdated(from, version, level) {
-            metrics::counter!("buckthorncleat_outdated_total", "kind" => "router").increment(1);
-            log::error!(
-                event = "outdated_router",
-                router = from.as_str(),
-                version = version.as_u64(),
-                level = level.0.as_u64();
-                "router {from} speaks protocol version {version} and the group is at feature level \
-                 {}: install a build of version {} or later there; until then it does not know of \
-                 evacuations and cold servers",
-                level.0, level.0
-            );
-        }
-    }
-
     /// Raises the feature level once no process of an older version is left.
     async fn raise_level(&self) {
         let now = self.clock.now();
-        let level = self.group.with_state(command::State::feature_level);
-        let versions = self.group.status().versions;
-        let (term, next) = {
+        let next = {
             let mut leader_state = self.leader_state();
-            let Some(term) = leader_state.term.filter(|_| leader_state.is_confirmed(now)) else {
+            let is_confirmed = leader_state.is_confirmed(now);
+            let Some(term) = leader_state.term.filter(|_| is_confirmed) else {
                 return;
             };
-            match leader_state.upgrade.next_level(now, level, &versions) {
-                Ok(Some(next)) => (term, next),
-                Ok(None) => return,
-                Err(wait) => {
-                    if leader_state.upgrade.is_news(&wait) {
-                        log::info!(event = "feature_level_waits"; "the feature level stays at {}: {wait}", level.0);
-                    }
-                    return;
-                }
-            }
+            level::next(&self.group, &mut leader_state.upgrade, now).map(|next| (term, next))
         };
-        let command = command::Command::RaiseLevel(next);
-        match self.group.submit_in_term(term, &command).await {
-            Ok(group::Outcome::Applied(_)) => (),
-            Ok(_) => log::warn!("the feature level is not raised yet; trying again"),
-            Err(e) => log::error!("the feature level can't be raised: {e}"),
+        if let Some((term, next)) = next {
+            level::raise(&self.group, term, next).await;
         }
     }
 
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -2,6 +2,7 @@
 //! the platform's server list, and adds up the reports of routers while it leads.
 
 pub mod aggregator;
+mod level;
 pub mod operators;
 mod quarantine;
 pub mod run;
--- a/tests/golden/values.rs
+++ b/tests/golden/values.rs
@@ -142,7 +142,7 @@
 
     fn deserialize_bool<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
         let value = self.next();
-        visitor.visit_bool(value % 2 == 0)
+        visitor.visit_bool(value.is_multiple_of(2))
     }
 
     fn deserialize_char<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Error> {
