--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -4,6 +4,7 @@
 pub mod aggregator;
 mod allowances;
 pub mod evacuations;
+mod level;
 pub mod operators;
 mod quarantine;
 pub mod run;
