--- a/tests/origin_support/mod.rs
+++ b/tests/origin_support/mod.rs
@@ -204,9 +204,11 @@
         if self.leads() {
             self.lead();
         }
+        // Every second message is lost.
+        let arrives: u64 = self.rng.random();
         for at in 0..self.routers.len() {
             if self.routers[at].up_from <= self.now {
-                self.route(at);
+                self.route(at, arrives >> (at % 64) & 1 == 1);
             }
         }
         if self.now >= 2_000 {
@@ -255,11 +257,13 @@
             self.read
                 .retain(|s| is_certain || !Origin::from_server(s).is_some_and(is_new));
         }
-        let withheld = self.registry.withheld(now, self.state.origins());
-        let is_withheld = |o| withheld.contains(&o);
-        self.list = self.read.clone();
-        self.list
-            .retain(|s| !Origin::from_server(s).is_some_and(is_withheld));
+        if self.now.is_multiple_of(50) || self.list.is_empty() {
+            let withheld = self.registry.withheld(now, self.state.origins());
+            let is_withheld = |o| withheld.contains(&o);
+            self.list = self.read.clone();
+            self.list
+                .retain(|s| !Origin::from_server(s).is_some_and(is_withheld));
+        }
         while self.told.front().is_some_and(|(at, ..)| *at <= self.now) {
             let (_, router, term, records) = self.told.pop_front().unwrap();
             if term == Term::new(self.term) {
@@ -274,7 +278,7 @@
         }
     }
 
-    fn route(&mut self, at: usize) {
+    fn route(&mut self, at: usize, arrives: bool) {
         let (now, interval, leads) = (self.now, self.interval(), self.leads());
         let router = &mut self.routers[at];
         if leads && now >= router.next_summary {
@@ -295,9 +299,8 @@
             self.read_without_leader(at);
         }
         let router = &self.routers[at];
-        // Every second message is lost.
         if leads
-            && self.rng.random_bool(0.5)
+            && arrives
             && let Some((term, records)) = router.origins.untold(Millis::new(now))
         {
             self.told.push_back((now + 2 * STEP, at, term, records));
--- a/tests/router_availability.rs
+++ b/tests/router_availability.rs
@@ -348,3 +348,24 @@
     let early = delays.iter().filter(|d| **d < at(4_100)).count();
     assert!(early <= 110, "{early} of 1000 return in the first tenth");
 }
+
+/// Guards against a stream that goes on at a server which started again with other software before the
+/// list shows it.
+#[test]
+fn a_server_that_was_unreachable_has_no_certain_version_until_a_later_list() {
+    let service = "model".parse().unwrap();
+    let mut first = server(1);
+    first.started_at = Some(StartTime::new(1));
+    let mut balancer = balancer(&[first.clone(), server(2)]);
+    let load = buckthorncleat::fleet::message::Load::default();
+    balancer.remove_load(at(1_000), &id(1), load, Outcome::ConnectFailed);
+    balancer.remove_load(at(1_000), &id(2), load, Outcome::Lost);
+    balancer.set_list_read_at(at(2_000));
+    assert_eq!(balancer.servers_of_uncertain_version(&service), [id(1)]);
+    balancer.set_list_read_at(at(4_000));
+    assert_eq!(balancer.servers_of_uncertain_version(&service), []);
+    balancer.remove_load(at(5_000), &id(1), load, Outcome::ConnectFailed);
+    first.started_at = Some(StartTime::new(2));
+    balancer.set_list(at(5_100), &[first, server(2)]);
+    assert_eq!(balancer.servers_of_uncertain_version(&service), []);
+}
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -6,8 +6,12 @@
 mod origin_support;
 
 use buckthorncleat::clock::Millis;
+use buckthorncleat::document::{RetryPolicy, Route, Share};
 use buckthorncleat::fleet::message::Server;
-use buckthorncleat::fleet::origin::{Batch, Origin, Origins, Record, Registry, StreamId};
+use buckthorncleat::fleet::origin::{Answer, Batch, Origin, Origins, Question, Record};
+use buckthorncleat::fleet::origin::{Registry, StreamId};
+use buckthorncleat::id::Term;
+use buckthorncleat::router::origins;
 use buckthorncleat::state::command::{Command, State};
 use origin_support::{Fleet, ListTrouble, Seen, TIME_LIMIT, seeds, server};
 
@@ -236,3 +240,145 @@
     }
     assert_eq!(origins.mixed(), ["llm".parse().unwrap()]);
 }
+
+/// A leader with a document that has listed v1 and v2, both committed.
+fn two_versions() -> (Registry, Origins) {
+    let (mut registry, mut origins) = (Registry::default(), Origins::default());
+    registry.set_time_limit(TIME_LIMIT);
+    list(&mut registry, &mut origins, 0, &["v1", "v2"]);
+    (registry, origins)
+}
+
+/// Commits the versions of a list.
+fn list(registry: &mut Registry, origins: &mut Origins, now: u64, names: &[&str]) {
+    let servers: Vec<Server> = names.iter().map(|v| server(1, v)).collect();
+    let versions = registry.set_listed(Millis::new(now), &servers, origins);
+    origins.apply(&Batch {
+        versions,
+        ..Batch::default()
+    });
+}
+
+fn ask(registry: &Registry, origins: &Origins, now: u64, service: &str) -> Answer {
+    let question = Question {
+        stream: Some(StreamId::new(None, "r1")),
+        services: vec![service.parse().unwrap()],
+    };
+    registry.answer(Millis::new(now), origins, &question)
+}
+
+/// Guards against a stream that is taken up for longer than a generation lasts and is then unknown.
+#[test]
+fn a_stream_that_is_taken_up_again_and_again_stays_known() {
+    let (mut registry, mut origins) = two_versions();
+    let origin = Origin::from_server(&server(1, "v1")).unwrap();
+    for now in (0..200_000).step_by(100) {
+        list(&mut registry, &mut origins, now, &["v1", "v2"]);
+        if now.is_multiple_of(TIME_LIMIT.as_u64()) {
+            registry.record(vec![Record {
+                stream: StreamId::new(None, "r1"),
+                origin: origin.clone(),
+            }]);
+        }
+        if let Some(batch) = registry.next_batch(Millis::new(now), &origins) {
+            origins.apply(&batch);
+        }
+        let answer = ask(&registry, &origins, now, "llm");
+        assert_eq!(answer, Answer::Known(origin.clone()), "at {now} ms");
+    }
+}
+
+/// Guards against ORDER when a stream of a version that left runs for its time limit, is taken up late and
+/// breaks off again: two time limits after the version left, nobody may take the other one for certain.
+#[test]
+fn a_version_that_left_is_kept_until_its_last_caller_is_gone() {
+    for left_at in (1_000..60_000).step_by(500) {
+        let (mut registry, mut origins) = two_versions();
+        for now in (0..left_at + 2 * TIME_LIMIT.as_u64() + 15_000).step_by(500) {
+            let listed: &[&str] = if now < left_at {
+                &["v1", "v2"]
+            } else {
+                &["v2"]
+            };
+            list(&mut registry, &mut origins, now, listed);
+            if let Some(batch) = registry.next_batch(Millis::new(now), &origins) {
+                origins.apply(&batch);
+            }
+            assert_eq!(origins.mixed().len(), 1, "left at {left_at}, {now} ms");
+        }
+    }
+}
+
+/// ORDER: a route led to another service than when the stream began, whose only version was taken for
+/// that of the stream.
+#[test]
+fn a_changed_route_leads_no_stream_to_another_service() {
+    let route = |service: &str| Route {
+        name: "r".to_owned(),
+        host: "x".to_owned(),
+        prefix: "/a/".to_owned(),
+        retry_policy: RetryPolicy::StreamByResuming,
+        time_limit: TIME_LIMIT,
+        target_latency: Millis::new(900),
+        target_gap: Millis::new(100),
+        priority: 1,
+        split: vec![Share {
+            service: service.parse().unwrap(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        open: false,
+    };
+    let (mut registry, mut origins) = (Registry::default(), Origins::default());
+    registry.set_routes(&[route("llm")]);
+    let mut servers = [server(1, "v1"), server(2, "v7")];
+    servers[1].service = "other".parse().unwrap();
+    let versions = registry.set_listed(Millis::ZERO, &servers, &origins);
+    origins.apply(&Batch {
+        versions,
+        ..Batch::default()
+    });
+    let known = Origin::from_server(&servers[1]).unwrap();
+    let answer = ask(&registry, &origins, 2_000, "other");
+    assert_eq!(answer, Answer::Known(known), "streams of its own");
+    registry.set_routes(&[route("other")]);
+    let answer = ask(&registry, &origins, 2_000, "other");
+    assert_eq!(answer, Answer::Unknown);
+    // The next leader knows it from the log.
+    origins.apply(&registry.next_batch(Millis::new(2_000), &origins).unwrap());
+    let mut next = Registry::default();
+    next.set_listed(Millis::new(3_000), &servers, &origins);
+    assert_eq!(ask(&next, &origins, 9_000, "other"), Answer::Unknown);
+    assert_eq!(next.told_services(&origins).len(), 2);
+}
+
+/// ORDER: a router without a leader began streams at a version that had been away, and that the log might
+/// have forgotten.
+#[test]
+fn a_version_that_comes_back_needs_a_leader() {
+    let [v1, v2] = ["v1", "v2"].map(|v| Origin::from_server(&server(1, v)).unwrap());
+    let mut router = origins::Origins::default();
+    router.admit([v1.clone(), v2.clone()].into_iter());
+    router.retain_admitted(std::slice::from_ref(&v1));
+    assert!(router.is_admitted(&v1));
+    assert!(!router.is_admitted(&v2));
+}
+
+/// Guards against streams that nobody knows since a former leader's summary made a router stop telling,
+/// or since it was told of them before they were taken up.
+#[test]
+fn a_router_tells_of_streams_taken_up_and_ignores_a_former_leader() {
+    let stream = StreamId::new(None, "r1");
+    let origin = Origin::from_server(&server(1, "v1")).unwrap();
+    let mut router = origins::Origins::default();
+    let mixed = vec![origin.service.clone()];
+    router.apply_summary(Term::new(2), mixed);
+    router.record(Millis::ZERO, stream, origin.clone(), TIME_LIMIT);
+    router.apply_summary(Term::new(1), Vec::new());
+    let (term, records) = router.untold(Millis::ZERO).unwrap();
+    assert_eq!(term, Term::new(2));
+    router.confirm(term, &records);
+    assert_eq!(router.untold(Millis::ZERO), None);
+    router.record(Millis::new(5_000), stream, origin, TIME_LIMIT * 2);
+    assert!(router.untold(TIME_LIMIT + Millis::new(1)).is_some());
+}
