A router takes the answer that a server is warm for as old as any leader lets a proof become

A new leader knows few routers and so lets proofs become older than the last summary said; the answer could then be taken for a fresher proof than it is.

--- a/src/fleet/cold.rs
+++ b/src/fleet/cold.rs
@@ -26,6 +26,10 @@
 /// The time that a summary may take beyond one report interval until the next one replaces it.
 const SUMMARY_MARGIN: clock::Millis = clock::Millis::new(300);
 
+/// The age up to which a proof counts at the leader at most. A router that is told that a server needs no
+/// permit takes the proof for that old, since leaders differ in how old they let it become.
+pub const MAX_PROOF_AGE: clock::Millis = clock::Millis::new(1_500);
+
 /// The age of a proof that the leader passes on at least, in fleets with a long report interval.
 const MIN_PROOF_AGE: clock::Millis = clock::Millis::new(500);
 
@@ -283,7 +287,8 @@
     /// Returns the age up to which a proof counts at the leader, so that it is still fresh at a router
     /// until its next summary.
     fn max_proof_age(&self) -> clock::Millis {
-        (MAX_EVIDENCE_AGE - self.report_interval - SUMMARY_MARGIN).max(MIN_PROOF_AGE)
+        let age = MAX_EVIDENCE_AGE - self.report_interval - SUMMARY_MARGIN;
+        age.clamp(MIN_PROOF_AGE, MAX_PROOF_AGE)
     }
 
     /// Returns the rate of permits for a server that is not known to be warm; `None` for one that is,
--- a/src/router/balancer/cold.rs
+++ b/src/router/balancer/cold.rs
@@ -17,8 +17,6 @@
     services: sorted::Map<document::ServiceId, document::ColdStart>,
     /// Whether the leader knows cold servers, which one of version 1 does not.
     is_led: bool,
-    /// The age of the oldest proof that counts at the leader.
-    proof_age: clock::Millis,
 }
 
 impl balancer::Balancer {
@@ -118,7 +116,6 @@
     ) {
         self.cold.is_led = word.is_some();
         let Some(word) = word else { return };
-        self.cold.proof_age = word.proof_age;
         for (server, standing) in list.iter().zip(&word.standings) {
             let Some(backend) = self.servers.get_mut(&server.id) else {
                 continue;
@@ -142,9 +139,8 @@
     /// Applies the leader's answer, to a question that was sent at `sent_at`, that a server needs no
     /// permit.
     pub fn confirm_warm(&mut self, sent_at: clock::Millis, id: &id::BackendServerId) {
-        let proof_age = self.cold.proof_age;
         if let Some(backend) = self.servers.get_mut(id) {
-            backend.warmth.confirm(sent_at, proof_age);
+            backend.warmth.confirm(sent_at, cold::MAX_PROOF_AGE);
         }
     }
 }
