Routers that reach no leader spend no more than their part of what was free

For one window it now spends its part of what the last summary named as free. Shares of silent routers stay reserved for as long as they may be spent. Use counts from the last charge, not from its report.

--- a/src/fleet/ledger/mod.rs
+++ b/src/fleet/ledger/mod.rs
@@ -31,6 +31,11 @@
 /// other gateways.
 const GATEWAY_RETENTION: clock::Millis = clock::Millis::from_secs(12);
 
+/// How long the share of a silent gateway in each quota is reserved: it spends it for
+/// [`quota::MAX_SHARE_TIME`] after its last summary is stale, 3 s at 300 gateways, and what it spent
+/// counts for a window of 8 s.
+const QUOTA_RETENTION: clock::Millis = clock::Millis::from_secs(42);
+
 /// The longest time for which the load that a silent gateway reported is counted.
 const MAX_LOAD_AGE: clock::Millis = clock::Millis::from_secs(3);
 
@@ -69,6 +74,9 @@
     accounts: sorted::Map<id::ClientAccountId, quotas::Account>,
     /// When this leader took over what the replicated log has of the accounts' use.
     taken_over_at: Option<clock::Millis>,
+    /// Gateways that have been silent for longer than [`GATEWAY_RETENTION`] and may still spend their
+    /// shares of quotas, and until when that counts.
+    absent: sorted::Map<id::InstanceId, clock::Millis>,
     /// Whether gateways may use only what the replicated log allows.
     is_use_logged: bool,
     /// Whether the reports to this leader name all use before its term.
@@ -223,6 +231,7 @@
             held,
             demand,
         };
+        self.absent.remove(from);
         self.gateways.insert(from.clone(), received);
     }
 
@@ -247,10 +256,15 @@
             .filter(|(_, g)| is_silent(g))
             .map(|(id, _)| id.clone())
             .collect();
-        let mut removed: Vec<Gateway> = silent
-            .iter()
-            .filter_map(|id| self.gateways.remove(id))
-            .collect();
+        self.absent.retain(|_, until| now < *until);
+        let mut removed = Vec::new();
+        for id in silent {
+            if let Some(gateway) = self.gateways.remove(&id) {
+                self.absent
+                    .insert(id, gateway.received_at + QUOTA_RETENTION);
+                removed.push(gateway);
+            }
+        }
         removed.extend(self.previous_incarnations.extract_if(.., |g| is_silent(g)));
         for gateway in removed {
             self.remove_attempts(&gateway.report);
--- a/src/fleet/ledger/quotas.rs
+++ b/src/fleet/ledger/quotas.rs
@@ -10,6 +10,10 @@
 use crate::id;
 use crate::sorted;
 
+/// The time after which a new leader may take the gateways that have reported for all: a report
+/// interval at 300 gateways, and the search for the leader.
+const TAKEOVER_TIME: clock::Millis = clock::Millis::new(1_500);
+
 /// The part of a limit by which shares may exceed it. Gateways use up their shares only in part, and
 /// use counts from its report on, so without it an account at its limit gets 0.8 of it at 300
 /// gateways. Deployments allow a tenth over the limit.
@@ -227,7 +231,11 @@
                 (Some(now), Some(before)) => now.saturating_sub(before) as i64,
                 _ => change.max(0),
             };
-            account.used.add(at, charged);
+            // Nothing was charged after the last charge, so all of it may count from then on.
+            let idle = claim(report, id).map_or(clock::Millis::ZERO, |c| c.idle);
+            if charged > 0 {
+                account.used.add_past(at - idle, charged);
+            }
             account.charged += charged as u64;
             account.used.remove(at, charged - change);
         }
@@ -288,7 +296,9 @@
     /// Finds out whether all gateways that may have used units before this term have reported them:
     /// as many as the former leader counted, all running for longer than a window.
     pub(super) fn find_continuity(&mut self, now: clock::Millis) {
-        let Some(taken_over_at) = self.taken_over_at.filter(|_| !self.is_use_known) else {
+        let is_settled = |at: &clock::Millis| now >= *at + TAKEOVER_TIME;
+        let taken_over_at = self.taken_over_at.filter(is_settled);
+        let Some(taken_over_at) = taken_over_at.filter(|_| !self.is_use_known) else {
             return;
         };
         let is_all = self.gateways.len() as u32 >= self.previous_gateway_count;
@@ -299,7 +309,7 @@
     }
 
     fn silent(&self, now: clock::Millis) -> Silent {
-        let gateways = i64::from(self.gateway_count(now));
+        let gateways = i64::from(self.gateway_count(now)) + self.absent.len() as i64;
         let max_age = self.report_interval() * ledger::MAX_MISSED_REPORTS;
         let is_active = |g: &&ledger::Gateway| now < g.received_at + max_age;
         let active = self.gateways.values().filter(is_active).count() as i64;
@@ -371,6 +381,7 @@
         }
         Some(share::Shares {
             number: claims.number,
+            gateways: silent.gateways as u32,
             accounts: shares,
         })
     }
--- a/src/fleet/quota.rs
+++ b/src/fleet/quota.rs
@@ -19,6 +19,10 @@
 /// Several, so that a single lost report has no effect.
 pub const STALE_REPORTS: u64 = 5;
 
+/// The time for which a gateway spends its share after its last summary became too old. The leader
+/// reserves the share no longer, since the gateway may be gone for good.
+pub const MAX_SHARE_TIME: clock::Millis = clock::Millis::from_secs(30);
+
 /// The lower bound of `retry_after` in a refusal.
 const MIN_RETRY_AFTER: clock::Millis = clock::Millis::new(200);
 
@@ -31,12 +35,15 @@
     window: clock::Millis,
     /// Accounts that lost their quota stay, so that their sums never fall.
     accounts: sorted::Map<id::ClientAccountId, Meter>,
+    /// When the report was made that the last summary answers.
+    answered_at: clock::Millis,
     /// When the last summary becomes too old to use.
     stale_at: clock::Millis,
     /// The number of gateways among which quotas are shared.
     gateways: u32,
-    /// Whether the leader issues shares.
-    has_shares: bool,
+    /// The number of gateways among which a leader that issues shares divides quotas; `None` when the
+    /// leader issues none.
+    share_gateways: Option<u32>,
     /// The number of the last report.
     report_number: u64,
 }
@@ -71,8 +78,10 @@
     /// spent since.
     remaining: i64,
     claim: share::Claim,
-    /// The units that no gateway held when the leader answered.
+    charged_at: clock::Millis,
+    /// The units that no gateway held when the leader answered, and those charged before.
     free: u64,
+    charged_before: u64,
 }
 
 impl document::Quota {
@@ -88,9 +97,10 @@
         Self {
             window,
             accounts: sorted::Map::new(),
+            answered_at: clock::Millis::ZERO,
             stale_at: clock::Millis::ZERO,
             gateways: 1,
-            has_shares: false,
+            share_gateways: None,
             report_number: 0,
         }
     }
@@ -112,7 +122,9 @@
                 spent_in_window: window::Window::new(window),
                 remaining: 0,
                 claim: share::Claim::default(),
+                charged_at: clock::Millis::ZERO,
                 free: 0,
+                charged_before: 0,
             };
             let meter = self.accounts.get_or_insert_with(account.id.clone(), fresh);
             match meter.quota {
@@ -142,10 +154,13 @@
     }
 
     /// Returns what the next report says of shares, and counts it.
-    pub fn next_claims(&mut self) -> share::Claims {
+    pub fn next_claims(&mut self, now: clock::Millis) -> share::Claims {
         self.report_number += 1;
         let accounts = self.accounts.iter_mut().map(|(id, meter)| {
-            let claim = meter.claim;
+            let claim = share::Claim {
+                idle: now - meter.charged_at,
+                ..meter.claim
+            };
             meter.claim.wanted = 0;
             (id.clone(), claim)
         });
@@ -185,9 +200,10 @@
         gateways: u32,
         report_interval: clock::Millis,
     ) {
+        self.answered_at = sent_at;
         self.stale_at = sent_at + report_interval * STALE_REPORTS;
         self.gateways = gateways;
-        self.has_shares = false;
+        self.share_gateways = None;
         for (id, remaining) in remaining.iter() {
             if let Some(meter) = self.accounts.get_mut(id) {
                 let since = meter.spent - reported.get(id).copied().unwrap_or_default();
@@ -199,7 +215,7 @@
     /// Sets the marks from the summary that answers the last report; called after
     /// [`Self::apply_summary`].
     pub fn apply_shares(&mut self, shares: &share::Shares) {
-        self.has_shares = true;
+        self.share_gateways = Some(shares.gateways);
         if shares.number != self.report_number {
             return;
         }
@@ -207,6 +223,7 @@
             if let Some(meter) = self.accounts.get_mut(id) {
                 meter.claim.mark = share.mark;
                 meter.free = share.free;
+                meter.charged_before = meter.claim.charged;
             }
         }
     }
@@ -238,7 +255,12 @@
         is_first: bool,
     ) -> Result<(), Exceeded> {
         let share_only = now >= self.stale_at;
-        let (window, gateways) = (self.window, i64::from(self.gateways.max(1)));
+        let window = self.window;
+        let has_shares = self.share_gateways.is_some();
+        let gateways = i64::from(self.share_gateways.unwrap_or(self.gateways).max(1));
+        // Until then, what other gateways used before the last summary is in the window, too.
+        let is_recent = has_shares && now < self.answered_at + window;
+        let is_gone = has_shares && now >= self.stale_at + MAX_SHARE_TIME;
         let meter = self.accounts.get_mut(account);
         let Some((meter, quota)) = meter.and_then(|m| m.quota.map(|q| (m, q))) else {
             return Ok(());
@@ -248,13 +270,19 @@
             meter.claim.largest = units.max(meter.claim.largest * 7 / 8);
         }
         let limit = quota.limit(window);
-        let may_wait = !share_only && self.has_shares && meter.free >= units;
-        let remaining = if self.stale_at == clock::Millis::ZERO {
-            // Before the first summary this gateway does not know how many share the quota.
+        let may_wait = !share_only && has_shares && meter.free >= units;
+        let remaining = if self.stale_at == clock::Millis::ZERO || is_gone {
+            // Before the first summary this gateway does not know how many share the quota; later
+            // on the leader no longer reserves its share.
             0
         } else if share_only {
-            limit / gateways - meter.spent_in_window.sum(now)
-        } else if self.has_shares {
+            let share = limit / gateways - meter.spent_in_window.sum(now);
+            if is_recent {
+                share.min(meter.share_of_free(gateways))
+            } else {
+                share
+            }
+        } else if has_shares {
             meter.claim.open() as i64
         } else {
             meter.remaining
@@ -272,7 +300,7 @@
         Err(Exceeded {
             retry_after: retry_after.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
             units,
-            remaining: if self.has_shares && !share_only {
+            remaining: if has_shares && !share_only {
                 meter.remaining
             } else {
                 remaining
@@ -296,8 +324,16 @@
 }
 
 impl Meter {
+    /// Returns what is left of the mark and of an equal share in what no gateway held.
+    fn share_of_free(&self, gateways: i64) -> i64 {
+        let open = self.claim.mark.saturating_sub(self.charged_before) as i64;
+        let charged = (self.claim.charged - self.charged_before) as i64;
+        open + self.free as i64 / gateways - charged
+    }
+
     fn spend(&mut self, now: clock::Millis, units: u64) {
         self.claim.charged += units;
+        self.charged_at = now;
         self.spent += units as i64;
         self.remaining -= units as i64;
         self.spent_in_window.add(now, units as i64);
--- a/src/fleet/share.rs
+++ b/src/fleet/share.rs
@@ -4,6 +4,7 @@
 //! gateway's recent demand. Everything up to the marks counts as used, so the sum over all gateways
 //! holds whatever they charge between two reports, and also what a lost gateway never reported.
 
+use crate::clock;
 use crate::id;
 use crate::macros;
 use crate::sorted;
@@ -31,6 +32,8 @@
         pub largest: u64,
         /// The units that requests wait for now.
         pub wanted: u64,
+        /// The time since the last charge.
+        pub idle: clock::Millis,
     }
 }
 
@@ -39,6 +42,8 @@
     pub struct Shares {
         /// The report that this answers.
         pub number: u64,
+        /// The gateways among which quotas are shared, also those that have been silent for long.
+        pub gateways: u32,
         pub accounts: sorted::Map<id::ClientAccountId, Share>,
     }
 }
--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -183,7 +183,7 @@
                 quotas.gateways(),
                 quotas.spent(),
                 quotas.spent_in_window(now),
-                quotas.next_claims(),
+                quotas.next_claims(now),
             )
         };
         let max_news_age = self.max_news_age();
