Shares that are reserved for silent routers are not logged as issued

Cause: after a change of leader all routers are silent for the first moments, so nearly the whole limit counted as issued; what is issued is allowed in the replicated log for the rest of the term and counts as used after the next loss of everything.

Change: the log gets what routers hold and what is allowed ahead; the reserve counts at the leader only. Open: what silent routers spent of it is unknown if everything is lost at that time.

--- a/src/fleet/ledger/quotas.rs
+++ b/src/fleet/ledger/quotas.rs
@@ -153,12 +153,13 @@
         let standings = accounts.filter_map(|(id, account)| {
             let limit = account.quota?.limit(window);
             let reserve = silent.reserve(id, limit);
-            let issued = account.held + reserve as u64;
-            let used = account.used(at, is_use_known) + issued as i64;
+            let used = account.used(at, is_use_known) + account.held as i64 + reserve;
             Some(allowance::Standing {
                 account: id.clone(),
                 used: account.charged,
-                issued: account.charged + issued,
+                // Without what is reserved for silent gateways. A new leader hears of all of them
+                // within its first second, and until then would log nearly the whole limit as issued.
+                issued: account.charged + account.held,
                 limit: limit as u64,
                 remaining: (issue_limit(limit) - used).max(0) as u64,
             })
@@ -358,10 +359,11 @@
             let claimed = claims.accounts.get(id).copied().unwrap_or_default();
             let limit = quota.limit(window);
             let own = gateway.held.get(id).copied().unwrap_or_default();
-            let issued = (account.held - own) as i64 + silent.reserve(id, limit);
-            let left = issue_limit(limit) - issued - account.used(at, is_use_known);
+            let held = (account.held - own) as i64;
+            let reserve = silent.reserve(id, limit);
+            let left = issue_limit(limit) - held - reserve - account.used(at, is_use_known);
             let room = if self.is_use_logged {
-                left.min(account.allowed as i64 - account.charged as i64 - issued)
+                left.min(account.allowed as i64 - account.charged as i64 - held)
             } else {
                 left
             };
