Permits for cold servers are off unless the settings ask for them; accounts are allowed less ahead in the log

What accounts were allowed ahead in the log (a third of what remains) counts as used after each change of leader: two changes and the final fault refused accounts at half of their limits for 2 s.

Accounts are allowed an eighth of what remains ahead, a sixteenth of their limit at least.

--- a/src/fleet/allowance.rs
+++ b/src/fleet/allowance.rs
@@ -21,9 +21,9 @@
 /// The part of its limit that an account is allowed ahead at least.
 const MIN_AHEAD_PART: u64 = 16;
 
-/// The part of its remaining units that an account is allowed ahead: less than a surge uses up between
-/// two batches would make requests be refused.
-const FREE_AHEAD_PART: u64 = 3;
+/// The part of its remaining units that an account is allowed ahead, if that is more. What was allowed
+/// and not used counts as used after each change of leader, so a large part makes accounts be refused.
+const FREE_AHEAD_PART: u64 = 8;
 
 macros::data! {
     /// A change of the replicated allowances.
--- a/src/keeper/aggregator.rs
+++ b/src/keeper/aggregator.rs
@@ -62,7 +62,7 @@
     list_settings: core::ListSettings,
     pub(super) quota_window: clock::Millis,
     budget: budget::Settings,
-    cold: cold::Settings,
+    cold: Option<cold::Settings>,
     pub(super) clock: clock::Clock,
     leader_state: sync::Mutex<LeaderState>,
     /// Kept over terms: a member sees evacuations end also while it follows.
@@ -105,16 +105,16 @@
             list_settings,
             quota_window,
             budget,
-            cold: cold::Settings::default(),
+            cold: None,
             clock,
             leader_state: sync::Mutex::default(),
             evacuation_ends: sync::Mutex::default(),
         }
     }
 
-    /// Sets the bounds for calls to cold servers; without them, these get one call in ten seconds.
+    /// Sets the bounds for calls to cold servers; without them, cold servers are called like others.
     #[must_use]
-    pub fn with_cold(self, cold: cold::Settings) -> Self {
+    pub fn with_cold(self, cold: Option<cold::Settings>) -> Self {
         Self { cold, ..self }
     }
 
@@ -207,7 +207,7 @@
                 term: leader_term,
                 ledger: ledger::Ledger::new(leader_term.unwrap_or_default(), self.quota_window)
                     .with_budget(self.budget)
-                    .with_cold(self.cold),
+                    .with_cold(self.cold.unwrap_or_default()),
                 ..LeaderState::default()
             };
         }
@@ -388,7 +388,9 @@
             Ok(document) => {
                 leader_state.ledger.configure(&document.accounts);
                 leader_state.origins.set_routes(&document.routes);
-                leader_state.ledger.configure_cold(&document.services);
+                if self.cold.is_some() {
+                    leader_state.ledger.configure_cold(&document.services);
+                }
             }
             Err(e) => log::error!(
                 "can't decode the document of the replicated log; keeping the accounts known before: {e}"
--- a/src/keeper/run.rs
+++ b/src/keeper/run.rs
@@ -59,8 +59,8 @@
     pub quota_window: clock::Millis,
     /// The retry budget.
     pub budget: budget::Settings,
-    /// The bounds for calls to cold servers.
-    pub cold: cold::Settings,
+    /// The bounds for calls to cold servers; `None` calls them like others.
+    pub cold: Option<cold::Settings>,
 }
 
 pub struct Environment {
