--- a/src/router/generate/log_lines.rs
+++ b/src/router/generate/log_lines.rs
@@ -2,6 +2,7 @@
 
 use crate::clock;
 use crate::logging;
+use crate::router::availability;
 use crate::router::balancer;
 use crate::router::generate;
 use crate::router::protocol;
@@ -80,6 +81,28 @@
         );
     }
 
+    /// Logs that a server could not be reached, or did not answer a reservation call.
+    pub(super) fn log_attempt_failed(
+        &self,
+        pick: &balancer::Pick,
+        purpose: availability::Purpose,
+        failure: upstream::Failure,
+    ) {
+        log::info!(
+            event = "attempt_failed",
+            request = self.req.log_id(),
+            route = self.req.route.name.as_str(),
+            service = self.req.service.id.as_str(),
+            server = pick.id.as_str(),
+            purpose = purpose.as_str(),
+            failure = failure.to_string(),
+            fingerprints = self.req.log_fingerprints(),
+            tries = self.attempts,
+            age_ms = self.req.age().as_u64();
+            "attempt at a server failed"
+        );
+    }
+
     /// Logs that a server was lost while it ran the stream.
     pub(super) fn log_lost(&self, pick: &balancer::Pick, failure: upstream::Failure) {
         log::info!(
--- a/src/router/generate/mod.rs
+++ b/src/router/generate/mod.rs
@@ -361,7 +361,8 @@
                 self.log_not_run(pick, execution, export.is_some());
                 Attempt::NotRun
             }
-            Err(upstream::Failure::NotSent | upstream::Failure::Withdrawn) => {
+            Err(failure @ (upstream::Failure::NotSent | upstream::Failure::Withdrawn)) => {
+                self.log_attempt_failed(pick, purpose, failure);
                 self.connect_failures += 1;
                 guard.finish(balancer::Outcome::ConnectFailed);
                 Attempt::NotRun
--- a/src/router/generate/placement.rs
+++ b/src/router/generate/placement.rs
@@ -60,6 +60,7 @@
                 return Ok(None);
             }
             reserve::Outcome::Lost(failure) => {
+                self.log_attempt_failed(&pick, availability::Purpose::Reserve, failure);
                 guard.finish(failure.outcome());
                 self.connect_failures += 1;
                 self.tried.push(pick.id);
