Requests for a service that a router does not reach are passed on through another router

Cause: a router had no other way to a service than its own connections. Each request tried servers by timeouts and was refused, while callers keep an address for seconds; a stream that had begun there ended for want of a server. A refusal tells whether no server could be reached (Refusal::Unreached).

--- a/src/control/handler.rs
+++ b/src/control/handler.rs
@@ -35,6 +35,7 @@
             | message::Request::Run(_)
             | message::Request::Begun(_)
             | message::Request::Origin(_)
+            | message::Request::Forward(_)
             | message::Request::Limiter(_)
             | message::Request::HandOver(_)
             | message::Request::Scheduler(_) => message::Reply::Unsupported,
--- a/src/explain/describe.rs
+++ b/src/explain/describe.rs
@@ -98,6 +98,21 @@
             value("first_event_ms"),
             value("longest_pause_ms")
         ),
+        "forwarded" => format!(
+            "passed on through router {} after {} ms: {}",
+            text("router"),
+            value("age_ms"),
+            match text("outcome") {
+                "answered" => format!("it answered {}", value("status")),
+                "declined" => "it declined, and nothing was sent to a server".to_owned(),
+                _ => "it stopped replying; the request may have run".to_owned(),
+            }
+        ),
+        "forward_end" => format!(
+            "the answer from the other router ended after {} ms: {}",
+            value("age_ms"),
+            text("outcome")
+        ),
         _ => state_change(entry),
     }
 }
@@ -153,6 +168,16 @@
         "document" => format!("document {} came into force", value("version")),
         "servers" => format!("applied a list of {} servers", value("count")),
         "list" => format!("the platform's list changed: {} servers", value("servers")),
+        "path_lost" => format!(
+            "no server of service {} could be reached; passes its requests on",
+            entry.text("service")
+        ),
+        "path_restored" => format!(
+            "server {} of service {} could be reached again after {} ms",
+            entry.text("server"),
+            entry.text("service"),
+            value("after_ms")
+        ),
         "leader" => format!(
             "reports to the leader at {} in term {}",
             entry.text("address"),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 pub mod crashes;
 pub mod evacuation;
 pub mod failing;
+pub mod forward;
 pub mod ledger;
 pub mod listing;
 pub mod message;
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -139,6 +139,26 @@
         }
     }
 
+    /// Opens the connection to a peer, unless there is one.
+    ///
+    /// # Errors
+    ///
+    /// Fails as unavailable when there is none within `timeout`. Nothing was sent then.
+    pub async fn connect(
+        &self,
+        address: net::SocketAddr,
+        timeout: clock::Millis,
+    ) -> error::Result<()> {
+        let link = self.link(address);
+        match time::timeout(timeout.as_duration(), link.connect()).await {
+            Ok(connected) => connected.map(drop),
+            Err(_) => {
+                let reason = format!("no connection to {address} within {timeout}");
+                Err(error::Error::unavailable(reason, RETRY_AFTER))
+            }
+        }
+    }
+
     /// Returns the protocol version of a peer's last reply; `None` before the first one.
     pub fn peer_version(&self, address: net::SocketAddr) -> Option<trailer::ProtocolVersion> {
         self.link(address).peer_version()
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -7,6 +7,7 @@
 use crate::error;
 use crate::fleet::budget;
 use crate::fleet::crashes;
+use crate::fleet::forward;
 use crate::fleet::message as fleet;
 use crate::fleet::origin;
 use crate::fleet::permit;
@@ -49,6 +50,8 @@
         Origin(origin::Question),
         /// Asks whether the peer is alive; answered `Accepted`.
         Ping,
+        /// A router passes a caller's request on through another one.
+        Forward(Box<forward::Ask>),
     }
 }
 
@@ -85,6 +88,8 @@
         NotOwner(id::Epoch),
         /// This kind of process does not handle the request, or refused it as invalid.
         Unsupported,
+        /// The answer of a router through which a request is passed on.
+        Forward(Box<forward::Answer>),
     }
 }
 
--- a/src/router/availability.rs
+++ b/src/router/availability.rs
@@ -296,6 +296,11 @@
         self.unlisted_since.get_or_insert(now);
     }
 
+    /// Returns whether the list does not name the server.
+    pub fn is_unlisted(&self) -> bool {
+        self.unlisted_since.is_some()
+    }
+
     /// Returns whether the server is in the list, or said something that a later list must not undo.
     pub fn is_kept(&self, now: clock::Millis) -> bool {
         let Some(since) = self.unlisted_since else {
--- a/src/router/balancer/mod.rs
+++ b/src/router/balancer/mod.rs
@@ -214,6 +214,39 @@
         self.ids_where(|availability| availability.is_unreachable(now))
     }
 
+    /// Returns the service of a server, and the number of servers that the list names for it; `None` for
+    /// a server that is not known.
+    pub fn service_of(&self, server: &id::BackendServerId) -> Option<(document::ServiceId, usize)> {
+        let service = &self.servers.get(server)?.server.service;
+        Some((service.clone(), self.listed(service).count()))
+    }
+
+    /// Returns the services that have listed servers, sorted.
+    pub fn services(&self) -> Vec<document::ServiceId> {
+        let listed = self.servers.values();
+        let listed = listed.filter(|b| !b.availability.is_unlisted());
+        let mut services: Vec<_> = listed.map(|b| b.server.service.clone()).collect();
+        services.sort();
+        services.dedup();
+        services
+    }
+
+    /// Returns the listed servers of a service, by id.
+    pub fn servers_of(
+        &self,
+        service: &document::ServiceId,
+    ) -> Vec<(id::BackendServerId, net::SocketAddr)> {
+        let servers = self.listed(service);
+        servers.map(|s| (s.id.clone(), s.address)).collect()
+    }
+
+    fn listed(&self, service: &document::ServiceId) -> impl Iterator<Item = &message::Server> {
+        let listed = self.servers.values();
+        let listed = listed.filter(|b| !b.availability.is_unlisted());
+        let servers = listed.map(|b| &b.server);
+        servers.filter(move |s| s.service == *service)
+    }
+
     /// Returns how this router's calls of the last two seconds ended, for each server that had some.
     pub fn endings(
         &self,
--- a/src/router/call.rs
+++ b/src/router/call.rs
@@ -96,7 +96,9 @@
     if let Some(permit) = pick.permit {
         time::sleep((permit.from - core.clock.now()).as_duration()).await;
     }
-    let stream = upstream::connect(pick.address, timeout).await?;
+    let connected = upstream::connect(pick.address, timeout).await;
+    core.record_path(&pick.id, connected.is_ok());
+    let stream = connected?;
     guard.check(pick, purpose)?;
     check_permit(core, pick, purpose)?;
     if caller.is_some_and(|c| c.is_quarantined()) {
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -19,8 +19,10 @@
 use crate::peer::link;
 use crate::router::availability;
 use crate::router::balancer;
+use crate::router::helpers;
 use crate::router::origins;
 use crate::router::output;
+use crate::router::paths;
 use crate::router::permits;
 use crate::router::protocol;
 use crate::router::retries;
@@ -33,6 +35,8 @@
     pub data_centre: id::DataCentre,
     /// Address for callers.
     pub caller_address: net::SocketAddr,
+    /// Address for the other routers. They use the same port, and the IP address of `caller_address`.
+    pub router_address: net::SocketAddr,
     /// Address for the platform's readiness probes.
     pub ready_address: net::SocketAddr,
     /// Address for callers that ask for gateway addresses, if they may ask here.
@@ -85,6 +89,10 @@
     retries: sync::Mutex<retries::Retries>,
     permits: sync::Mutex<permits::Permits>,
     suspects: sync::Mutex<suspects::Suspects>,
+    paths: sync::Mutex<paths::Paths>,
+    helpers: sync::Mutex<helpers::Helpers>,
+    /// Notified when the path to a service is lost.
+    pub path_lost: Notify,
     origins: sync::Mutex<origins::Origins>,
     /// Notified when the leader may have to be told of streams that began.
     pub origins_due: Notify,
@@ -157,6 +165,9 @@
             retries: sync::Mutex::new(retries),
             permits: sync::Mutex::new(permits::Permits::new(rand::random())),
             suspects: sync::Mutex::default(),
+            paths: sync::Mutex::default(),
+            helpers: sync::Mutex::default(),
+            path_lost: Notify::new(),
             origins: sync::Mutex::default(),
             origins_due: Notify::new(),
             report_due: Notify::new(),
@@ -384,6 +395,48 @@
         lock(&self.suspects)
     }
 
+    pub fn paths(&self) -> sync::MutexGuard<'_, paths::Paths> {
+        lock(&self.paths)
+    }
+
+    pub fn helpers(&self) -> sync::MutexGuard<'_, helpers::Helpers> {
+        lock(&self.helpers)
+    }
+
+    /// Records whether a connection to a server could be opened.
+    pub fn record_path(&self, server: &id::BackendServerId, is_reached: bool) {
+        let now = self.clock.now();
+        let Some((service, listed)) = self.balancer().service_of(server) else {
+            return;
+        };
+        let change = if is_reached {
+            self.paths().record_reached(now, &service)
+        } else {
+            self.paths().record_unreached(now, &service, server, listed)
+        };
+        match change {
+            None => {}
+            Some(paths::Change::Lost) => {
+                metrics::counter!("buckthorncleat_paths_lost_total").increment(1);
+                log::warn!(
+                    event = "path_lost",
+                    service = service.as_str(),
+                    servers = listed as u64;
+                    "no server of a service can be reached; passing its requests on through other routers"
+                );
+                self.path_lost.notify_one();
+                self.report_due.notify_one();
+            }
+            Some(paths::Change::Restored { after }) => log::info!(
+                event = "path_restored",
+                service = service.as_str(),
+                server = server.as_str(),
+                after_ms = after.as_u64();
+                "a server of the service can be reached again"
+            ),
+        }
+    }
+
     /// Returns the origins of the streams that this router has begun or taken up.
     pub fn origins(&self) -> sync::MutexGuard<'_, origins::Origins> {
         lock(&self.origins)
--- a/src/router/generate/mod.rs
+++ b/src/router/generate/mod.rs
@@ -55,7 +55,7 @@
 
 /// A streamed request over all its attempts.
 pub struct StreamRequest {
-    pub req: request::Request,
+    pub req: Box<request::Request>,
     /// Servers that are not picked again.
     tried: Vec<id::BackendServerId>,
     /// Number of servers that the request was sent to.
@@ -130,23 +130,37 @@
 ///
 /// # Errors
 ///
-/// Returns a refusal that says whether the request may have run.
-pub async fn serve(mut req: request::Request) -> Result<request::Response, Refusal> {
+/// Returns the request with a refusal that says whether it may have run, and whether another router may serve
+/// it.
+pub async fn serve(
+    mut req: Box<request::Request>,
+) -> Result<request::Response, Box<(Box<request::Request>, request::Ended)>> {
     let account = req.account.as_ref();
-    let taken_up = origin_gate::find(&req.core, account, &req.caller, &req.route).await?;
+    let named = req.caller.resumes.as_deref();
+    let named = named.map(|id| origin::StreamId::new(account, id));
+    let taken_up = match &req.known_origin {
+        Some(origin) => Some((named, origin.clone())),
+        None => match origin_gate::find(&req.core, account, &req.caller, &req.route).await {
+            Ok(found) => found,
+            Err(refusal) => return Err(refused(req, refusal)),
+        },
+    };
     let own_id = origin::StreamId::new(account, req.log_id());
     let (named, origin) = match taken_up {
         Some((id, origin)) => (id.filter(|id| *id != own_id), Some(origin)),
         None => (None, None),
     };
     let stream_ids = named.into_iter().chain([own_id]).collect();
-    if let Some(origin) = &origin {
-        req.use_service(&origin.service)?;
+    if let Some(origin) = &origin
+        && let Err(refusal) = req.use_service(&origin.service)
+    {
+        return Err(refused(req, refusal));
     }
     let mut stream = StreamRequest::new(req, stream_ids, origin);
-    let opened = match stream.open().await? {
-        Ok(opened) => opened,
-        Err(failed) => return Ok(failed),
+    let opened = match stream.open().await {
+        Ok(Ok(opened)) => opened,
+        Ok(Err(failed)) => return Ok(failed),
+        Err(ended) => return Err(Box::new((stream.req, ended))),
     };
     let (tx, body) = body::Body::channel(MAX_BUFFERED_CHUNKS);
     let response = opened.answer.to_response(body);
@@ -159,9 +173,18 @@
     Ok(response)
 }
 
+/// Returns the end of a request that is refused before any attempt.
+fn refused(
+    req: Box<request::Request>,
+    refusal: Refusal,
+) -> Box<(Box<request::Request>, request::Ended)> {
+    let pass_on = None;
+    Box::new((req, request::Ended { refusal, pass_on }))
+}
+
 impl StreamRequest {
     fn new(
-        req: request::Request,
+        req: Box<request::Request>,
         stream_ids: Vec<origin::StreamId>,
         origin: Option<origin::Origin>,
     ) -> Self {
@@ -195,19 +218,21 @@
     /// # Errors
     ///
     /// Returns a refusal that says whether the request may have run.
-    pub async fn open(&mut self) -> Result<Result<Box<OpenStream>, request::Response>, Refusal> {
+    pub async fn open(
+        &mut self,
+    ) -> Result<Result<Box<OpenStream>, request::Response>, request::Ended> {
         let deadline = self.placement_deadline();
         loop {
             if let Err(refusal) = self.check_attempt() {
-                return Err(self.final_refusal(refusal));
+                return Err(self.end(refusal));
             }
             if let Err(refusal) = self.admit_run(deadline).await {
-                return Err(self.final_refusal(refusal));
+                return Err(self.end(refusal));
             }
             let placement = match self.find_placement(deadline).await {
                 Ok(Some(placement)) => placement,
                 Ok(None) => continue,
-                Err(refusal) => return Err(self.final_refusal(refusal)),
+                Err(refusal) => return Err(self.end(refusal)),
             };
             self.waited = self.req.age();
             metrics::histogram!("buckthorncleat_wait_seconds").record(self.waited.as_secs_f64());
@@ -228,7 +253,7 @@
                 }
                 Attempt::NotRun | Attempt::Withdrawn => {}
                 Attempt::NoRetry => {
-                    return Err(self.final_refusal(Refusal::NotRun(
+                    return Err(self.end(Refusal::NotRun(
                         "no retry budget",
                         draw_retry_after(retry_after::Cause::StreamsFull),
                     )));
@@ -246,10 +271,11 @@
             || self.attempts >= max_attempts
             || self.connect_failures > request::MAX_CONNECT_FAILURES
         {
-            return Err(Refusal::NotRun(
-                "servers failed",
-                draw_retry_after(retry_after::Cause::ServersFailed),
-            ));
+            return Err(Refusal::unreached("servers failed"));
+        }
+        let has_failed = self.connect_failures > 0 || self.has_begun();
+        if has_failed && self.req.core.paths().is_lost(&self.req.service.id) {
+            return Err(Refusal::unreached("no server"));
         }
         if self.req.time_left() == clock::Millis::ZERO {
             return Err(Refusal::NotRun(
@@ -283,15 +309,16 @@
         deadline.min(self.req.deadline)
     }
 
-    /// Returns the refusal for the caller: the given one only if no attempt may have run.
-    fn final_refusal(&self, refusal: Refusal) -> Refusal {
-        if !self.may_have_run {
-            refusal
-        } else if self.req.time_left() == clock::Millis::ZERO {
-            Refusal::TimedOut("server silent")
-        } else {
-            Refusal::MayHaveRun("server broke off")
-        }
+    /// Returns how the request ends after its attempts.
+    fn end(&self, refusal: Refusal) -> request::Ended {
+        let may_resend = self.req.route.retry_policy.allows_retry() || !self.may_have_run;
+        let attempts = request::Attempts {
+            sent: self.attempts + u32::from(self.prefill_server.is_some()),
+            may_have_run: self.may_have_run,
+            may_go_on: may_resend && self.attempts < self.req.route.max_attempts,
+            is_timed_out: self.req.time_left() == clock::Millis::ZERO,
+        };
+        request::Ended::new(refusal, attempts)
     }
 
     async fn attempt(&mut self, placement: Placement) -> Attempt {
@@ -333,7 +360,7 @@
         let purpose = availability::Purpose::Decode;
         self.begun_at = self.req.core.clock.now();
         self.is_sound = false;
-        let caller = Some(&self.req);
+        let caller = Some(&*self.req);
         let sent = call::send(&self.req.core, pick, purpose, caller, server_req, timeout).await;
         if matches!(sent, Err(upstream::Failure::Withdrawn)) {
             // The reservation is released, and the request goes to another server.
--- a/src/router/generate/origins.rs
+++ b/src/router/generate/origins.rs
@@ -31,6 +31,11 @@
         core.origins_due.notify_one();
     }
 
+    /// Returns where the stream began; `None` before its first event.
+    pub const fn origin(&self) -> Option<&origin::Origin> {
+        self.origin.as_ref()
+    }
+
     /// Returns the servers that the request must not be sent to: those that were tried, and those of
     /// another software version than the one that began the stream, or that may have another one since
     /// they could not be reached.
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -50,15 +50,15 @@
 ///
 /// # Errors
 ///
-/// Returns a refusal that says whether the request may have run.
-pub async fn serve(req: request::Request) -> Result<request::Response, Refusal> {
+/// Returns a refusal that says whether the request may have run, and whether another router may serve it.
+pub async fn serve(req: &request::Request) -> Result<request::Response, request::Ended> {
     let mut progress = Progress::default();
     loop {
-        let pick = match next_server(&req, &mut progress).await {
+        let pick = match next_server(req, &mut progress).await {
             Ok(pick) => pick,
-            Err(refusal) => return progress.finish(&req, refusal),
+            Err(refusal) => return progress.finish(req, refusal),
         };
-        if let Some(response) = attempt(&req, &pick, &mut progress).await {
+        if let Some(response) = attempt(req, &pick, &mut progress).await {
             req.log_served(request::Served::Answered, &pick, progress.attempts);
             return Ok(response);
         }
@@ -81,10 +81,10 @@
         || !may_resend
         || progress.connect_failures > request::MAX_CONNECT_FAILURES
     {
-        return Err(Refusal::NotRun(
-            "servers failed",
-            draw_retry_after(retry_after::Cause::ServersFailed),
-        ));
+        return Err(Refusal::unreached("servers failed"));
+    }
+    if progress.connect_failures > 0 && req.core.paths().is_lost(&req.service.id) {
+        return Err(Refusal::unreached("no server"));
     }
     if std::mem::take(&mut progress.must_report) {
         run_gate::wait_until_reported(&req.core).await;
@@ -288,23 +288,23 @@
 }
 
 impl Progress {
-    /// Ends the request with a server's error response if there is one, else with a refusal.
+    /// Ends the attempts with a server's error response if there is one, else with a refusal.
     fn finish(
         self,
         req: &request::Request,
         refusal: Refusal,
-    ) -> Result<request::Response, Refusal> {
+    ) -> Result<request::Response, request::Ended> {
         if let Some((response, pick)) = self.failed {
             req.log_served(request::Served::FailedAtServer, &pick, self.attempts);
             return Ok(response);
         }
-        if !self.may_have_run {
-            return Err(refusal);
-        }
-        Err(if req.time_left() < MIN_ATTEMPT_TIME {
-            Refusal::TimedOut("server silent")
-        } else {
-            Refusal::MayHaveRun("server broke off")
-        })
+        let may_resend = req.route.retry_policy.allows_retry() || !self.may_have_run;
+        let attempts = request::Attempts {
+            sent: self.attempts,
+            may_have_run: self.may_have_run,
+            may_go_on: may_resend && self.attempts < req.route.max_attempts,
+            is_timed_out: req.time_left() < MIN_ATTEMPT_TIME,
+        };
+        Err(request::Ended::new(refusal, attempts))
     }
 }
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -8,6 +8,7 @@
 use crate::http::progress;
 use crate::router::balancer;
 use crate::router::events;
+use crate::router::forward;
 use crate::router::generate;
 use crate::router::upstream;
 
@@ -96,8 +97,9 @@
         }
         splitter = events::Splitter::default();
         opened = match resume(&mut stream, &tx).await {
-            Some(next) => next,
-            None => break abort_body(&tx, "no server to go on").await,
+            Resumed::Here(next) => *next,
+            Resumed::Elsewhere(outcome) => break outcome,
+            Resumed::Nowhere => break abort_body(&tx, "no server to go on").await,
         };
     };
     stream.log_end(outcome, stats, first_event);
@@ -125,32 +127,43 @@
     reason
 }
 
-/// Resumes the stream at another server, after the last event that was delivered.
-async fn resume(
-    stream: &mut generate::StreamRequest,
-    tx: &body::Sender,
-) -> Option<generate::OpenStream> {
+/// How a broken stream goes on.
+enum Resumed {
+    Here(Box<generate::OpenStream>),
+    /// Other routers relayed it to its end, with this outcome.
+    Elsewhere(&'static str),
+    Nowhere,
+}
+
+/// Resumes the stream after the last event that was delivered: at a server that this router reaches, or
+/// through another router.
+async fn resume(stream: &mut generate::StreamRequest, tx: &body::Sender) -> Resumed {
     let opened = tokio::select! {
         opened = stream.open() => opened,
-        () = tx.closed() => return None,
+        () = tx.closed() => return Resumed::Nowhere,
     };
-    match opened {
+    let ended = match opened {
         Ok(Ok(opened)) => {
             stream.log_resumed(&opened);
-            Some(*opened)
-        }
-        Ok(Err(_)) => None,
-        Err(refusal) => {
-            log::info!(
-                event = "not_resumed",
-                request = stream.req.log_id(),
-                reason = refusal.reason(),
-                last_event = stream.resume_after.unwrap_or_default();
-                "broken stream could not be resumed"
-            );
-            None
+            return Resumed::Here(opened);
         }
+        Ok(Err(_)) => return Resumed::Nowhere,
+        Err(ended) => ended,
+    };
+    let may_pass_on = ended.pass_on.is_some() && !stream.req.is_forwarded();
+    if let Some(last_event) = stream.resume_after.filter(|_| may_pass_on)
+        && let Some(outcome) = forward::resume(stream, tx, last_event).await
+    {
+        return Resumed::Elsewhere(outcome);
     }
+    log::info!(
+        event = "not_resumed",
+        request = stream.req.log_id(),
+        reason = ended.refusal.reason(),
+        last_event = stream.resume_after.unwrap_or_default();
+        "broken stream could not be resumed"
+    );
+    Resumed::Nowhere
 }
 
 async fn relay_chunks(
--- a/src/router/request/log_lines.rs
+++ b/src/router/request/log_lines.rs
@@ -43,12 +43,7 @@
 impl LogContext {
     /// Logs and counts a refused request.
     pub fn log_refused(&self, core: &core::Core, received_at: clock::Millis, refusal: Refusal) {
-        let retry_after = match refusal {
-            Refusal::NotRun(_, retry_after) | Refusal::OverQuota(retry_after) => {
-                retry_after.as_u64()
-            }
-            _ => 0,
-        };
+        let retry_after = refusal.retry_after().unwrap_or_default().as_u64();
         metrics::counter!("buckthorncleat_refused_total", "reason" => refusal.reason())
             .increment(1);
         log::info!(
--- a/src/router/request/mod.rs
+++ b/src/router/request/mod.rs
@@ -5,6 +5,8 @@
 mod refusal;
 
 pub use log_lines::Served;
+pub use refusal::Attempts;
+pub use refusal::Ended;
 pub use refusal::Refusal;
 
 use std::sync;
@@ -19,6 +21,8 @@
 use crate::document;
 use crate::fleet::budget;
 use crate::fleet::crashes;
+use crate::fleet::forward as fleet_forward;
+use crate::fleet::origin;
 use crate::fleet::quota;
 use crate::http::body;
 use crate::http::hop;
@@ -27,7 +31,9 @@
 use crate::router::availability;
 use crate::router::balancer;
 use crate::router::core;
+use crate::router::forward;
 use crate::router::generate;
+use crate::router::helper;
 use crate::router::plain;
 use crate::router::protocol;
 use crate::router::retries;
@@ -76,9 +82,19 @@
     pub fingerprints: Vec<model::Fingerprint>,
     /// Quota units that the account had left after the charge, as far as this router knows.
     pub quota_left: i64,
+    /// Whether another router passed the request on; it is not passed on once more.
+    is_forwarded: bool,
+    /// Where a stream began that the caller or another router takes up, as far as that router knows.
+    pub known_origin: Option<origin::Origin>,
     arrivals: sync::Mutex<arrivals::Arrivals>,
 }
 
+/// How a request came to this router, with its body.
+enum Source {
+    Caller(hyper_body::Incoming),
+    Router(Box<fleet_forward::Forwarded>),
+}
+
 /// Returns a random time after which a refused caller should send again.
 pub fn draw_retry_after(cause: retry_after::Cause) -> clock::Millis {
     retry_after::delay(cause, rand::random())
@@ -92,7 +108,9 @@
     let received_at = core.clock.now();
     let mut log_context = log_lines::LogContext::default();
     let chunked = req.headers().contains_key(header::TRANSFER_ENCODING);
-    let result = admit_and_serve(&core, req, received_at, &mut log_context).await;
+    let (head, incoming) = req.into_parts();
+    let source = Source::Caller(incoming);
+    let result = admit_and_serve(&core, head, source, received_at, &mut log_context).await;
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => {
@@ -109,28 +127,99 @@
     response
 }
 
+/// Serves a request that another router passed on; `None` when nothing was sent to a server, so that a
+/// further router may be asked.
+pub async fn serve_forwarded(
+    core: sync::Arc<core::Core>,
+    forwarded: fleet_forward::Forwarded,
+) -> Option<Response> {
+    let received_at = core.clock.now();
+    let mut log_context = log_lines::LogContext::default();
+    let mut req = hyper::Request::new(());
+    *req.method_mut() = forwarded.method.parse().ok()?;
+    *req.uri_mut() = forwarded.target.parse().ok()?;
+    *req.headers_mut() = helper::read_headers(&forwarded.headers);
+    let (head, ()) = req.into_parts();
+    let source = Source::Router(Box::new(forwarded));
+    let result = admit_and_serve(&core, head, source, received_at, &mut log_context).await;
+    match result {
+        Ok(response) => Some(response),
+        Err(refusal) if refusal.is_unreached() => None,
+        Err(refusal) => {
+            log_context.log_refused(&core, received_at, refusal);
+            Some(refusal.into_response(&*core.codec))
+        }
+    }
+}
+
 async fn admit_and_serve(
     core: &sync::Arc<core::Core>,
-    req: hyper::Request<hyper_body::Incoming>,
+    head: hyper::http::request::Parts,
+    source: Source,
     received_at: clock::Millis,
     log_context: &mut log_lines::LogContext,
 ) -> Result<Response, Refusal> {
-    let (head, incoming) = req.into_parts();
+    let table = core.table().ok_or(Refusal::Unreached(
+        "no document",
+        draw_retry_after(retry_after::Cause::NotReady),
+    ))?;
+    let (mut req, progress) =
+        read_request(core, &table, head, source, received_at, log_context).await?;
+    let standing = core.suspects().standing(&req.fingerprints);
+    if standing == Some(crashes::Standing::Quarantined) {
+        log_lines::log_quarantined(core, &log_context.request_id, &req.fingerprints);
+        return Err(run_gate::quarantined());
+    }
+    if core.paths().is_lost(&req.service.id) {
+        if req.is_forwarded {
+            return Err(Refusal::unreached("no server"));
+        }
+        req = match forward::serve(req, progress).await {
+            forward::Outcome::Answered(response) => return Ok(response),
+            forward::Outcome::Refused(refusal) => return Err(refusal),
+            forward::Outcome::Unserved(req) => req,
+        };
+    }
+    if progress != fleet_forward::Progress::Read {
+        return serve_here(req).await;
+    }
+    let cost = charge(core, &table, &mut req).await?;
+    let charged_at = core.clock.now();
+    let account = req.account.clone();
+    core.retries().record_request(charged_at, &req.service.id);
+    let result = serve_here(req).await;
+    if let (Err(refusal), Some(account)) = (&result, account)
+        && refusal.is_not_run()
+    {
+        let now = core.clock.now();
+        if now < charged_at + core.settings.quota_window {
+            core.quotas().refund(now, &account, cost);
+        }
+    }
+    result
+}
+
+/// Reads a request and finds its route, service and account. The progress is that of the router that passed
+/// it on.
+async fn read_request(
+    core: &sync::Arc<core::Core>,
+    table: &table::Table,
+    head: hyper::http::request::Parts,
+    source: Source,
+    received_at: clock::Millis,
+    log_context: &mut log_lines::LogContext,
+) -> Result<(Box<Request>, fleet_forward::Progress), Refusal> {
     let has_two_framings = head.headers.contains_key(header::TRANSFER_ENCODING)
         && head.headers.contains_key(header::CONTENT_LENGTH);
     if has_two_framings {
         return Err(Refusal::Malformed);
     }
     let caller = core.codec.read_caller(&head.headers);
-    let caller = caller.map_err(|e| {
+    let mut caller = caller.map_err(|e| {
         log::info!(event = "unreadable", detail = e.to_string(); "the head of a caller's request can't be parsed; refusing the request");
         Refusal::Malformed
     })?;
     log_context.request_id = caller.request_id.clone().unwrap_or_default();
-    let table = core.table().ok_or(Refusal::NotRun(
-        "no document",
-        draw_retry_after(retry_after::Cause::NotReady),
-    ))?;
     let host = host_of(&head).ok_or(Refusal::Malformed)?;
     let route = table
         .route(&host, head.uri.path())
@@ -141,10 +230,32 @@
         table::Caller::Account(account) => Some(account),
         table::Caller::Unknown => return Err(Refusal::InvalidKey),
     };
-    let limits = &table.document().limits;
-    let body = read_body(incoming, limits).await?;
-    let service = table.pick_service(route, rand::random());
-    let service = service.and_then(|id| table.service(id));
+    let is_forwarded = matches!(source, Source::Router(_));
+    let mut arrivals = arrivals::Arrivals::default();
+    let mut known_origin = None;
+    let (body, service, progress) = match source {
+        Source::Caller(incoming) => {
+            let body = read_body(incoming, &table.document().limits).await?;
+            let service = table.pick_service(route, rand::random());
+            (body, service.cloned(), fleet_forward::Progress::Read)
+        }
+        Source::Router(forwarded) => {
+            caller.max_wait = Some(forwarded.time_left);
+            if let Some(resume) = forwarded.resume {
+                caller.resume_after = Some(resume.after);
+                caller.resumes = Some(resume.begun_by);
+                known_origin = resume.origin;
+            }
+            if forwarded.progress == fleet_forward::Progress::Sent {
+                // The first arrival was at a server of the other router.
+                arrivals.send(received_at);
+            }
+            let is_routed = route.split.iter().any(|s| s.service == forwarded.service);
+            let service = is_routed.then_some(forwarded.service);
+            (Bytes::from(forwarded.body), service, forwarded.progress)
+        }
+    };
+    let service = service.and_then(|id| table.service(&id).cloned());
     let service = service.ok_or(Refusal::NotRun(
         "no service",
         draw_retry_after(retry_after::Cause::NotReady),
@@ -152,20 +263,6 @@
     let mut fingerprints = caller.parts.clone();
     let account_id = account.map(|a| &a.id);
     fingerprints.push(table::fingerprint(account_id, head.uri.path(), &body));
-    let standing = core.suspects().standing(&fingerprints);
-    if standing == Some(crashes::Standing::Quarantined) {
-        log_lines::log_quarantined(core, &log_context.request_id, &fingerprints);
-        return Err(run_gate::quarantined());
-    }
-    let (cost, quota_left) = charge(
-        core,
-        &table,
-        &log_context.request_id,
-        account,
-        caller.generation.as_ref(),
-    )
-    .await?;
-    let charged_at = core.clock.now();
     let max_wait = caller.max_wait.unwrap_or(route.time_limit);
     let priority =
         account.map_or(0, |a| u16::from(a.priority.min(63))) << 8 | u16::from(route.priority);
@@ -173,51 +270,61 @@
         core: sync::Arc::clone(core),
         body,
         route: route.clone(),
-        service: service.clone(),
-        account: account.map(|a| a.id.clone()),
+        service,
+        account: account_id.cloned(),
         priority,
         received_at,
         deadline: received_at + max_wait.min(route.time_limit),
         fingerprints,
-        quota_left,
-        arrivals: sync::Mutex::default(),
+        quota_left: 0,
+        is_forwarded,
+        known_origin,
+        arrivals: sync::Mutex::new(arrivals),
         caller,
         head,
     };
-    let account = request.account.clone();
-    core.retries()
-        .record_request(core.clock.now(), &request.service.id);
-    let result = if request.route.retry_policy.is_stream() {
-        generate::serve(request).await
+    Ok((Box::new(request), progress))
+}
+
+/// Serves a request at the servers that this router reaches, or through another router if there are none.
+async fn serve_here(req: Box<Request>) -> Result<Response, Refusal> {
+    let (req, ended) = if req.route.retry_policy.is_stream() {
+        match generate::serve(req).await {
+            Ok(response) => return Ok(response),
+            Err(ended) => *ended,
+        }
     } else {
-        plain::serve(request).await
-    };
-    if let (Err(refusal), Some(account)) = (&result, account)
-        && refusal.is_not_run()
-    {
-        let now = core.clock.now();
-        if now < charged_at + core.settings.quota_window {
-            core.quotas().refund(now, &account, cost);
+        match plain::serve(&req).await {
+            Ok(response) => return Ok(response),
+            Err(ended) => (req, ended),
         }
+    };
+    let Some(progress) = ended.pass_on.filter(|_| !req.is_forwarded) else {
+        return Err(ended.refusal);
+    };
+    match forward::serve(req, progress).await {
+        forward::Outcome::Answered(response) => Ok(response),
+        forward::Outcome::Refused(refusal) => Err(refusal),
+        forward::Outcome::Unserved(_) => Err(ended.refusal),
     }
-    result
 }
 
-/// Charges a request to its account; returns its cost and the units that the account has left.
+/// Charges a request to its account; returns its cost.
 ///
 /// While much of the quota remains in the fleet, a request that is beyond this router's share waits
 /// for the next summary.
 async fn charge(
     core: &core::Core,
     table: &table::Table,
-    request: &str,
-    account: Option<&document::Account>,
-    generation: Option<&protocol::Generation>,
-) -> Result<(u64, i64), Refusal> {
+    req: &mut Request,
+) -> Result<u64, Refusal> {
+    let accounts = &table.document().accounts;
+    let charged = req.account.as_ref();
+    let account = charged.and_then(|id| accounts.iter().find(|a| a.id == *id));
     let Some(account) = account else {
-        return Ok((0, 0));
+        return Ok(0);
     };
-    let cost = account.cost(generation);
+    let cost = account.cost(req.caller.generation.as_ref());
     let account_label = table.account_label(account);
     let now = core.clock.now();
     let mut charged = core.quotas().charge(now, &account.id, cost);
@@ -236,11 +343,12 @@
     )
     .increment(cost);
     if let Err(exceeded) = charged {
-        log_lines::log_over_quota(request, &account.id, exceeded);
+        log_lines::log_over_quota(req.log_id(), &account.id, exceeded);
         return Err(Refusal::OverQuota(exceeded.retry_after));
     }
     let left = core.quotas().remaining(&account.id);
-    Ok((cost, left.unwrap_or_default()))
+    req.quota_left = left.unwrap_or_default();
+    Ok(cost)
 }
 
 /// Charges a request after a summary has brought a share for it.
@@ -440,6 +548,11 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Returns whether another router passed the request on.
+    pub const fn is_forwarded(&self) -> bool {
+        self.is_forwarded
+    }
+
     /// Returns the caller's request id for the log, empty without one.
     pub fn log_id(&self) -> &str {
         self.caller.request_id.as_deref().unwrap_or("")
--- a/src/router/request/refusal.rs
+++ b/src/router/request/refusal.rs
@@ -1,6 +1,7 @@
 //! Refusals: how a request ends without a server's answer.
 
 use crate::clock;
+use crate::fleet::forward;
 use crate::http::body;
 use crate::router::balancer;
 use crate::router::permits;
@@ -13,6 +14,9 @@
 pub enum Refusal {
     /// The request did not run and will not; the caller may send it again after the given time.
     NotRun(&'static str, clock::Millis),
+    /// No server could be reached, and the request did not run; the caller may send it again after the given
+    /// time.
+    Unreached(&'static str, clock::Millis),
     /// The account is over its quota; the request did not run. The caller may send again after the
     /// given time.
     OverQuota(clock::Millis),
@@ -30,6 +34,49 @@
     TooLarge,
 }
 
+/// How a request ends here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ended {
+    pub refusal: Refusal,
+    /// What was done with the request, if another router may serve it; `None` if it must be refused.
+    pub pass_on: Option<forward::Progress>,
+}
+
+/// The attempts of a request at servers.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempts {
+    /// The servers that got the request, or a prefill of it.
+    pub sent: u32,
+    pub may_have_run: bool,
+    /// Whether a further attempt is allowed.
+    pub may_go_on: bool,
+    pub is_timed_out: bool,
+}
+
+impl Ended {
+    /// Returns how a request ends after its attempts, when there is no further one here for the reason of
+    /// `refusal`.
+    pub const fn new(refusal: Refusal, attempts: Attempts) -> Self {
+        let pass_on = match refusal {
+            Refusal::Unreached(..) if attempts.sent == 0 => Some(forward::Progress::Admitted),
+            Refusal::Unreached(..) if attempts.may_go_on => Some(forward::Progress::Sent),
+            _ => None,
+        };
+        let refusal = match refusal {
+            _ if attempts.may_have_run && attempts.is_timed_out => {
+                Refusal::TimedOut("server silent")
+            }
+            _ if attempts.may_have_run => Refusal::MayHaveRun("server broke off"),
+            // It was sent to servers, which refused it.
+            Refusal::Unreached(reason, delay) if attempts.sent > 0 => {
+                Refusal::NotRun(reason, delay)
+            }
+            refusal => refusal,
+        };
+        Self { refusal, pass_on }
+    }
+}
+
 impl Refusal {
     /// Returns the refusal of a request for which no server can be picked; `full` is the cause when
     /// all are at capacity.
@@ -50,11 +97,17 @@
             balancer::PickError::Evacuated => {
                 ("data centre evacuated", retry_after::Cause::Evacuated)
             }
-            balancer::PickError::NoServer => ("no server", retry_after::Cause::ServersFailed),
+            balancer::PickError::NoServer => return Self::unreached("no server"),
         };
         Self::NotRun(reason, request::draw_retry_after(cause))
     }
 
+    /// Returns the refusal of a request for which no server could be reached.
+    pub fn unreached(reason: &'static str) -> Self {
+        let delay = request::draw_retry_after(retry_after::Cause::ServersFailed);
+        Self::Unreached(reason, delay)
+    }
+
     /// Returns the refusal of a request for which the servers take no call in time, by the limits
     /// that they name.
     pub const fn limited(denial: permits::Denial) -> Self {
@@ -63,7 +116,7 @@
 
     pub const fn status(self) -> hyper::StatusCode {
         match self {
-            Self::NotRun(..) => hyper::StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotRun(..) | Self::Unreached(..) => hyper::StatusCode::SERVICE_UNAVAILABLE,
             Self::OverQuota(_) => hyper::StatusCode::TOO_MANY_REQUESTS,
             Self::MayHaveRun(_) => hyper::StatusCode::BAD_GATEWAY,
             Self::TimedOut(_) => hyper::StatusCode::GATEWAY_TIMEOUT,
@@ -77,7 +130,10 @@
     /// Returns the reason for logs, metrics and the body of the answer.
     pub const fn reason(self) -> &'static str {
         match self {
-            Self::NotRun(reason, _) | Self::MayHaveRun(reason) | Self::TimedOut(reason) => reason,
+            Self::NotRun(reason, _)
+            | Self::Unreached(reason, _)
+            | Self::MayHaveRun(reason)
+            | Self::TimedOut(reason) => reason,
             Self::OverQuota(_) => "over quota",
             Self::NoRoute => "no route",
             Self::InvalidKey => "unknown key",
@@ -91,13 +147,26 @@
         !matches!(self, Self::MayHaveRun(_) | Self::TimedOut(_))
     }
 
+    /// Returns whether no server could be reached, so that another router may serve the request.
+    pub const fn is_unreached(self) -> bool {
+        matches!(self, Self::Unreached(..))
+    }
+
+    /// Returns the time after which the caller may send again; `None` when it is not told any.
+    pub const fn retry_after(self) -> Option<clock::Millis> {
+        match self {
+            Self::NotRun(_, delay) | Self::Unreached(_, delay) | Self::OverQuota(delay) => {
+                Some(delay)
+            }
+            _ => None,
+        }
+    }
+
     pub(super) fn into_response(self, codec: &dyn protocol::Codec) -> request::Response {
         let mut response = body::answer(self.status(), self.reason());
-        let retry_after = match self {
-            Self::NotRun(_, retry_after) | Self::OverQuota(retry_after) => retry_after,
-            _ => return response,
-        };
-        codec.write_retry_after(response.headers_mut(), retry_after);
+        if let Some(retry_after) = self.retry_after() {
+            codec.write_retry_after(response.headers_mut(), retry_after);
+        }
         response
     }
 }
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -13,10 +13,13 @@
 use crate::event;
 use crate::peer::frame;
 use crate::peer::link;
+use crate::peer::server;
 use crate::router::core;
 use crate::router::directory;
+use crate::router::helper;
 use crate::router::http_server;
 use crate::router::origin_gate;
+use crate::router::probes;
 use crate::router::protocol;
 use crate::router::reporting;
 
@@ -47,8 +50,8 @@
 /// Fails when an address can't be bound, or a task of the router fails.
 pub async fn run(env: Environment) -> error::Result<()> {
     let name = env.settings.instance.clone();
-    let identity = link::Identity::new(name, env.secret, env.recorder);
-    let links = link::Links::new(sync::Arc::new(identity));
+    let identity = sync::Arc::new(link::Identity::new(name, env.secret, env.recorder));
+    let links = link::Links::new(sync::Arc::clone(&identity));
     let clock = clock::Clock::start();
     let core = sync::Arc::new(core::Core::new(env.codec, env.settings, clock, links));
     let mut tasks = listen(&core).await?;
@@ -63,16 +66,19 @@
         telling.await;
         Ok(())
     });
+    let stop_helping = watch::Sender::new(false);
+    let mut helping = help_routers(&core, identity, &stop_helping);
     log::info!(event = "started", instance = core.settings.instance.as_str(); "router started");
     let mut stop = env.stop;
     let ended = tokio::select! {
         _ = stop.wait_for(|stop| *stop) => None,
         ended = tasks.join_next() => ended,
+        ended = helping.join_next() => ended,
     };
     if let Some(ended) = ended {
         return daemon::task_result(ended);
     }
-    shut_down(&core, tasks).await;
+    shut_down(&core, tasks, helping, stop_helping).await;
     log::info!(event = "stopped", instance = core.settings.instance.as_str(); "router stopped");
     Ok(())
 }
@@ -92,7 +98,42 @@
     Ok(tasks)
 }
 
-async fn shut_down(core: &sync::Arc<core::Core>, mut tasks: task::JoinSet<error::Result<()>>) {
+/// Serves the requests that other routers pass on, and probes the servers that this one has lost, until
+/// `stop` becomes true.
+fn help_routers(
+    core: &sync::Arc<core::Core>,
+    identity: sync::Arc<link::Identity>,
+    stop: &watch::Sender<bool>,
+) -> task::JoinSet<error::Result<()>> {
+    let mut tasks = task::JoinSet::new();
+    let helper = sync::Arc::new(helper::Helper::new(sync::Arc::clone(core)));
+    let address = core.settings.router_address;
+    let serving = server::serve(
+        address,
+        identity,
+        sync::Arc::clone(&helper),
+        stop.subscribe(),
+    );
+    tasks.spawn(serving);
+    let sweep_stop = stop.subscribe();
+    tasks.spawn(async move {
+        helper.sweep(sweep_stop).await;
+        Ok(())
+    });
+    let probing = probes::run(sync::Arc::clone(core), stop.subscribe());
+    tasks.spawn(async move {
+        probing.await;
+        Ok(())
+    });
+    tasks
+}
+
+async fn shut_down(
+    core: &sync::Arc<core::Core>,
+    mut tasks: task::JoinSet<error::Result<()>>,
+    mut helping: task::JoinSet<error::Result<()>>,
+    stop_helping: watch::Sender<bool>,
+) {
     let grace = core.settings.grace;
     let started = core.clock.now();
     core.set_phase(core::Phase::Leaving);
@@ -105,6 +146,8 @@
         while tasks.join_next().await.is_some() {}
         let mut streams = core.take_streams();
         while streams.join_next().await.is_some() {}
+        stop_helping.send_replace(true);
+        while helping.join_next().await.is_some() {}
     };
     if time::timeout(left.as_duration(), finish).await.is_err() {
         log::warn!(event = "cut"; "requests still run at the end of the grace period; cutting them");
