The leader compares the paths of routers by service, and a cut-off router stays named while its paths are lost

Cause: the leader knew only which single servers a router had failed to reach lately. Without calls these failures run out after 0.25 to 4 s. A router that had lost a service with few servers was never named, and its word on them counted: two such routers made all others leave sound servers alone. Change: reports name the services that a router does not reach, with their servers, in a section of the trailer that older builds skip. What a router says of a service that only it has lost proves nothing.

--- a/src/fleet/ledger/mod.rs
+++ b/src/fleet/ledger/mod.rs
@@ -15,6 +15,7 @@
 use crate::fleet::message;
 use crate::fleet::permit;
 use crate::fleet::quota;
+use crate::fleet::reach;
 use crate::fleet::totals;
 use crate::id;
 use crate::sorted;
@@ -61,9 +62,9 @@
     attempts: sorted::Map<document::ServiceId, message::Attempts>,
     next_expiry: clock::Millis,
     failing: failing::Failing,
-    /// Gateways that don't reach the servers that others reach, sorted. Callers are not sent to them,
-    /// and what they say of servers does not count.
-    cut_off: Vec<id::InstanceId>,
+    /// Which gateways don't reach the servers that others reach. Callers are not sent to those that are cut
+    /// off, and what they say of servers does not count.
+    reach: reach::Reach,
     permits: permit::Issuer,
     retries: budget::Issuer,
     /// The last reports of gateways that have restarted since; their attempts still count.
--- a/src/fleet/ledger/servers.rs
+++ b/src/fleet/ledger/servers.rs
@@ -14,14 +14,17 @@
 const MIN_REPORTER_DATA_CENTRES: usize = 2;
 
 impl ledger::Ledger {
-    /// Finds the gateways that don't reach what others reach, and takes them from the entries.
+    /// Finds the gateways that don't reach what others reach, and takes those that reach nothing from the
+    /// entries.
     pub(super) fn find_cut_off(&mut self, now: clock::Millis) {
         let reports = self.fresh_gateways(now).map(|(id, g)| (id, &g.report));
-        let cut_off = reach::cut_off(reports);
-        if cut_off == self.cut_off {
+        let reach = reach::Reach::from_reports(&reports.collect::<Vec<_>>());
+        let before = std::mem::replace(&mut self.reach, reach);
+        let cut_off = &self.reach.cut_off;
+        if before.cut_off == *cut_off {
             return;
         }
-        for id in &cut_off {
+        for id in cut_off {
             if let Some(gateway) = self.gateways.get(id) {
                 self.totals.set_entry(now, gateway.report.address, None);
             }
@@ -33,11 +36,10 @@
             routers = names.join(" ");
             "routers that don't reach the servers that others reach; callers are sent to the others"
         );
-        self.cut_off = cut_off;
     }
 
     pub(super) fn is_cut_off(&self, gateway: &id::InstanceId) -> bool {
-        self.cut_off.binary_search(gateway).is_ok()
+        self.reach.is_cut_off(gateway)
     }
 
     pub(super) fn find_failing(&mut self, now: clock::Millis) {
@@ -73,11 +75,10 @@
         let gateways = self.fresh_gateways(now);
         let others = gateways.filter(|(id, _)| *id != asker && !self.is_cut_off(id));
         let mut reported: Vec<(&id::BackendServerId, &id::DataCentre)> = others
-            .flat_map(|(_, g)| {
-                g.report
-                    .unreachable
-                    .iter()
-                    .map(|s| (s, &g.report.data_centre))
+            .flat_map(|(id, g)| {
+                let unreachable = g.report.unreachable.iter();
+                let counted = unreachable.filter(|s| !self.reach.is_path_lost(id, s));
+                counted.map(|s| (s, &g.report.data_centre))
             })
             .collect();
         reported.sort();
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -86,6 +86,8 @@
         pub quotas: Option<share::Claims>,
         /// What its calls say of servers that may be cold; nothing from a gateway of version 1.
         pub cold: cold::Evidence,
+        /// The services of which it reaches no server, with their servers, sorted.
+        pub lost: sorted::Map<document::ServiceId, Vec<id::BackendServerId>>,
     }
 }
 
@@ -97,6 +99,7 @@
             evacuations: None,
             quotas: None,
             cold: cold::Evidence::default(),
+            lost: sorted::Map::new(),
         }
     }
 }
@@ -126,6 +129,9 @@
         if self.cold != cold::Evidence::default() {
             trailer.add(trailer::section::COLD_SERVERS, &self.cold)?;
         }
+        if !self.lost.is_empty() {
+            trailer.add(trailer::section::PATHS, &self.lost)?;
+        }
         Ok(trailer)
     }
 
@@ -142,6 +148,7 @@
             cold: trailer
                 .get(trailer::section::COLD_SERVERS)?
                 .unwrap_or_default(),
+            lost: trailer.get(trailer::section::PATHS)?.unwrap_or_default(),
         })
     }
 }
--- a/src/peer/trailer.rs
+++ b/src/peer/trailer.rs
@@ -31,6 +31,8 @@
     pub const QUOTAS: u32 = 4;
     /// How old the server list is.
     pub const ORIGINS: u32 = 5;
+    /// Services that a router does not reach.
+    pub const PATHS: u32 = 6;
 }
 
 macros::data! {
--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -7,6 +7,7 @@
 use tokio::time;
 
 use crate::clock;
+use crate::document;
 use crate::fleet::listing;
 use crate::fleet::message;
 use crate::fleet::origin;
@@ -218,6 +219,7 @@
             let (losses, told) = suspects.losses(now, known.map(|(term, _)| term));
             (losses, told, suspects.sound(now))
         };
+        let lost = self.lost();
         let report = message::Report {
             incarnation: core.links.identity().incarnation,
             address: core.settings.caller_address,
@@ -245,12 +247,24 @@
                 evacuations: core.balancer().evacuations_revision(),
                 quotas: Some(claims),
                 cold,
+                lost,
                 ..message::ReportExtension::new()
             },
         };
         (report, told)
     }
 
+    /// Returns the servers of the services that this router does not reach.
+    fn lost(&self) -> sorted::Map<document::ServiceId, Vec<id::BackendServerId>> {
+        let services: Vec<_> = self.core.paths().lost().cloned().collect();
+        let balancer = self.core.balancer();
+        let servers = services.into_iter().map(|service| {
+            let servers = balancer.servers_of(&service);
+            (service, servers.into_iter().map(|(id, _)| id).collect())
+        });
+        servers.collect()
+    }
+
     /// Returns the age up to which a report has what servers said of their limits: that of the last
     /// reports, and everything for a leader that had none yet.
     fn max_news_age(&self) -> clock::Millis {
