--- a/src/router/balancer/mod.rs
+++ b/src/router/balancer/mod.rs
@@ -343,7 +343,7 @@
 
     fn has_plain_capacity(&self, backend: &backend::Backend) -> bool {
         let slots = backend.server.slots.max(1);
-        self.load(backend).requests < slots * (1 + MAX_QUEUED_PER_SLOT)
+        self.load(backend).requests < slots.saturating_mul(1 + MAX_QUEUED_PER_SLOT)
     }
 
     /// Picks a decode server among those with the most free capacity.
