A refusal that does not name its request promises nothing

Operators of other systems saw: a worker wrote an earlier refusal once more, and clients were told 'not run' of requests that ran (REFUSED), or the request ran at a second worker (TWICE). Here each call has a connection of its own, and a refusal that names another request was taken for a broken answer already. Cause of what remained: a refusal without a request id was believed. Change: an answer that says 'not run' or 'misdirected' counts only if it names the request.

--- a/src/router/request/mod.rs
+++ b/src/router/request/mod.rs
@@ -473,14 +473,18 @@
     ///
     /// # Errors
     ///
-    /// Fails with `Broken` if the answer names another request id.
+    /// Fails with `Broken` if the answer names another request id. So does a refusal that names none: it may
+    /// be that of an earlier request.
     pub fn execution(
         &self,
         head: &protocol::ServerAnswer,
     ) -> Result<protocol::Execution, upstream::Failure> {
-        let is_same_request =
-            head.request_id.is_none() || head.request_id == self.caller.request_id;
-        if is_same_request {
+        let is_named = head.request_id == self.caller.request_id;
+        let is_proper = match head.execution {
+            protocol::Execution::Ran => is_named || head.request_id.is_none(),
+            protocol::Execution::NotRun | protocol::Execution::Misdirected => is_named,
+        };
+        if is_proper {
             Ok(head.execution)
         } else {
             Err(upstream::Failure::Broken)
