--- a/src/router/forward.rs
+++ b/src/router/forward.rs
@@ -10,11 +10,13 @@
 use crate::fleet::origin;
 use crate::http::body;
 use crate::http::hop;
+use crate::logging;
 use crate::peer::message;
 use crate::router::core;
 use crate::router::events;
 use crate::router::generate;
 use crate::router::helper;
+use crate::router::relay;
 use crate::router::request;
 
 use request::Refusal;
@@ -301,7 +303,7 @@
                 relay_chunks(opened, tx).await
             };
             match relayed {
-                Relayed::Complete => return "complete",
+                Relayed::Complete => return relay::COMPLETE,
                 Relayed::CallerGone => return "caller gone",
                 Relayed::Lost => {}
             }
@@ -415,7 +417,12 @@
         Err(Failure::Lost) => ("lost", 0),
     };
     metrics::counter!("buckthorncleat_forwarded_total", "outcome" => outcome).increment(1);
+    let target = match begun {
+        Ok(_) => logging::ROUTINE,
+        Err(_) => module_path!(),
+    };
     log::info!(
+        target: target,
         event = "forwarded",
         request = req.log_id(),
         route = req.route.name.as_str(),
@@ -430,7 +437,12 @@
 
 /// Logs the end of an answer that came in several parts.
 fn log_end(req: &request::Request, outcome: &'static str) {
+    let target = match outcome {
+        relay::COMPLETE => logging::ROUTINE,
+        _ => module_path!(),
+    };
     log::info!(
+        target: target,
         event = "forward_end",
         request = req.log_id(),
         route = req.route.name.as_str(),
