A request that is passed on is acted on by one incarnation of the other router

Found by reading. Callers would have seen: an order that runs twice, when the router that it was passed on through is killed under it and is back within the reply timeout (TWICE). Cause: nng sends a request again on a new connection; the next incarnation answers that the frame names another one, and the link then sends it anew, which is right only for requests that may be repeated. Change: a request that may not be repeated is sent again only if its frame named no incarnation, since nobody acts on such a frame. Evidence: tests/peer.rs, a_request_that_is_passed_on_is_acted_on_by_one_incarnation: acted on twice before, once now.

--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -113,7 +113,8 @@
         &self.identity
     }
 
-    /// Sends a request to a peer and waits for its reply.
+    /// Sends a request to a peer and waits for its reply. A request that may not be repeated is acted on by
+    /// one incarnation of the peer at most.
     ///
     /// A connection without an answer for all of `timeout` is dropped, and the next request dials a
     /// new one, since nng notices only connections that are closed.
@@ -221,6 +222,7 @@
             if let Some(version) = self.peer_version() {
                 check_version(request, version, self.address)?;
             }
+            let is_named = header.to_incarnation != id::Incarnation::new(0);
             let frame = frame::Frame {
                 header,
                 body: body.clone(),
@@ -235,6 +237,11 @@
             if let Envelope::Answer(answer) = envelope {
                 return Ok(*answer);
             }
+            // No incarnation acts on a frame that names none.
+            if is_named && !request.may_repeat() {
+                let reason = format!("{} restarted and may have acted", self.address);
+                return Err(error::Error::unavailable(reason, RETRY_AFTER));
+            }
         }
         let reason = format!("{} restarted during each attempt", self.address);
         Err(error::Error::unavailable(reason, RETRY_AFTER))
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -94,6 +94,12 @@
 }
 
 impl Request {
+    /// Returns whether the request may be sent again to a later incarnation of a peer, which can't know
+    /// whether an earlier one has acted on it.
+    pub const fn may_repeat(&self) -> bool {
+        !matches!(self, Self::Forward(_))
+    }
+
     /// Returns the protocol version from which on a peer can read this request.
     pub const fn min_version(&self) -> trailer::ProtocolVersion {
         trailer::FIRST
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -9,6 +9,7 @@
 
 use buckthorncleat::clock;
 use buckthorncleat::event;
+use buckthorncleat::fleet::forward;
 use buckthorncleat::id;
 use buckthorncleat::peer::frame;
 use buckthorncleat::peer::link;
@@ -97,6 +98,64 @@
     }
 }
 
+/// Counts the requests that are passed on, and never answers them.
+struct Silent(sync::Arc<sync::atomic::AtomicUsize>);
+
+impl server::Handler for Silent {
+    async fn handle(&self, _: id::InstanceId, request: message::Request) -> message::Reply {
+        if request == message::Request::Ping {
+            return message::Reply::Accepted;
+        }
+        self.0.fetch_add(1, sync::atomic::Ordering::Relaxed);
+        std::future::pending().await
+    }
+}
+
+/// TWICE: a request that one incarnation of a router had acted on was sent again to the next one.
+#[tokio::test]
+async fn a_request_that_is_passed_on_is_acted_on_by_one_incarnation() {
+    let acts = sync::Arc::new(sync::atomic::AtomicUsize::new(0));
+    let address = ports::claim().unwrap();
+    let start = || {
+        let (stop, stopped) = watch::channel(false);
+        let handler = sync::Arc::new(Silent(sync::Arc::clone(&acts)));
+        let identity = identity("server", "0123456789abcdef");
+        let serving = server::serve(address, identity, handler, stopped);
+        (stop, tokio::spawn(serving))
+    };
+    let links = link::Links::new(identity("client", "0123456789abcdef"));
+    let (stop, serving) = start();
+    ping_until_answered(&links, address).await.unwrap();
+    let forwarded = forward::Forwarded {
+        exchange: forward::ExchangeId::new(1),
+        method: "POST".to_owned(),
+        target: "/b/1".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+        service: "app".parse().unwrap(),
+        time_left: clock::Millis::from_secs(8),
+        resume: None,
+        progress: forward::Progress::Read,
+    };
+    let ask = forward::Ask::Begin(Box::new(forwarded));
+    let request = message::Request::Forward(Box::new(ask));
+    let timeout = clock::Millis::from_secs(5);
+    let restart = async {
+        while acts.load(sync::atomic::Ordering::Relaxed) == 0 {
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+        }
+        stop.send(true).unwrap();
+        serving.await.unwrap().unwrap();
+        start()
+    };
+    let (answer, (stop, serving)) =
+        tokio::join!(links.request(address, &request, timeout), restart);
+    assert!(answer.unwrap_err().is_unavailable());
+    assert_eq!(acts.load(sync::atomic::Ordering::Relaxed), 1);
+    stop.send(true).unwrap();
+    serving.await.unwrap().unwrap();
+}
+
 #[tokio::test]
 async fn a_request_under_another_secret_gets_no_answer() {
     let peer = Peer::start(ports::claim().unwrap(), "0123456789abcdef");
