A refusal of another router promises nothing of the attempts made before

Found by reading. Callers would have seen: 503 with a time to come back for a safe request or stream that may have run here, since the router that it was passed on through afterwards refused it. Cause: the other router's answer was returned as it came. Change: request::Ended::accept replaces such a promise by what is known here. Evidence: tests/router_paths.rs, a_refusal_elsewhere_promises_nothing_of_the_attempts_here; the function did not exist before.

--- a/src/router/request/admission.rs
+++ b/src/router/request/admission.rs
@@ -245,7 +245,7 @@
         return Err(ended.refusal);
     };
     match forward::serve(req, progress).await {
-        forward::Outcome::Answered(response) => Ok(response),
+        forward::Outcome::Answered(response) => ended.accept(response),
         forward::Outcome::Refused(refusal) => Err(refusal),
         forward::Outcome::Unserved(_) => Err(ended.refusal),
     }
--- a/src/router/request/refusal.rs
+++ b/src/router/request/refusal.rs
@@ -75,6 +75,26 @@
         };
         Self { refusal, pass_on }
     }
+
+    /// Returns the answer of the router to which the request was passed on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the answer promises that the request has not run, which the other router can't
+    /// know of the attempts here.
+    pub fn accept(self, response: request::Response) -> Result<request::Response, Refusal> {
+        let promises = [
+            hyper::StatusCode::REQUEST_TIMEOUT,
+            hyper::StatusCode::MISDIRECTED_REQUEST,
+            hyper::StatusCode::TOO_MANY_REQUESTS,
+            hyper::StatusCode::SERVICE_UNAVAILABLE,
+        ];
+        if promises.contains(&response.status()) && !self.refusal.is_not_run() {
+            Err(self.refusal)
+        } else {
+            Ok(response)
+        }
+    }
 }
 
 impl Refusal {
--- a/tests/router_paths.rs
+++ b/tests/router_paths.rs
@@ -5,9 +5,11 @@
 use buckthorncleat::clock::Millis;
 use buckthorncleat::document::ServiceId;
 use buckthorncleat::fleet::message::Entry;
+use buckthorncleat::http::body;
 use buckthorncleat::id::{BackendServerId, DataCentre};
 use buckthorncleat::router::helpers::Helpers;
 use buckthorncleat::router::paths::{Change, Paths};
+use buckthorncleat::router::request::{Attempts, Ended, Refusal};
 
 fn service(name: &str) -> ServiceId {
     name.parse().unwrap()
@@ -97,6 +99,33 @@
     assert_eq!(due, [(llm, 1)], "{app} was reached meanwhile");
 }
 
+/// REFUSED: a request that may have run at a server was passed on, and the other router's refusal told the
+/// caller that it had not run.
+#[test]
+fn a_refusal_elsewhere_promises_nothing_of_the_attempts_here() {
+    for (sent, may_have_run) in [(0, false), (1, false), (1, true)] {
+        let attempts = Attempts {
+            sent,
+            may_have_run,
+            may_go_on: true,
+            is_timed_out: false,
+        };
+        let ended = Ended::new(Refusal::Unreached("no server", at(100)), attempts);
+        assert!(ended.pass_on.is_some());
+        assert_eq!(ended.refusal.is_not_run(), !may_have_run);
+        for status in [200, 404, 408, 421, 429, 500, 502, 503, 504] {
+            let status = hyper::StatusCode::from_u16(status).unwrap();
+            let accepted = ended.accept(body::answer(status, "")).is_ok();
+            let promises = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+            assert_eq!(
+                accepted,
+                !(promises && may_have_run),
+                "{status}, {attempts:?}"
+            );
+        }
+    }
+}
+
 /// Returns routers of three data centres.
 fn entries(routers: usize) -> Vec<Entry> {
     let entry = |n: usize| Entry {
