The leader logs which fingerprints become suspects and which are cleared

Requests that crashed servers for minutes left no line at the leader: only verdicts were logged. No decision changes.

--- a/src/fleet/crashes.rs
+++ b/src/fleet/crashes.rs
@@ -269,9 +269,11 @@
             _ => Some(Standing::Watched),
         };
         let standings = evidence.iter();
-        self.standings = standings
+        let standings: sorted::Map<_, _> = standings
             .filter_map(|(f, e)| Some((*f, standing(e)?)))
             .collect();
+        self.log_suspects(&standings, &evidence);
+        self.standings = standings;
         for fingerprint in self.quarantined.keys().chain(self.requests.keys()) {
             self.standings.insert(*fingerprint, Standing::Quarantined);
         }
@@ -287,6 +289,27 @@
         standings
     }
 
+    /// Logs which fingerprints become suspects, with the evidence, and which are cleared.
+    fn log_suspects(
+        &self,
+        standings: &sorted::Map<model::Fingerprint, Standing>,
+        evidence: &sorted::Map<model::Fingerprint, Evidence>,
+    ) {
+        let is_suspect = |s: &Standing| *s == Standing::Suspect;
+        for (fingerprint, against) in evidence.iter() {
+            let is_new = !self.standings.get(fingerprint).is_some_and(is_suspect);
+            if is_new && standings.get(fingerprint).is_some_and(is_suspect) {
+                metrics::counter!("buckthorncleat_suspects_total").increment(1);
+                log::info!(event = "suspect", fingerprint = fingerprint.to_string(), request = against.is_request, moments = against.moments, servers = against.servers.len(), requests = against.requests.len(); "servers were lost under new runs with it; one run at a time will tell");
+            }
+        }
+        let before = self.standings.iter().filter(|(_, s)| is_suspect(s));
+        let is_cleared = |f| standings.get(f) < Some(&Standing::Suspect);
+        for (fingerprint, _) in before.filter(|(f, _)| is_cleared(f)) {
+            log::info!(event = "suspect_cleared", fingerprint = fingerprint.to_string(); "a run with it went on, or its losses are too old");
+        }
+    }
+
     /// Drops losses under runs with a quarantined part, which speak against no other one.
     fn drop_explained(&mut self) {
         let quarantined = &self.quarantined;
