--- a/tests/crash_support/fleet.rs
+++ b/tests/crash_support/fleet.rs
@@ -26,27 +26,46 @@
 /// Parts that all requests choose from: the first parts, and those behind them.
 pub const FIRST_PARTS: u64 = 5;
 const MIDDLE_PARTS: u64 = 40;
+/// The digest of the requests of the first kind whose requests are copies.
+pub const COPY: u64 = 1 << 63 | 0xc0;
 
 /// What happens in a run.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Plan {
     pub routers: usize,
     pub servers: usize,
+    /// Whether servers start again under the names that they had.
+    pub keeps_names: bool,
     /// Sound requests a second.
     pub demand: u64,
     /// The kinds of requests that crash servers, each with the time in which they come.
     pub bad: Vec<Bad>,
     /// Servers that crash for another reason: when, and how many at once.
     pub other_crashes: Vec<(u64, usize)>,
+    /// Servers that lose runs and go on.
+    pub losing: Vec<Losing>,
     pub leader_losses: Vec<u64>,
+    /// When all routers and the leader start again.
+    pub restarts: Vec<u64>,
     pub length: u64,
 }
 
+/// A time in which a part of the servers, in percent, loses a part of its runs.
 #[derive(Clone, Debug)]
+pub struct Losing {
+    pub from: u64,
+    pub until: u64,
+    pub servers: usize,
+    pub runs: u64,
+}
+
+#[derive(Clone, Debug, Default)]
 pub struct Bad {
     /// The parts of its requests, in order, where `None` is any part of that place.
     pub parts: Vec<Option<u64>>,
-    /// The part that crashes servers.
+    /// Whether all requests are copies of one.
+    pub copies: bool,
+    /// The part that crashes servers, unless all are copies of one.
     pub culprit: u64,
     pub from: u64,
     pub until: u64,
@@ -54,6 +73,10 @@
     pub sound_from: u64,
     /// Requests a second.
     pub rate: u64,
+    /// The time between two requests, instead of a rate.
+    pub gap: Option<u64>,
+    /// How many come at a time.
+    pub at_once: usize,
 }
 
 enum Event {
@@ -62,12 +85,14 @@
     Began(usize, u64),
     Sound(usize, u64),
     Crash(usize),
+    Lose(u64),
     ServerUp(usize),
     Report(usize, bool),
     ReportAtLeader(usize, usize, Box<Report>, Reported),
     Summary(usize, usize, u64, Box<Sums>, Reported),
     OtherCrashes(usize),
     LeaderLost,
+    Restart,
 }
 
 #[derive(Clone)]
@@ -94,6 +119,19 @@
     report: u64,
 }
 
+impl Default for Router {
+    fn default() -> Self {
+        Self {
+            suspects: Suspects::default(),
+            view: View::default(),
+            leader: None,
+            interval: 100,
+            reported_at: 0,
+            report: 0,
+        }
+    }
+}
+
 pub struct Fleet {
     plan: Plan,
     rng: ChaCha8Rng,
@@ -106,8 +144,9 @@
     runs: BTreeMap<u64, Run>,
     /// Whether each server is up, and its incarnation.
     servers: Vec<(bool, u64)>,
-    /// When bad requests reached servers, and the crashes that they made.
-    pub bad_arrivals: Vec<u64>,
+    /// When bad requests reached servers, with their kind, and the crashes that they made.
+    pub bad_arrivals: Vec<(u64, usize)>,
+    pub bad_crashes: Vec<(u64, usize)>,
     pub crashes: Vec<u64>,
     /// Sound requests: when, the first part, and whether they began.
     pub sound: Vec<(u64, u64, bool)>,
@@ -123,25 +162,20 @@
 
 impl Fleet {
     pub fn new(plan: Plan, seed: u64) -> Self {
-        let router = || Router {
-            suspects: Suspects::default(),
-            view: View::default(),
-            leader: None,
-            interval: 100,
-            reported_at: 0,
-            report: 0,
-        };
         let mut fleet = Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: 0,
             number: 0,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
-            routers: std::iter::repeat_with(router).take(plan.routers).collect(),
+            routers: std::iter::repeat_with(Router::default)
+                .take(plan.routers)
+                .collect(),
             leaders: Vec::new(),
             runs: BTreeMap::new(),
             servers: vec![(true, 0); plan.servers],
             bad_arrivals: Vec::new(),
+            bad_crashes: Vec::new(),
             crashes: Vec::new(),
             sound: Vec::new(),
             sound_parts: Vec::new(),
@@ -162,8 +196,13 @@
         for (kind, bad) in plan.bad.iter().enumerate() {
             let mut at = bad.from;
             while at < bad.until {
-                fleet.schedule_request(at, Some(kind));
-                at += fleet.rng.random_range(1..2_000 / bad.rate);
+                for _ in 0..bad.at_once.max(1) {
+                    fleet.schedule_request(at, Some(kind));
+                }
+                at += match bad.gap {
+                    Some(gap) => gap,
+                    None => fleet.rng.random_range(1..2_000 / bad.rate),
+                };
             }
         }
         for (at, count) in &plan.other_crashes {
@@ -172,6 +211,9 @@
         for at in &plan.leader_losses {
             fleet.schedule(*at, Event::LeaderLost);
         }
+        for at in &plan.restarts {
+            fleet.schedule(*at, Event::Restart);
+        }
         fleet
     }
 
@@ -188,7 +230,11 @@
             };
             fingerprints.push(Fingerprint::new(part.unwrap_or(any)));
         }
-        fingerprints.push(Fingerprint::new(self.rng.random::<u64>() | 1 << 63));
+        let own = match kind {
+            Some(kind) if self.plan.bad[kind].copies => COPY + kind as u64,
+            _ => self.rng.random::<u64>(),
+        };
+        fingerprints.push(Fingerprint::new(own | 1 << 63));
         let request = Request {
             fingerprints,
             culprit: kind,
@@ -257,6 +303,11 @@
                 }
             }
             Event::Crash(server) => self.crash(server),
+            Event::Lose(run) => {
+                if let Some(run) = self.runs.remove(&run) {
+                    self.lose(run);
+                }
+            }
             Event::ServerUp(server) => {
                 self.servers[server].0 = true;
                 self.servers[server].1 += 1;
@@ -285,6 +336,13 @@
                     router.leader = None;
                 }
             }
+            Event::Restart => {
+                self.elect();
+                self.runs.clear();
+                for router in &mut self.routers {
+                    *router = Router::default();
+                }
+            }
         }
     }
 
@@ -327,8 +385,8 @@
             return;
         }
         let server = up[self.rng.random_range(0..up.len())];
-        if request.culprit.is_some() {
-            self.bad_arrivals.push(self.now);
+        if let Some(kind) = request.culprit {
+            self.bad_arrivals.push((self.now, kind));
         }
         self.number += 1;
         let id = self.number;
@@ -343,17 +401,31 @@
             },
         );
         let delay = self.rng.random_range(20..150);
+        if self.is_losing(server) {
+            return self.after(delay, Event::Lose(id));
+        }
         self.after(delay, Event::Began(router, id));
     }
 
+    /// Returns whether a run that begins now at a server is lost while the server goes on.
+    fn is_losing(&mut self, server: usize) -> bool {
+        let (now, servers) = (self.now, self.plan.servers);
+        let losing = self.plan.losing.iter();
+        let mut here = losing
+            .filter(|l| (l.from..l.until).contains(&now) && server * 100 < l.servers * servers);
+        let runs = here.next().map_or(0, |l| l.runs);
+        self.rng.random_range(0..100) < runs
+    }
+
     fn began(&mut self, router: usize, id: u64) {
         let Some(run) = self.runs.get(&id) else {
             return;
         };
         let culprit = run.request.culprit.map(|kind| &self.plan.bad[kind]);
         if culprit.is_some_and(|bad| self.now < bad.sound_from) {
-            let server = run.server;
+            let (server, kind) = (run.server, run.request.culprit);
             let delay = self.rng.random_range(50..400);
+            self.bad_crashes.extend(kind.map(|k| (self.now + delay, k)));
             self.after(delay, Event::Crash(server));
         } else {
             self.after(SOUND_TIME, Event::Sound(router, id));
@@ -367,7 +439,6 @@
         self.servers[server].0 = false;
         self.crashes.push(self.now);
         self.after(RESTART_TIME, Event::ServerUp(server));
-        let (now, incarnation) = (self.now, self.servers[server].1);
         let lost: Vec<u64> = self
             .runs
             .iter()
@@ -376,28 +447,38 @@
             .collect();
         for id in lost {
             let run = self.runs.remove(&id).expect("it was listed");
-            if now >= run.begun + RUN_TIME {
-                continue;
-            }
-            let name = format!("server-{server}-{incarnation}").parse().unwrap();
-            let router = &mut self.routers[run.router];
-            let fingerprints = match run.is_sound {
-                true => Vec::new(),
-                false => run.request.fingerprints.clone(),
+            self.lose(run);
+        }
+    }
+
+    /// Tells the router of a run that was lost.
+    fn lose(&mut self, run: Run) {
+        let (now, server) = (self.now, run.server);
+        if now >= run.begun + RUN_TIME {
+            return;
+        }
+        let incarnation = match self.plan.keeps_names {
+            true => 0,
+            false => self.servers[server].1,
+        };
+        let name = format!("server-{server}-{incarnation}").parse().unwrap();
+        let router = &mut self.routers[run.router];
+        let fingerprints = match run.is_sound {
+            true => Vec::new(),
+            false => run.request.fingerprints.clone(),
+        };
+        let begun = Millis::new(run.begun);
+        let suspects = &mut router.suspects;
+        suspects.record_loss(Millis::new(now), &name, fingerprints, begun);
+        let due = (router.reported_at + 50).max(now + 1) - now;
+        self.after(due, Event::Report(run.router, false));
+        if !run.request.resumed {
+            let request = Request {
+                resumed: true,
+                ..run.request
             };
-            let begun = Millis::new(run.begun);
-            let suspects = &mut router.suspects;
-            suspects.record_loss(Millis::new(now), &name, fingerprints, begun);
-            let due = (router.reported_at + 50).max(now + 1) - now;
-            self.after(due, Event::Report(run.router, false));
-            if !run.request.resumed {
-                let request = Request {
-                    resumed: true,
-                    ..run.request
-                };
-                // The router waits until the leader knows of its loss.
-                self.after(20, Event::Try(run.router, request, now + 2_000));
-            }
+            // The router waits until the leader knows of its loss.
+            self.after(20, Event::Try(run.router, request, now + 2_000));
         }
     }
 
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -34,6 +34,7 @@
         until: 40_000,
         sound_from: u64::MAX,
         rate: 2,
+        ..Bad::default()
     }
 }
 
@@ -43,9 +44,8 @@
         servers,
         demand,
         bad,
-        other_crashes: Vec::new(),
-        leader_losses: Vec::new(),
         length: 40_000,
+        ..Plan::default()
     }
 }
 
@@ -83,7 +83,11 @@
     let crashes = fleet.crashes.len();
     if plan.bad.len() == 1 && plan.other_crashes.is_empty() && crashes >= MAX_CRASHES {
         let from = fleet.crashes[MAX_CRASHES - 1] + CONTACT_TIME;
-        let later = fleet.bad_arrivals.iter().filter(|at| **at > from).count();
+        let later = fleet
+            .bad_arrivals
+            .iter()
+            .filter(|(at, _)| *at > from)
+            .count();
         assert!(
             later <= MAX_LATER_REQUESTS,
             "seed {seed}: {later} requests after {crashes} crashes: {plan:?}"
--- /dev/null
+++ b/tests/crashing_requests.rs
@@ -0,0 +1,207 @@
+//! Tests that one request that crashes each server which runs it is kept from them, wherever and whenever
+//! it is sent again, and that a sound request is not barred for losses that had other reasons.
+//!
+//! `BUCKTHORNCLEAT_SEEDS` sets the number of seeds.
+
+#[allow(dead_code)]
+#[path = "crash_support/fleet.rs"]
+mod fleet;
+
+use fleet::{Bad, Fleet, Losing, Plan};
+
+const DEFAULT_SEEDS: u64 = 3;
+/// Routers, servers and sound requests a second.
+const FLEETS: [(usize, usize, u64); 3] = [(9, 12, 13), (83, 60, 45), (300, 140, 120)];
+/// More than this many may not reach servers later than the contact time after the third crash.
+const MAX_LATER_REQUESTS: usize = 3;
+const CONTACT_TIME: u64 = 3_000;
+/// A part of prompts that no sound request has.
+const OWN_PART: u64 = 0xabc;
+
+fn seeds() -> u64 {
+    let seeds = std::env::var("BUCKTHORNCLEAT_SEEDS").ok();
+    seeds.map_or(DEFAULT_SEEDS, |s| s.parse().expect("a number of seeds"))
+}
+
+/// Copies of one request with these parts, 2 s apart.
+fn copies(parts: &[u64]) -> Bad {
+    Bad {
+        parts: parts.iter().map(|p| Some(*p)).collect(),
+        copies: true,
+        from: 10_000,
+        until: 50_000,
+        sound_from: u64::MAX,
+        gap: Some(2_000),
+        ..Bad::default()
+    }
+}
+
+fn plan((routers, servers, demand): (usize, usize, u64), bad: Vec<Bad>) -> Plan {
+    Plan {
+        routers,
+        servers,
+        demand,
+        bad,
+        length: 55_000,
+        ..Plan::default()
+    }
+}
+
+/// Plays a plan and checks for each kind of request that crashes servers how many reach servers later than
+/// allowed, and that sound requests go on; returns the fleet and the crashes.
+fn check(plan: &Plan, seed: u64) -> (Fleet, usize) {
+    let mut fleet = Fleet::new(plan.clone(), seed);
+    fleet.run();
+    for kind in 0..plan.bad.len() {
+        let of_kind = |all: &[(u64, usize)]| -> Vec<u64> {
+            let all = all.iter().filter(|(_, k)| *k == kind);
+            all.map(|(at, _)| *at).collect()
+        };
+        let crashes = of_kind(&fleet.bad_crashes);
+        let Some(third) = crashes.get(2) else {
+            continue;
+        };
+        let later = of_kind(&fleet.bad_arrivals).into_iter();
+        let later = later.filter(|at| *at > third + CONTACT_TIME).count();
+        assert!(
+            later <= MAX_LATER_REQUESTS,
+            "seed {seed}: {later} of kind {kind} later than allowed, {} crashes: {plan:?}",
+            crashes.len()
+        );
+    }
+    let crashes = fleet.bad_crashes.len();
+    (fleet, crashes)
+}
+
+/// Plays a kind of plan at all sizes of fleets.
+fn check_all(make: impl Fn((usize, usize, u64)) -> Plan) {
+    let mut crashes = 0;
+    for seed in 1..=seeds() {
+        for size in FLEETS {
+            let plan = make(size);
+            let (fleet, crashed) = check(&plan, seed);
+            crashes += crashed;
+            let share = fleet.sound_share(None, 20_000, 50_000);
+            assert!(
+                share >= 0.95,
+                "seed {seed}: {share} of sound ones: {plan:?}"
+            );
+        }
+    }
+    println!("{crashes} crashes");
+}
+
+/// Guards against a request without parts that crashes one server after the other.
+#[test]
+fn a_plain_request_is_stopped() {
+    check_all(|size| plan(size, vec![copies(&[])]));
+}
+
+/// Guards against a part that only the request has and that hides it: it is taken for the likelier cause,
+/// and never convicted for want of a second request.
+#[test]
+fn a_request_with_a_part_of_its_own_is_stopped() {
+    check_all(|size| plan(size, vec![copies(&[OWN_PART])]));
+    check_all(|size| plan(size, vec![copies(&[3, OWN_PART])]));
+}
+
+/// Guards against a service of one or two servers at which nothing is ever convicted.
+#[test]
+fn a_request_is_stopped_at_services_of_few_servers() {
+    for seed in 1..=seeds() {
+        for servers in 1..=3 {
+            let plan = Plan {
+                keeps_names: true,
+                ..plan((9, servers, 13), vec![copies(&[])])
+            };
+            check(&plan, seed);
+        }
+    }
+}
+
+/// Guards against copies that come at the same time at several routers, and against such that come far apart.
+#[test]
+fn copies_at_once_and_far_apart_are_stopped() {
+    check_all(|size| {
+        let at_once = Bad {
+            at_once: 6,
+            ..copies(&[OWN_PART])
+        };
+        plan(size, vec![at_once])
+    });
+    for seed in 1..=seeds() {
+        let far_apart = Bad {
+            gap: Some(40_000),
+            until: 700_000,
+            ..copies(&[OWN_PART])
+        };
+        let plan = plan(FLEETS[0], vec![far_apart]);
+        let length = 720_000;
+        check(&Plan { length, ..plan }, seed);
+    }
+}
+
+/// Guards against verdicts and evidence that are lost with the leader or with all processes.
+#[test]
+fn a_request_stays_stopped_when_processes_are_lost() {
+    check_all(|size| Plan {
+        leader_losses: vec![12_500, 14_700, 20_000],
+        ..plan(size, vec![copies(&[OWN_PART])])
+    });
+    check_all(|size| Plan {
+        restarts: vec![19_000, 30_000],
+        ..plan(size, vec![copies(&[3, OWN_PART])])
+    });
+}
+
+/// Guards against other losses that hide a request: servers that crash, and such that lose runs and go on.
+#[test]
+fn a_request_is_stopped_among_other_losses() {
+    check_all(|size| Plan {
+        other_crashes: (0..8)
+            .map(|n| (9_000 + n * 3_100, 1 + size.1 / 40))
+            .collect(),
+        losing: vec![Losing {
+            from: 9_000,
+            until: 45_000,
+            servers: 15,
+            runs: 45,
+        }],
+        ..plan(size, vec![copies(&[OWN_PART]), copies(&[])])
+    });
+}
+
+/// Guards against a sound request that is barred for long, since it met servers that were lost for other
+/// reasons.
+#[test]
+fn a_sound_request_that_met_lost_servers_runs_again() {
+    for seed in 1..=seeds() {
+        for size in FLEETS {
+            let sound = Bad {
+                sound_from: 0,
+                gap: Some(500),
+                ..copies(&[OWN_PART])
+            };
+            let plan = Plan {
+                other_crashes: (0..8)
+                    .map(|n| (10_000 + n * 1_500, 1 + size.1 / 8))
+                    .collect(),
+                losing: vec![Losing {
+                    from: 10_000,
+                    until: 25_000,
+                    servers: 60,
+                    runs: 40,
+                }],
+                ..plan(size, vec![sound])
+            };
+            let (fleet, _) = check(&plan, seed);
+            let from = 25_000 + CONTACT_TIME;
+            let later = fleet.bad_arrivals.iter().filter(|(at, _)| *at > from);
+            let sent = (50_000 - from) / 500;
+            assert!(
+                later.count() as u64 * 100 >= 95 * sent,
+                "seed {seed}: of {sent} sent: {plan:?}"
+            );
+        }
+    }
+}
