A request that crashes servers is judged by its own losses

Cause: one ranking for parts and requests. Parts went first, since nothing had cleared the part, and a part is never convicted without a second request. At a service of one server that keeps its name the rule for a second server did the same. Where most servers were lost without it, its losses were passed over, and a loss was forgotten after 120 s, so that a request that came every minute was a suspect for ever.

Requests are judged apart now (fleet::crashes::requests): three moments, no second server, and losses of a suspect count for an hour. A verdict on a request explains the losses it was in, which no longer speak against parts.

--- a/src/fleet/crashes.rs
+++ b/src/fleet/crashes/mod.rs
@@ -3,12 +3,14 @@
 //! Routers report each server that they lost under a run that had just begun, with the fingerprints of
 //! that run, broadest first: the parts of its prompt, then the request itself. A run that began later
 //! and went on clears its fingerprints. One that is lost with several servers, at different moments,
-//! and was not cleared since, is quarantined. Among several that fit, it is the one that was last seen
-//! to go on longest ago, then the narrowest.
+//! and was not cleared since, is quarantined. Requests are judged one by one. Among several parts that fit,
+//! it is the one that was last seen to go on longest ago, then the narrowest.
 //!
 //! While a fingerprint is a suspect, its requests run one at a time over the fleet, so that one run
 //! clears or convicts it and takes few with it.
 
+mod requests;
+
 use crate::clock;
 use crate::id;
 use crate::macros;
@@ -100,8 +102,9 @@
     standings: sorted::Map<model::Fingerprint, Standing>,
     /// The quarantine of the replicated state, and the verdicts on parts that are not in it yet.
     quarantined: sorted::Map<model::Fingerprint, ()>,
+    requests: requests::Requests,
     /// Single requests that are quarantined: until when.
-    requests: sorted::Map<model::Fingerprint, clock::Millis>,
+    barred: sorted::Map<model::Fingerprint, clock::Millis>,
     /// The suspects that run: until when.
     probes: sorted::Map<model::Fingerprint, clock::Millis>,
     /// The only runs of suspects that were lost, since the last one that went on.
@@ -132,10 +135,8 @@
     last_at: clock::Millis,
     servers: Vec<u64>,
     requests: Vec<model::Fingerprint>,
-    /// The place among the fingerprints of its runs, from the broadest.
+    /// The place among the parts of its runs, from the broadest.
     depth: usize,
-    /// Whether it is the request itself.
-    is_request: bool,
 }
 
 impl Crashes {
@@ -143,13 +144,16 @@
     pub fn record_loss(&mut self, sent_at: clock::Millis, loss: &Loss) {
         let at = sent_at - loss.age;
         let was_alone = loss.fingerprints.iter().any(|f| self.probes.contains(f));
-        let fingerprints = loss.fingerprints.iter().enumerate();
-        let likeliest = fingerprints.min_by_key(|(depth, f)| {
-            let is_request = depth + 1 == loss.fingerprints.len();
-            (is_request, self.sound.get(f), std::cmp::Reverse(*depth))
-        });
-        if let Some((_, fingerprint)) = likeliest.filter(|_| was_alone) {
-            *self.probes_lost.get_or_insert_with(*fingerprint, || 0) += 1;
+        if let Some((request, parts)) = loss.fingerprints.split_last() {
+            let begun_at = sent_at - loss.begun;
+            let requests = &mut self.requests;
+            requests.record_loss(*request, at, loss.server, begun_at);
+            let parts = parts.iter().enumerate();
+            let likeliest =
+                parts.min_by_key(|(depth, f)| (self.sound.get(f), std::cmp::Reverse(*depth)));
+            if let Some((_, part)) = likeliest.filter(|_| was_alone) {
+                *self.probes_lost.get_or_insert_with(*part, || 0) += 1;
+            }
         }
         for fingerprint in &loss.fingerprints {
             self.probes.remove(fingerprint);
@@ -181,6 +185,7 @@
         }
         self.probes.remove(&fingerprint);
         self.probes_lost.remove(&fingerprint);
+        self.requests.record_sound(&fingerprint, begun_at);
         let latest = self.sound.get_or_insert_with(fingerprint, || begun_at);
         *latest = begun_at.max(*latest);
     }
@@ -200,7 +205,8 @@
             self.quarantined.insert(*fingerprint, ());
         }
         for fingerprint in &released {
-            self.moments.retain(|m| !m.has(fingerprint));
+            self.moments.retain(|m| !m.has_any(|f| f == fingerprint));
+            self.requests.remove(fingerprint);
         }
     }
 
@@ -231,7 +237,8 @@
         // Enough servers were lost; the verdict comes when all routers have told what went on.
         let evidence = self.evidence();
         let pending = self.pending_verdict(&evidence);
-        if pending.is_some_and(|(f, _)| fingerprints.contains(&f)) {
+        let is_pending = pending.is_some_and(|(f, _)| fingerprints.contains(&f));
+        if is_pending || fingerprints.iter().any(|f| self.requests.is_pending(f)) {
             return Answer::Wait;
         }
         for suspect in suspects {
@@ -249,34 +256,29 @@
     ) -> &sorted::Map<model::Fingerprint, Standing> {
         self.moments.retain(|m| now < m.at + RETENTION);
         self.drop_explained();
-        self.requests.retain(|_, until| now < *until);
-        while let Some((fingerprint, is_request)) = self.convict(now, settle_time) {
-            log::warn!(event = "quarantined", fingerprint = fingerprint.to_string(); "servers were lost one after the other under new runs with it; they are not sent any more");
-            metrics::counter!("buckthorncleat_quarantined_total").increment(1);
-            if is_request {
-                // It may have been lost by chance, and the same may be asked again for good reason.
-                self.requests.insert(fingerprint, now + RETENTION);
-            } else {
-                self.quarantined.insert(fingerprint, ());
-                self.verdicts.push(fingerprint);
-                self.drop_explained();
-            }
+        self.requests.update(now);
+        self.barred.retain(|_, until| now < *until);
+        for request in self.requests.convict(now, settle_time) {
+            log_verdict(request);
+            // It may have been lost by chance, and the same may be asked again for good reason.
+            self.barred.insert(request, now + RETENTION);
+            self.drop_explained();
+        }
+        while let Some(part) = self.convict(now, settle_time) {
+            log_verdict(part);
+            self.quarantined.insert(part, ());
+            self.verdicts.push(part);
+            self.drop_explained();
         }
         let evidence = self.evidence();
-        let standing = |evidence: &Evidence| match evidence.moments {
-            SUSPECT_MOMENTS.. => Some(Standing::Suspect),
-            _ if evidence.is_request => None,
-            _ => Some(Standing::Watched),
-        };
-        let standings = evidence.iter();
-        let standings: sorted::Map<_, _> = standings
-            .filter_map(|(f, e)| Some((*f, standing(e)?)))
-            .collect();
+        let parts = evidence.iter().map(|(f, e)| (*f, e.standing()));
+        let requests = self.requests.suspects();
+        let requests = requests.map(|(f, _)| (*f, Standing::Suspect));
+        let quarantined = self.quarantined.keys().chain(self.barred.keys());
+        let quarantined = quarantined.map(|f| (*f, Standing::Quarantined));
+        let standings = parts.chain(requests).chain(quarantined).collect();
         self.log_suspects(&standings, &evidence);
         self.standings = standings;
-        for fingerprint in self.quarantined.keys().chain(self.requests.keys()) {
-            self.standings.insert(*fingerprint, Standing::Quarantined);
-        }
         let standings = &self.standings;
         self.since.retain(|f, _| standings.contains(f));
         for fingerprint in standings.keys() {
@@ -285,7 +287,7 @@
         self.probes_lost.retain(|f, _| standings.contains(f));
         let moments = &self.moments;
         self.sound
-            .retain(|f, _| standings.contains(f) || moments.iter().any(|m| m.has(f)));
+            .retain(|f, _| standings.contains(f) || moments.iter().any(|m| m.has_any(|g| g == f)));
         standings
     }
 
@@ -296,12 +298,17 @@
         evidence: &sorted::Map<model::Fingerprint, Evidence>,
     ) {
         let is_suspect = |s: &Standing| *s == Standing::Suspect;
-        for (fingerprint, against) in evidence.iter() {
-            let is_new = !self.standings.get(fingerprint).is_some_and(is_suspect);
-            if is_new && standings.get(fingerprint).is_some_and(is_suspect) {
-                metrics::counter!("buckthorncleat_suspects_total").increment(1);
-                log::info!(event = "suspect", fingerprint = fingerprint.to_string(), request = against.is_request, moments = against.moments, servers = against.servers.len(), requests = against.requests.len(); "servers were lost under new runs with it; one run at a time will tell");
-            }
+        let is_new = |f| {
+            let before = self.standings.get(f);
+            !before.is_some_and(is_suspect) && standings.get(f).is_some_and(is_suspect)
+        };
+        for (part, against) in evidence.iter().filter(|(f, _)| is_new(f)) {
+            metrics::counter!("buckthorncleat_suspects_total", "kind" => "part").increment(1);
+            log::info!(event = "suspect", kind = "part", fingerprint = part.to_string(), moments = against.moments, servers = against.servers.len(), requests = against.requests.len(); "servers were lost under new runs with it; one run at a time will tell");
+        }
+        for (request, moments) in self.requests.suspects().filter(|(f, _)| is_new(f)) {
+            metrics::counter!("buckthorncleat_suspects_total", "kind" => "request").increment(1);
+            log::info!(event = "suspect", kind = "request", fingerprint = request.to_string(), moments = moments; "servers were lost under new runs of it; one run at a time will tell");
         }
         let before = self.standings.iter().filter(|(_, s)| is_suspect(s));
         let is_cleared = |f| standings.get(f) < Some(&Standing::Suspect);
@@ -310,47 +317,41 @@
         }
     }
 
-    /// Drops losses under runs with a quarantined part, which speak against no other one.
+    /// Drops moments in which a quarantined request was lost, or one with a quarantined part. They speak
+    /// against nothing else.
     fn drop_explained(&mut self) {
-        let quarantined = &self.quarantined;
+        let (quarantined, barred) = (&self.quarantined, &self.barred);
         self.moments
-            .retain(|m| !m.has_part(|part| quarantined.contains(part)));
+            .retain(|m| !m.has_any(|f| quarantined.contains(f) || barred.contains(f)));
     }
 
-    /// Returns the fingerprint to quarantine next; `None` when there is none.
-    ///
-    /// Returns also whether it is a single request.
+    /// Returns the part to quarantine next; `None` when there is none.
     fn convict(
         &self,
         now: clock::Millis,
         settle_time: clock::Millis,
-    ) -> Option<(model::Fingerprint, bool)> {
+    ) -> Option<model::Fingerprint> {
         let evidence = self.evidence();
-        let (fingerprint, against) = self.pending_verdict(&evidence)?;
-        let since = self.since.get(&fingerprint)?;
+        let (part, against) = self.pending_verdict(&evidence)?;
+        let since = self.since.get(&part)?;
         let is_settled = now >= *since + settle_time && now >= against.last_at + REPORT_TIME;
-        is_settled.then_some((fingerprint, against.is_request))
-    }
-
-    fn is_quarantined(&self, fingerprint: &model::Fingerprint) -> bool {
-        self.quarantined.contains(fingerprint) || self.requests.contains(fingerprint)
+        is_settled.then_some(part)
     }
 
-    /// Returns the fingerprint against which there is enough evidence, if no likelier one explains the
-    /// same losses.
+    /// Returns the part against which there is enough evidence, if no likelier one explains the same
+    /// losses.
     fn pending_verdict<'a>(
         &self,
         evidence: &'a sorted::Map<model::Fingerprint, Evidence>,
     ) -> Option<(model::Fingerprint, &'a Evidence)> {
         let suspects = evidence
             .iter()
-            .filter(|(f, e)| e.moments >= SUSPECT_MOMENTS && !self.is_quarantined(f));
+            .filter(|(f, e)| e.moments >= SUSPECT_MOMENTS && !self.quarantined.contains(f));
         let mut suspects: Vec<_> = suspects.collect();
-        // Parts go before single requests, which may have been lost for one of their parts.
         suspects.sort_by_key(|(f, e)| {
             let sound = self.sound.get(f).copied();
             let (moments, depth) = (std::cmp::Reverse(e.moments), std::cmp::Reverse(e.depth));
-            (e.is_request, sound, moments, depth)
+            (sound, moments, depth)
         });
         let mut ranked = suspects.iter().enumerate();
         let chosen = ranked.find(|(rank, (f, e))| {
@@ -379,12 +380,12 @@
         moments.filter(|m| m.runs.iter().any(has_both)).count()
     }
 
-    /// Returns the evidence that no run has cleared, by fingerprint.
+    /// Returns the evidence that no run has cleared, by part.
     fn evidence(&self) -> sorted::Map<model::Fingerprint, Evidence> {
         let mut evidence: sorted::Map<model::Fingerprint, Evidence> = sorted::Map::new();
         for moment in &self.moments {
             let servers = moment.servers();
-            for (fingerprint, runs) in moment.runs_by_fingerprint().iter() {
+            for (fingerprint, runs) in moment.runs_by_part().iter() {
                 let sound = self.sound.get(fingerprint);
                 let runs = runs.iter();
                 let runs =
@@ -436,36 +437,47 @@
         servers.len()
     }
 
-    /// Returns the runs of each fingerprint, with its place among the fingerprints of the run.
-    fn runs_by_fingerprint(&self) -> sorted::Map<model::Fingerprint, Vec<(&Run, usize)>> {
-        let mut by_fingerprint = sorted::Map::new();
+    /// Returns the runs of each part, with its place among the parts of the run.
+    fn runs_by_part(&self) -> sorted::Map<model::Fingerprint, Vec<(&Run, usize)>> {
+        let mut by_part = sorted::Map::new();
         for run in &self.runs {
-            for (depth, fingerprint) in run.fingerprints.iter().enumerate() {
-                let runs: &mut Vec<_> = by_fingerprint.get_or_insert_with(*fingerprint, Vec::new);
+            for (depth, part) in run.parts().iter().enumerate() {
+                let runs: &mut Vec<_> = by_part.get_or_insert_with(*part, Vec::new);
                 runs.push((run, depth));
             }
         }
-        by_fingerprint
+        by_part
     }
 
-    fn has(&self, fingerprint: &model::Fingerprint) -> bool {
-        let mut runs = self.runs.iter();
-        runs.any(|r| r.fingerprints.contains(fingerprint))
+    /// Returns whether a run has such a fingerprint.
+    fn has_any(&self, is_such: impl Fn(&model::Fingerprint) -> bool) -> bool {
+        self.runs.iter().flat_map(|r| &r.fingerprints).any(is_such)
     }
+}
 
-    /// Returns whether a run has such a part, other than the request itself.
-    fn has_part(&self, is_such: impl Fn(&model::Fingerprint) -> bool) -> bool {
-        let parts = self.runs.iter().filter_map(|r| r.fingerprints.split_last());
-        parts.flat_map(|(_, parts)| parts).any(is_such)
+impl Run {
+    /// Returns the parts of the prompt.
+    fn parts(&self) -> &[model::Fingerprint] {
+        self.fingerprints
+            .split_last()
+            .map_or(&[], |(_, parts)| parts)
     }
 }
 
 impl Evidence {
-    /// Returns whether it is enough for a verdict.
+    /// Returns whether it is enough for a verdict on a part.
     fn is_enough(&self) -> bool {
         self.moments >= QUARANTINE_MOMENTS
             && self.servers.len() >= MIN_SERVERS
-            && (self.is_request || self.requests.len() >= MIN_REQUESTS)
+            && self.requests.len() >= MIN_REQUESTS
+    }
+
+    fn standing(&self) -> Standing {
+        if self.moments >= SUSPECT_MOMENTS {
+            Standing::Suspect
+        } else {
+            Standing::Watched
+        }
     }
 
     fn add(&mut self, run: &Run, depth: usize) {
@@ -478,10 +490,14 @@
             self.requests.push(*request);
         }
         self.depth = self.depth.max(depth);
-        self.is_request = depth + 1 == run.fingerprints.len();
     }
 }
 
+fn log_verdict(fingerprint: model::Fingerprint) {
+    log::warn!(event = "quarantined", fingerprint = fingerprint.to_string(); "servers were lost one after the other under new runs with it; they are not sent any more");
+    metrics::counter!("buckthorncleat_quarantined_total").increment(1);
+}
+
 /// Returns the digest of a server's name that a [`Loss`] names.
 pub fn server_digest(server: &id::BackendServerId) -> u64 {
     xxhash_rust::xxh3::xxh3_64(server.as_str().as_bytes())
