Verdicts end after a term, are replicated, and a run on trial clears or extends them

A request that crashed servers was barred for 120 s by the leader's memory: with all processes lost it began anew (6 more runs later than allowed), and every two minutes again. A part of a prompt was barred for ever, also one that all share and that met servers which lost answers. A request was told to come back in an hour.

Cause: one length for all verdicts, whatever is known of the servers, and two places to keep them.

Verdicts of both kinds are replicated (Command::Judge, feature level 2) without times. Summaries name the ends, and Retry-After follows them. The quarantine of operators lasts until they release it, as before; a release ends verdicts too. A full list of losses drops the oldest that was told.

--- a/src/fleet/crashes/mod.rs
+++ b/src/fleet/crashes/mod.rs
@@ -10,6 +10,11 @@
 //! clears or convicts it and takes few with it.
 
 mod requests;
+mod verdicts;
+
+pub use verdicts::Judgement;
+pub use verdicts::Verdict;
+pub use verdicts::Verdicts;
 
 use crate::clock;
 use crate::id;
@@ -33,6 +38,9 @@
 /// although other runs with it went on earlier.
 const MIN_PROBES_LOST: usize = 2;
 
+/// The moments in which a server must have ended, for a verdict that is hardly by chance: all that count.
+const MIN_ENDED: usize = QUARANTINE_MOMENTS;
+
 /// Losses within this time are of one moment: a common cause, such as a rack, explains them.
 const MOMENT: clock::Millis = clock::Millis::new(100);
 
@@ -42,7 +50,7 @@
 /// Routers report a loss within this time, so that the runs which were lost together are known.
 const REPORT_TIME: clock::Millis = clock::Millis::new(200);
 
-/// How long losses count.
+/// How long losses count against parts.
 const RETENTION: clock::Millis = clock::Millis::from_secs(120);
 
 /// The most moments that are kept; the oldest is dropped first.
@@ -100,17 +108,14 @@
     /// Since when a fingerprint has a standing.
     since: sorted::Map<model::Fingerprint, clock::Millis>,
     standings: sorted::Map<model::Fingerprint, Standing>,
-    /// The quarantine of the replicated state, and the verdicts on parts that are not in it yet.
+    /// The quarantine of operators.
     quarantined: sorted::Map<model::Fingerprint, ()>,
     requests: requests::Requests,
-    /// Single requests that are quarantined: until when.
-    barred: sorted::Map<model::Fingerprint, clock::Millis>,
+    verdicts: verdicts::Terms,
     /// The suspects that run: until when.
     probes: sorted::Map<model::Fingerprint, clock::Millis>,
     /// The only runs of suspects that were lost, since the last one that went on.
     probes_lost: sorted::Map<model::Fingerprint, usize>,
-    /// The verdicts on parts that are not in the replicated state yet.
-    verdicts: Vec<model::Fingerprint>,
 }
 
 /// Servers that were lost at one moment.
@@ -118,6 +123,8 @@
 struct Moment {
     at: clock::Millis,
     runs: Vec<Run>,
+    /// Whether a server was found to have ended.
+    is_ended: bool,
 }
 
 #[derive(Debug)]
@@ -131,6 +138,8 @@
 #[derive(Debug, Default)]
 struct Evidence {
     moments: usize,
+    /// The moments in which a server ended.
+    ended: usize,
     /// The last of them.
     last_at: clock::Millis,
     servers: Vec<u64>,
@@ -146,8 +155,17 @@
         let was_alone = loss.fingerprints.iter().any(|f| self.probes.contains(f));
         if let Some((request, parts)) = loss.fingerprints.split_last() {
             let begun_at = sent_at - loss.begun;
-            let requests = &mut self.requests;
-            requests.record_loss(*request, at, loss.server, begun_at);
+            let verdicts = &mut self.verdicts;
+            let lost = verdicts::LastLoss {
+                at,
+                server: loss.server,
+                is_ended: false,
+            };
+            verdicts.record_loss(sent_at, &loss.fingerprints, begun_at, lost);
+            if !verdicts.contains(request) {
+                let requests = &mut self.requests;
+                requests.record_loss(*request, at, loss.server, begun_at);
+            }
             let parts = parts.iter().enumerate();
             let likeliest =
                 parts.min_by_key(|(depth, f)| (self.sound.get(f), std::cmp::Reverse(*depth)));
@@ -169,6 +187,7 @@
             None => self.moments.push(Moment {
                 at,
                 runs: vec![run],
+                is_ended: false,
             }),
         }
         if self.moments.len() > MAX_MOMENTS {
@@ -178,6 +197,16 @@
         }
     }
 
+    /// Records that a server was found to have ended shortly before `now`.
+    pub fn record_ended(&mut self, now: clock::Millis, server: u64) {
+        let recent = self.moments.iter_mut();
+        for moment in recent.filter(|m| now < m.at + verdicts::MAX_END_DELAY) {
+            moment.is_ended |= moment.runs.iter().any(|r| r.server == server);
+        }
+        self.requests.record_ended(now, server);
+        self.verdicts.record_ended(now, server);
+    }
+
     /// Records that a run which began at `begun_at` went on.
     pub fn record_sound(&mut self, fingerprint: model::Fingerprint, begun_at: clock::Millis) {
         if !self.standings.contains(&fingerprint) {
@@ -186,38 +215,46 @@
         self.probes.remove(&fingerprint);
         self.probes_lost.remove(&fingerprint);
         self.requests.record_sound(&fingerprint, begun_at);
+        self.verdicts.record_sound(&fingerprint, begun_at);
         let latest = self.sound.get_or_insert_with(fingerprint, || begun_at);
         *latest = begun_at.max(*latest);
     }
 
-    /// Replaces the quarantine by the one of the replicated state. A fingerprint that was released has
-    /// no losses any more.
+    /// Replaces the quarantine of operators. A fingerprint that was released has no losses any more.
     pub fn set_quarantined(&mut self, quarantined: impl Iterator<Item = model::Fingerprint>) {
         let next: sorted::Map<_, _> = quarantined.map(|f| (f, ())).collect();
-        let verdicts = &self.verdicts;
-        let released = self.quarantined.keys();
-        let released: Vec<_> = released
-            .filter(|f| !next.contains(f) && !verdicts.contains(f))
-            .copied()
-            .collect();
-        self.quarantined.retain(|f, ()| verdicts.contains(f));
-        for (fingerprint, ()) in next.iter() {
-            self.quarantined.insert(*fingerprint, ());
-        }
-        for fingerprint in &released {
+        let released = self.quarantined.keys().filter(|f| !next.contains(f));
+        let released: Vec<_> = released.copied().collect();
+        self.quarantined = next;
+        self.forget(&released);
+    }
+
+    /// Applies the replicated verdicts.
+    pub fn set_verdicts(&mut self, now: clock::Millis, verdicts: &Verdicts) {
+        let released = self.verdicts.apply(now, verdicts);
+        self.forget(&released);
+    }
+
+    fn forget(&mut self, fingerprints: &[model::Fingerprint]) {
+        for fingerprint in fingerprints {
             self.moments.retain(|m| !m.has_any(|f| f == fingerprint));
             self.requests.remove(fingerprint);
         }
     }
 
-    /// Returns the fingerprints that were quarantined and are not in the replicated state yet.
-    pub fn verdicts(&self) -> &[model::Fingerprint] {
-        &self.verdicts
+    /// Returns the changes of verdicts that are not in the replicated state yet.
+    pub fn judgements(&self) -> &[Judgement] {
+        self.verdicts.unsaved()
+    }
+
+    /// Removes the changes that are in the replicated state now.
+    pub fn remove_judgements(&mut self, saved: &[Judgement]) {
+        self.verdicts.remove_saved(saved);
     }
 
-    /// Removes verdicts that are in the replicated state now.
-    pub fn remove_verdicts(&mut self, saved: &[model::Fingerprint]) {
-        self.verdicts.retain(|f| !saved.contains(f));
+    /// Returns the time until verdicts end, of the next ones.
+    pub fn verdict_ends(&self, now: clock::Millis) -> Vec<(model::Fingerprint, clock::Millis)> {
+        self.verdicts.ends(now)
     }
 
     /// Returns whether a request may run, and counts it as the only one of its suspects if so.
@@ -257,26 +294,29 @@
         self.moments.retain(|m| now < m.at + RETENTION);
         self.drop_explained();
         self.requests.update(now);
-        self.barred.retain(|_, until| now < *until);
-        for request in self.requests.convict(now, settle_time) {
-            log_verdict(request);
-            // It may have been lost by chance, and the same may be asked again for good reason.
-            self.barred.insert(request, now + RETENTION);
+        for (request, lost) in self.requests.convict(now, settle_time) {
+            self.verdicts.convict(now, request, lost);
             self.drop_explained();
         }
-        while let Some(part) = self.convict(now, settle_time) {
-            log_verdict(part);
-            self.quarantined.insert(part, ());
-            self.verdicts.push(part);
+        while let Some((part, lost)) = self.convict(now, settle_time) {
+            self.verdicts.convict(now, part, lost);
             self.drop_explained();
         }
         let evidence = self.evidence();
         let parts = evidence.iter().map(|(f, e)| (*f, e.standing()));
         let requests = self.requests.suspects();
         let requests = requests.map(|(f, _)| (*f, Standing::Suspect));
-        let quarantined = self.quarantined.keys().chain(self.barred.keys());
+        let verdicts = self
+            .verdicts
+            .iter(now)
+            .map(|(f, is_running)| match is_running {
+                true => (*f, Standing::Quarantined),
+                false => (*f, Standing::Suspect),
+            });
+        let quarantined = self.quarantined.keys();
         let quarantined = quarantined.map(|f| (*f, Standing::Quarantined));
-        let standings = parts.chain(requests).chain(quarantined).collect();
+        let judged = verdicts.chain(quarantined);
+        let standings = parts.chain(requests).chain(judged).collect();
         self.log_suspects(&standings, &evidence);
         self.standings = standings;
         let standings = &self.standings;
@@ -317,25 +357,30 @@
         }
     }
 
-    /// Drops moments in which a quarantined request was lost, or one with a quarantined part. They speak
-    /// against nothing else.
+    /// Drops moments in which a request with a verdict was lost, or one with such a part. They speak against
+    /// nothing else.
     fn drop_explained(&mut self) {
-        let (quarantined, barred) = (&self.quarantined, &self.barred);
+        let (quarantined, verdicts) = (&self.quarantined, &self.verdicts);
         self.moments
-            .retain(|m| !m.has_any(|f| quarantined.contains(f) || barred.contains(f)));
+            .retain(|m| !m.has_any(|f| quarantined.contains(f) || verdicts.contains(f)));
     }
 
-    /// Returns the part to quarantine next; `None` when there is none.
+    /// Returns the part to quarantine next and its last loss; `None` when there is none.
     fn convict(
         &self,
         now: clock::Millis,
         settle_time: clock::Millis,
-    ) -> Option<model::Fingerprint> {
+    ) -> Option<(model::Fingerprint, verdicts::LastLoss)> {
         let evidence = self.evidence();
         let (part, against) = self.pending_verdict(&evidence)?;
         let since = self.since.get(&part)?;
         let is_settled = now >= *since + settle_time && now >= against.last_at + REPORT_TIME;
-        is_settled.then_some(part)
+        let lost = verdicts::LastLoss {
+            at: against.last_at,
+            server: *against.servers.last()?,
+            is_ended: against.ended >= MIN_ENDED,
+        };
+        is_settled.then_some((part, lost))
     }
 
     /// Returns the part against which there is enough evidence, if no likelier one explains the same
@@ -346,7 +391,7 @@
     ) -> Option<(model::Fingerprint, &'a Evidence)> {
         let suspects = evidence
             .iter()
-            .filter(|(f, e)| e.moments >= SUSPECT_MOMENTS && !self.quarantined.contains(f));
+            .filter(|(_, e)| e.moments >= SUSPECT_MOMENTS);
         let mut suspects: Vec<_> = suspects.collect();
         suspects.sort_by_key(|(f, e)| {
             let sound = self.sound.get(f).copied();
@@ -400,6 +445,7 @@
                 }
                 let against = evidence.get_or_insert_with(*fingerprint, Evidence::default);
                 against.moments += 1;
+                against.ended += usize::from(moment.is_ended);
                 against.last_at = against.last_at.max(moment.at);
                 for (run, depth) in runs {
                     against.add(run, *depth);
@@ -493,11 +539,6 @@
     }
 }
 
-fn log_verdict(fingerprint: model::Fingerprint) {
-    log::warn!(event = "quarantined", fingerprint = fingerprint.to_string(); "servers were lost one after the other under new runs with it; they are not sent any more");
-    metrics::counter!("buckthorncleat_quarantined_total").increment(1);
-}
-
 /// Returns the digest of a server's name that a [`Loss`] names.
 pub fn server_digest(server: &id::BackendServerId) -> u64 {
     xxhash_rust::xxh3::xxh3_64(server.as_str().as_bytes())
--- a/src/fleet/crashes/requests.rs
+++ b/src/fleet/crashes/requests.rs
@@ -6,6 +6,7 @@
 
 use crate::clock;
 use crate::fleet::crashes;
+use crate::fleet::crashes::verdicts;
 use crate::sorted;
 use crate::state::model;
 
@@ -29,6 +30,7 @@
     /// At most [`crashes::QUARANTINE_MOMENTS`], the first ones.
     moments: Vec<Moment>,
     last_at: clock::Millis,
+    last_server: u64,
     /// When the last run that went on began.
     sound: Option<clock::Millis>,
     /// Since when the request is a suspect.
@@ -40,6 +42,8 @@
     at: clock::Millis,
     server: u64,
     begun_at: clock::Millis,
+    /// Whether the server was found to have ended.
+    is_ended: bool,
 }
 
 /// The requests that were lost with a server.
@@ -60,6 +64,7 @@
             at,
             server,
             begun_at,
+            is_ended: false,
         });
         if self.0.len() > MAX_REQUESTS {
             let oldest = self
@@ -84,6 +89,15 @@
         }
     }
 
+    /// Records that a server was found to have ended.
+    pub fn record_ended(&mut self, now: clock::Millis, server: u64) {
+        let moments = self.0.values_mut().flat_map(|l| &mut l.moments);
+        let is_here = |m: &&mut Moment| m.server == server && now < m.at + verdicts::MAX_END_DELAY;
+        for moment in moments.filter(is_here) {
+            moment.is_ended = true;
+        }
+    }
+
     /// Forgets a request that was released.
     pub fn remove(&mut self, request: &model::Fingerprint) {
         self.0.remove(request);
@@ -101,20 +115,21 @@
         });
     }
 
-    /// Takes the requests against which there is enough evidence, `settle_time` after they became suspects.
+    /// Takes the requests against which there is enough evidence, `settle_time` after they became suspects,
+    /// with the last loss of each.
     pub fn convict(
         &mut self,
         now: clock::Millis,
         settle_time: clock::Millis,
-    ) -> Vec<model::Fingerprint> {
+    ) -> Vec<(model::Fingerprint, verdicts::LastLoss)> {
         let is_due = |l: &Losses| {
             l.is_enough()
                 && l.suspect_since.is_some_and(|at| now >= at + settle_time)
                 && l.moments.iter().all(|m| now >= m.at + crashes::REPORT_TIME)
         };
         let due = self.0.iter().filter(|(_, l)| is_due(l));
-        let due: Vec<_> = due.map(|(request, _)| *request).collect();
-        for request in &due {
+        let due: Vec<_> = due.map(|(request, l)| (*request, l.last_loss())).collect();
+        for (request, _) in &due {
             self.0.remove(request);
         }
         due
@@ -139,7 +154,10 @@
         if is_known || self.sound.is_some_and(|at| moment.begun_at <= at) {
             return;
         }
-        self.last_at = self.last_at.max(moment.at);
+        if moment.at >= self.last_at {
+            self.last_at = moment.at;
+            self.last_server = moment.server;
+        }
         if !self.is_enough() {
             self.moments.push(moment);
         }
@@ -152,6 +170,15 @@
     fn is_enough(&self) -> bool {
         self.moments.len() >= crashes::QUARANTINE_MOMENTS
     }
+
+    fn last_loss(&self) -> verdicts::LastLoss {
+        let ended = self.moments.iter().filter(|m| m.is_ended).count();
+        verdicts::LastLoss {
+            at: self.last_at,
+            server: self.last_server,
+            is_ended: ended >= crashes::MIN_ENDED,
+        }
+    }
 }
 
 impl Moment {
--- a/src/fleet/ledger/runs.rs
+++ b/src/fleet/ledger/runs.rs
@@ -29,6 +29,9 @@
         for (fingerprint, age) in &report.sound {
             self.crashes.record_sound(*fingerprint, sent_at - *age);
         }
+        for server in &report.extension.ended {
+            self.crashes.record_ended(now, *server);
+        }
         let has_news = !report.losses.is_empty() || !report.sound.is_empty();
         if has_news && now >= self.next_standings {
             self.update_standings(now);
@@ -51,7 +54,7 @@
         self.crashes.ask(now, fingerprints)
     }
 
-    /// Replaces the quarantine by the one of the replicated state.
+    /// Replaces the quarantine of operators.
     pub fn set_quarantined(
         &mut self,
         now: clock::Millis,
@@ -61,13 +64,24 @@
         self.update_standings(now);
     }
 
-    /// Returns the fingerprints that were quarantined and are not in the replicated state yet.
-    pub fn verdicts(&self) -> &[model::Fingerprint] {
-        self.crashes.verdicts()
+    /// Applies the replicated verdicts on requests and parts.
+    pub fn set_verdicts(&mut self, now: clock::Millis, verdicts: &crashes::Verdicts) {
+        self.crashes.set_verdicts(now, verdicts);
+        self.update_standings(now);
+    }
+
+    /// Returns the changes of verdicts that are not in the replicated state yet.
+    pub fn judgements(&self) -> &[crashes::Judgement] {
+        self.crashes.judgements()
+    }
+
+    /// Removes the changes that are in the replicated state now.
+    pub fn remove_judgements(&mut self, saved: &[crashes::Judgement]) {
+        self.crashes.remove_judgements(saved);
     }
 
-    /// Removes verdicts that are in the replicated state now.
-    pub fn remove_verdicts(&mut self, saved: &[model::Fingerprint]) {
-        self.crashes.remove_verdicts(saved);
+    /// Returns the time until verdicts end, of the next ones.
+    pub fn verdict_ends(&self, now: clock::Millis) -> Vec<(model::Fingerprint, clock::Millis)> {
+        self.crashes.verdict_ends(now)
     }
 }
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -88,6 +88,9 @@
         pub cold: cold::Evidence,
         /// The services of which it reaches no server, with their servers, sorted.
         pub lost: sorted::Map<document::ServiceId, Vec<id::BackendServerId>>,
+        /// The digests of servers that were lost under a run and then refused connections, as far as the
+        /// leader was not told.
+        pub ended: Vec<u64>,
     }
 }
 
@@ -100,6 +103,7 @@
             quotas: None,
             cold: cold::Evidence::default(),
             lost: sorted::Map::new(),
+            ended: Vec::new(),
         }
     }
 }
@@ -132,6 +136,9 @@
         if !self.lost.is_empty() {
             trailer.add(trailer::section::PATHS, &self.lost)?;
         }
+        if !self.ended.is_empty() {
+            trailer.add(trailer::section::ENDED, &self.ended)?;
+        }
         Ok(trailer)
     }
 
@@ -149,6 +156,7 @@
                 .get(trailer::section::COLD_SERVERS)?
                 .unwrap_or_default(),
             lost: trailer.get(trailer::section::PATHS)?.unwrap_or_default(),
+            ended: trailer.get(trailer::section::ENDED)?.unwrap_or_default(),
         })
     }
 }
@@ -258,6 +266,9 @@
         /// What the leader knows of servers that may be cold; `None` when no service has a cold start,
         /// and from a leader of version 1.
         pub cold: Option<cold::Word>,
+        /// The time until verdicts on what crashes servers end, of the next ones; those that are not
+        /// named last until an operator's release.
+        pub verdict_ends: Vec<(model::Fingerprint, clock::Millis)>,
     }
 }
 
@@ -270,6 +281,7 @@
             list_age: None,
             quotas: None,
             cold: None,
+            verdict_ends: Vec::new(),
         }
     }
 }
@@ -302,6 +314,9 @@
         if let Some(cold) = &self.cold {
             trailer.add(trailer::section::COLD_SERVERS, cold)?;
         }
+        if !self.verdict_ends.is_empty() {
+            trailer.add(trailer::section::VERDICTS, &self.verdict_ends)?;
+        }
         Ok(trailer)
     }
 
@@ -317,6 +332,7 @@
             list_age: trailer.get(trailer::section::ORIGINS)?,
             quotas: trailer.get(trailer::section::QUOTAS)?,
             cold: trailer.get(trailer::section::COLD_SERVERS)?,
+            verdict_ends: trailer.get(trailer::section::VERDICTS)?.unwrap_or_default(),
         })
     }
 }
--- a/src/keeper/aggregator.rs
+++ b/src/keeper/aggregator.rs
@@ -25,11 +25,11 @@
 use crate::keeper::level;
 use crate::peer::message;
 use crate::peer::server;
+use crate::peer::trailer;
 use crate::replica::group;
 use crate::router::core;
 use crate::router::discovery;
 use crate::router::protocol;
-use crate::state::change;
 use crate::state::command;
 use crate::state::model;
 
@@ -78,6 +78,8 @@
     pub(super) configured_version: Option<document::DocumentVersion>,
     /// The revision of the replicated configuration whose quarantine the ledger has.
     config_revision: Option<id::Revision>,
+    /// The number of changes of the replicated verdicts that the ledger has.
+    verdict_changes: Option<u64>,
     lists: listing::History,
     /// When the read of the newest list began.
     list_read_at: Option<clock::Millis>,
@@ -149,7 +151,7 @@
                     leader_state.confirmed_at = Some(confirm_started_at);
                 }
             }
-            self.save_verdicts().await;
+            self.save_judgements().await;
             self.raise_level().await;
         }
     }
@@ -264,6 +266,7 @@
             cold: leader_state
                 .ledger
                 .cold_word(now, leader_state.lists.newest()),
+            verdict_ends: leader_state.ledger.verdict_ends(now),
             ..fleet::SummaryExtension::new()
         };
         message::Reply::Summary(Box::new(fleet::Summary {
@@ -330,31 +333,33 @@
         }
     }
 
-    /// Saves new verdicts in the replicated log, so that they outlast this leader.
-    async fn save_verdicts(&self) {
-        let (term, verdicts) = {
+    /// Saves changes of verdicts in the replicated log, so that they outlast this leader.
+    async fn save_judgements(&self) {
+        let (term, judgements) = {
             let leader_state = self.leader_state();
-            (leader_state.term, leader_state.ledger.verdicts().to_vec())
+            let judgements = leader_state.ledger.judgements();
+            (leader_state.term, judgements.to_vec())
         };
-        let Some(term) = term.filter(|_| !verdicts.is_empty()) else {
+        let level = self.group.with_state(command::State::feature_level);
+        let is_due = !judgements.is_empty() && level.0 >= trailer::CURRENT;
+        let Some(term) = term.filter(|_| is_due) else {
             return;
         };
-        let changes = verdicts.iter().map(|f| change::Change::Quarantine(*f));
-        let command = command::Command::System(changes.collect());
+        let command = command::Command::Judge(judgements.clone());
         match self.group.submit_in_term(term, &command).await {
             Ok(group::Outcome::Applied(_)) => {
                 let mut leader_state = self.leader_state();
                 if leader_state.term == Some(term) {
                     self.update_quarantine(&mut leader_state);
-                    leader_state.ledger.remove_verdicts(&verdicts);
+                    leader_state.ledger.remove_judgements(&judgements);
                 }
             }
-            Ok(_) => log::warn!("a quarantine was not committed yet; trying again"),
-            Err(e) => log::error!("a quarantine can't be committed: {e}"),
+            Ok(_) => log::warn!("a verdict was not committed yet; trying again"),
+            Err(e) => log::error!("a verdict can't be committed: {e}"),
         }
     }
 
-    /// Applies the quarantine of the replicated state, if that has changed.
+    /// Applies the quarantine and the verdicts of the replicated state, if they have changed.
     fn update_quarantine(&self, leader_state: &mut LeaderState) {
         let now = self.clock.now();
         self.group.with_state(|state| {
@@ -364,6 +369,11 @@
                 let quarantined = config.quarantined.keys().copied();
                 leader_state.ledger.set_quarantined(now, quarantined);
             }
+            let verdicts = state.verdicts();
+            if leader_state.verdict_changes != Some(verdicts.changes()) {
+                leader_state.verdict_changes = Some(verdicts.changes());
+                leader_state.ledger.set_verdicts(now, verdicts);
+            }
         });
     }
 
--- a/src/keeper/quarantine.rs
+++ b/src/keeper/quarantine.rs
@@ -5,8 +5,10 @@
 use crate::http::admin::target;
 use crate::http::admin::wire;
 use crate::http::body;
+use crate::id;
 use crate::replica::group;
 use crate::router::request;
+use crate::sorted;
 use crate::state::change;
 use crate::state::command;
 use crate::state::model;
@@ -50,13 +52,15 @@
     }
     let listing = group.with_state(|state| {
         let config = state.config();
-        let items = config.quarantined.iter();
-        let items = items.map(
-            |(fingerprint, since): (&model::Fingerprint, _)| wire::Quarantined {
-                fingerprint: fingerprint.to_string(),
-                since: *since,
-            },
-        );
+        let by_operators = config.quarantined.iter().map(|(f, since)| (*f, *since));
+        let verdicts = state.verdicts().iter().map(|(f, v)| (*f, v.since));
+        // Both may name the same one.
+        let all: sorted::Map<model::Fingerprint, id::Revision> =
+            verdicts.chain(by_operators).collect();
+        let items = all.iter().map(|(fingerprint, since)| wire::Quarantined {
+            fingerprint: fingerprint.to_string(),
+            since: *since,
+        });
         wire::Listing {
             revision: config.revision,
             items: items.collect(),
--- a/src/peer/trailer.rs
+++ b/src/peer/trailer.rs
@@ -33,6 +33,10 @@
     pub const ORIGINS: u32 = 5;
     /// Services that a router does not reach.
     pub const PATHS: u32 = 6;
+    /// Verdicts on what crashes servers; in a summary, when they end.
+    pub const VERDICTS: u32 = 7;
+    /// Servers that ended under a run.
+    pub const ENDED: u32 = 8;
 }
 
 macros::data! {
--- a/src/router/reporting.rs
+++ b/src/router/reporting.rs
@@ -214,10 +214,11 @@
             )
         };
         let known = self.view.known();
-        let (losses, told, sound) = {
+        let (losses, told, ended, sound) = {
+            let term = known.map(|(term, _)| term);
             let mut suspects = core.suspects();
-            let (losses, told) = suspects.losses(now, known.map(|(term, _)| term));
-            (losses, told, suspects.sound(now))
+            let (losses, told) = suspects.losses(now, term);
+            (losses, told, suspects.ended(term), suspects.sound(now))
         };
         let lost = self.lost();
         let report = message::Report {
@@ -248,6 +249,7 @@
                 quotas: Some(claims),
                 cold,
                 lost,
+                ended,
                 ..message::ReportExtension::new()
             },
         };
@@ -332,6 +334,7 @@
         {
             let mut suspects = core.suspects();
             suspects.set_standings(self.view.standings());
+            suspects.set_verdict_ends(now, &summary.extension.verdict_ends);
             if is_new_term {
                 suspects.repeat();
             }
--- a/src/router/request/admission.rs
+++ b/src/router/request/admission.rs
@@ -110,7 +110,7 @@
     let standing = core.suspects().standing(&req.fingerprints);
     if standing == Some(crashes::Standing::Quarantined) {
         log_lines::log_quarantined(core, &log_context.request_id, &req.fingerprints);
-        return Err(run_gate::quarantined());
+        return Err(run_gate::quarantined(core, &req.fingerprints));
     }
     if core.paths().is_lost(&req.service.id) {
         if req.is_forwarded {
--- a/src/router/run_gate.rs
+++ b/src/router/run_gate.rs
@@ -19,13 +19,19 @@
 /// The time between two questions whether a suspect may run.
 const ASK_INTERVAL: clock::Millis = clock::Millis::new(100);
 
-/// The time after which a caller may send a request again that crashes servers: only an operator's
-/// release changes the answer.
+/// The time after which a caller may send a request again of which only an operator's release changes
+/// the answer.
 const QUARANTINE_RETRY_AFTER: clock::Millis = clock::Millis::from_secs(3_600);
 
 /// Returns the refusal of a request that crashes servers.
-pub const fn quarantined() -> Refusal {
-    Refusal::NotRun("request crashes servers", QUARANTINE_RETRY_AFTER)
+pub fn quarantined(core: &core::Core, fingerprints: &[model::Fingerprint]) -> Refusal {
+    let left = core
+        .suspects()
+        .quarantine_left(core.clock.now(), fingerprints);
+    let retry_after = left.map_or(QUARANTINE_RETRY_AFTER, |left| {
+        retry_after::delay_after(left, rand::random())
+    });
+    Refusal::NotRun("request crashes servers", retry_after)
 }
 
 /// Waits until this router's losses are known to the leader, but not for long.
@@ -57,13 +63,13 @@
         let standing = core.suspects().standing(fingerprints);
         match standing {
             None | Some(crashes::Standing::Watched) => return Ok(None),
-            Some(crashes::Standing::Quarantined) => return Err(quarantined()),
+            Some(crashes::Standing::Quarantined) => return Err(quarantined(core, fingerprints)),
             Some(crashes::Standing::Suspect) => {}
         }
         let asked_at = core.clock.now();
         match ask(core, fingerprints).await {
             Some(crashes::Answer::Granted) => return Ok(Some(asked_at + crashes::PROBE_TIME)),
-            Some(crashes::Answer::Quarantined) => return Err(quarantined()),
+            Some(crashes::Answer::Quarantined) => return Err(quarantined(core, fingerprints)),
             Some(crashes::Answer::Wait) | None => {}
         }
         let now = core.clock.now();
--- a/src/router/suspects.rs
+++ b/src/router/suspects.rs
@@ -9,7 +9,7 @@
 /// How long losses are kept to be reported to a new leader.
 const LOSS_RETENTION: clock::Millis = clock::Millis::from_secs(120);
 
-/// The most losses that are kept; further ones are dropped.
+/// The most losses that are kept.
 const MAX_LOSSES: usize = 256;
 
 /// The most fingerprints of sound runs that are kept.
@@ -22,6 +22,8 @@
 #[derive(Debug, Default)]
 pub struct Suspects {
     standings: sorted::Map<model::Fingerprint, crashes::Standing>,
+    /// When verdicts end.
+    ends: sorted::Map<model::Fingerprint, clock::Millis>,
     /// When the last run that went on began, by fingerprint.
     sound: sorted::Map<model::Fingerprint, clock::Millis>,
     /// The begin that was reported last.
@@ -40,12 +42,15 @@
     lost_at: clock::Millis,
     /// The term of the leader that was told.
     told: Option<id::Term>,
+    /// Whether the server was found to have ended, and the term of the leader that was told so.
+    ended: Option<Option<id::Term>>,
 }
 
 /// What a report says, to be applied when it was answered.
 #[derive(Clone, Debug, Default)]
 pub struct Reported {
     losses: Vec<u64>,
+    ended: Vec<u64>,
 }
 
 impl Suspects {
@@ -64,6 +69,30 @@
         self.reported.retain(|f, _| standings.contains(f));
     }
 
+    /// Replaces the ends of verdicts by those of a summary.
+    pub fn set_verdict_ends(
+        &mut self,
+        now: clock::Millis,
+        ends: &[(model::Fingerprint, clock::Millis)],
+    ) {
+        self.ends = ends.iter().map(|(f, left)| (*f, now + *left)).collect();
+    }
+
+    /// Returns the time until requests with these fingerprints may run again; `None` when only an
+    /// operator's release or the leader's next word tells.
+    pub fn quarantine_left(
+        &self,
+        now: clock::Millis,
+        fingerprints: &[model::Fingerprint],
+    ) -> Option<clock::Millis> {
+        let is_quarantined = |f: &&model::Fingerprint| {
+            self.standings.get(f) == Some(&crashes::Standing::Quarantined)
+        };
+        let quarantined = fingerprints.iter().filter(is_quarantined);
+        let ends: Option<Vec<_>> = quarantined.map(|f| self.ends.get(f).copied()).collect();
+        ends?.into_iter().max().map(|end| end - now)
+    }
+
     /// Records that a server was lost under a run: with its fingerprints if the run had just begun, else
     /// without any.
     pub fn record_loss(
@@ -80,7 +109,9 @@
         }
         if self.losses.len() >= MAX_LOSSES {
             metrics::counter!("buckthorncleat_losses_dropped_total").increment(1);
-            return;
+            // The oldest that a leader was told of.
+            let told = self.losses.iter().position(|l| l.told.is_some());
+            self.losses.remove(told.unwrap_or(0));
         }
         self.last_number += 1;
         self.losses.push(Loss {
@@ -90,7 +121,28 @@
             begun_at,
             lost_at: now,
             told: None,
+            ended: None,
+        });
+    }
+
+    /// Records that a server which was lost under a run has ended.
+    pub fn record_ended(&mut self, server: &id::BackendServerId) {
+        let digest = crashes::server_digest(server);
+        for loss in self.losses.iter_mut().filter(|l| l.server == digest) {
+            loss.ended.get_or_insert(None);
+        }
+    }
+
+    /// Returns the digests of the servers that ended, as far as the leader in `term` was not told.
+    pub fn ended(&self, term: Option<id::Term>) -> Vec<u64> {
+        let new = self.losses.iter().filter(|l| {
+            let told = l.ended;
+            told.is_some_and(|told| told.is_none() || term.is_some() && told < term)
         });
+        let mut servers: Vec<u64> = new.map(|l| l.server).collect();
+        servers.sort_unstable();
+        servers.dedup();
+        servers
     }
 
     /// Records that a run went on. A request counts by itself only if it is known.
@@ -113,7 +165,8 @@
 
     /// Returns whether no leader was told of some loss yet.
     pub fn has_news(&self) -> bool {
-        self.losses.iter().any(|l| l.told.is_none())
+        let is_news = |l: &Loss| l.told.is_none() || l.ended == Some(None);
+        self.losses.iter().any(is_news)
     }
 
     /// Returns the losses that the leader in `term` was not told of, and what to apply when the report
@@ -133,7 +186,11 @@
             begun: now - l.begun_at,
             age: now - l.lost_at,
         });
-        (losses.collect(), Reported { losses: numbers })
+        let reported = Reported {
+            losses: numbers,
+            ended: self.ended(term),
+        };
+        (losses.collect(), reported)
     }
 
     /// Returns the time since the last run that went on began, for fingerprints that the leader asks
@@ -159,6 +216,9 @@
             if reported.losses.contains(&loss.number) {
                 loss.told = Some(term);
             }
+            if reported.ended.contains(&loss.server) && loss.ended.is_some() {
+                loss.ended = Some(Some(term));
+            }
         }
     }
 
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -4,6 +4,7 @@
 use crate::document;
 use crate::error;
 use crate::fleet::allowance;
+use crate::fleet::crashes;
 use crate::fleet::evacuation;
 use crate::fleet::origin;
 use crate::id;
@@ -45,6 +46,8 @@
         FinishEvacuation(id::DataCentre),
         /// Records what client accounts may have used. Needs feature level 2.
         Allow(allowance::Batch),
+        /// Changes the verdicts on what crashes backend servers. Needs feature level 2.
+        Judge(Vec<crashes::Judgement>),
     }
 }
 
@@ -202,6 +205,9 @@
         /// In the trailer of a snapshot.
         #[serde(skip)]
         allowances: allowance::Allowances,
+        /// In the trailer of a snapshot.
+        #[serde(skip)]
+        verdicts: crashes::Verdicts,
     }
 }
 
@@ -286,6 +292,11 @@
         &self.allowances
     }
 
+    /// Returns the verdicts on what crashes backend servers.
+    pub fn verdicts(&self) -> &crashes::Verdicts {
+        &self.verdicts
+    }
+
     pub fn audit(&self) -> &audit::Log {
         &self.audit
     }
@@ -345,6 +356,12 @@
                 self.allowances.apply(batch);
                 Answer::Done(self.config.revision)
             }
+            Command::Judge(judgements) => {
+                for judgement in judgements {
+                    self.verdicts.apply(*judgement, self.config.revision);
+                }
+                Answer::Done(self.config.revision)
+            }
         };
         assert!(self.config.revision >= before, "the revision decreased");
         answer
@@ -363,6 +380,7 @@
         trailer.add(trailer::section::FEATURE_LEVEL, &self.feature_level)?;
         trailer.add(trailer::section::EVACUATIONS, &self.evacuations)?;
         trailer.add(trailer::section::QUOTAS, &self.allowances)?;
+        trailer.add(trailer::section::VERDICTS, &self.verdicts)?;
         let state = trailer.append_to(&(self, &self.origins))?;
         if self.feature_level == FeatureLevel::default() {
             return Ok(state);
@@ -394,6 +412,8 @@
             state.evacuations = evacuations.unwrap_or_default();
             let allowances = trailer.get(trailer::section::QUOTAS)?;
             state.allowances = allowances.unwrap_or_default();
+            let verdicts = trailer.get(trailer::section::VERDICTS)?;
+            state.verdicts = verdicts.unwrap_or_default();
         }
         Ok(state)
     }
@@ -502,6 +522,12 @@
             revision: self.config.revision.next(),
             changes,
         };
+        for change in &commit.changes {
+            if let change::Change::Release(fingerprint) = change {
+                let judgement = crashes::Judgement::Clear(*fingerprint);
+                self.verdicts.apply(judgement, commit.revision);
+            }
+        }
         let applied = self.config.apply(&commit);
         assert!(applied, "a commit of the next revision applies");
         self.history.push(commit);
