A router finds out whether a server that it lost under a run has ended

A server that fell silent under a request left no evidence at all, and one that only lost an answer left the same as one that ended, so that a sound request was judged as one that crashes servers.

Cause: only the way in which a connection ended was looked at.

It costs one connection for each lost run and each answer without length.

--- a/src/router/generate/runs.rs
+++ b/src/router/generate/runs.rs
@@ -1,6 +1,7 @@
 //! Whether a stream may run, and how its runs went, as far as requests crash servers.
 
 use crate::clock;
+use crate::http::progress;
 use crate::router::balancer;
 use crate::router::generate;
 use crate::router::in_flight;
@@ -27,16 +28,23 @@
         Ok(())
     }
 
-    /// Records that the run goes on, once that is certain: some time after its first event, or at
-    /// its end.
-    pub fn record_progress(&mut self, first_event_at: clock::Millis, is_complete: bool) {
+    /// Records that the run goes on, once that is certain: some time after its first event.
+    pub fn record_progress(&mut self, first_event_at: clock::Millis) {
         let now = self.req.core.clock.now();
-        if !self.is_sound && (is_complete || now >= first_event_at + SOUND_TIME) {
+        if !self.is_sound && now >= first_event_at + SOUND_TIME {
             self.is_sound = true;
             self.req.record_sound(self.begun_at);
         }
     }
 
+    /// Records that the run has come to its end.
+    pub fn record_end(&mut self, pick: &balancer::Pick, framing: progress::Framing) {
+        if !self.is_sound {
+            self.is_sound = true;
+            self.req.record_end(pick, self.begun_at, framing);
+        }
+    }
+
     /// Records that a server was lost while it ran the request.
     pub fn record_lost_server(
         &mut self,
@@ -46,10 +54,8 @@
     ) {
         guard.finish(balancer::Outcome::Lost);
         self.probe_until = None;
-        if failure == upstream::Failure::Broken {
-            self.req.record_loss(&pick.id, self.begun_at, self.is_sound);
-            self.must_report = !self.is_sound;
-        }
+        let (begun_at, is_sound) = (self.begun_at, self.is_sound);
+        self.must_report |= self.req.record_loss(pick, begun_at, is_sound, failure);
         self.log_lost(pick, failure);
     }
 }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -40,6 +40,7 @@
 pub mod run;
 pub mod run_gate;
 pub mod scrape;
+mod server_check;
 pub mod suspects;
 pub mod table;
 pub mod upstream;
--- a/src/router/plain.rs
+++ b/src/router/plain.rs
@@ -6,6 +6,7 @@
 use crate::fleet::budget;
 use crate::fleet::message;
 use crate::http::body;
+use crate::http::progress;
 use crate::id;
 use crate::router::availability;
 use crate::router::balancer;
@@ -192,7 +193,7 @@
     let begun_at = req.core.clock.now();
     let result = exchange(req, pick, attempt_timeout(req, progress)).await;
     let failure = match result {
-        Ok((protocol::Execution::Ran, response)) => {
+        Ok((protocol::Execution::Ran, response, framing)) => {
             progress.attempts += 1;
             progress.tried.push(pick.id.clone());
             let failed = response.status().is_server_error();
@@ -202,7 +203,7 @@
                 balancer::Outcome::Succeeded
             });
             progress.may_have_run = true;
-            req.record_sound(begun_at);
+            req.record_end(pick, begun_at, framing);
             if failed
                 && req.route.retry_policy.allows_retry()
                 && progress.attempts < req.route.max_attempts
@@ -212,7 +213,7 @@
             }
             return Some(response);
         }
-        Ok((execution, _)) => {
+        Ok((execution, ..)) => {
             progress.attempts += 1;
             if !req.core.is_quiet(&pick.id) {
                 progress.tried.push(pick.id.clone());
@@ -247,10 +248,7 @@
     }
     progress.attempts += 1;
     progress.may_have_run = true;
-    if failure == upstream::Failure::Broken {
-        req.record_loss(&pick.id, begun_at, false);
-        progress.must_report = true;
-    }
+    progress.must_report |= req.record_loss(pick, begun_at, false, failure);
     None
 }
 
@@ -271,11 +269,12 @@
     }
 }
 
+/// Sends the request and reads the answer; returns also what marked its end.
 async fn exchange(
     req: &request::Request,
     pick: &balancer::Pick,
     timeout: clock::Millis,
-) -> Result<(protocol::Execution, request::Response), upstream::Failure> {
+) -> Result<(protocol::Execution, request::Response, progress::Framing), upstream::Failure> {
     let deadline = req.core.clock.now() + timeout;
     let server_req = req.server_request(pick, protocol::Work::Run, req.caller.resume_after, None);
     let purpose = availability::Purpose::Plain;
@@ -284,7 +283,9 @@
     let execution = req.execution(&head)?;
     let left = deadline - req.core.clock.now();
     let bytes = answer.read_to_end(left, upstream::MAX_ANSWER_BYTES).await?;
-    Ok((execution, answer.to_response(body::Body::from_bytes(bytes))))
+    let framing = answer.progress().framing();
+    let response = answer.to_response(body::Body::from_bytes(bytes));
+    Ok((execution, response, framing))
 }
 
 impl Progress {
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -71,7 +71,6 @@
     let mut splitter = events::Splitter::default();
     let mut stats = Stats::default();
     let outcome = loop {
-        let begun_at = stream.req.core.clock.now();
         let relayed = if resumes {
             relay_events(&mut stream, &mut opened, &tx, &mut splitter, &mut stats).await
         } else {
@@ -80,7 +79,8 @@
         stats.progress = Some(*opened.answer.progress());
         let failure = match relayed {
             Relayed::Complete => {
-                stream.record_progress(begun_at, true);
+                let framing = opened.answer.progress().framing();
+                stream.record_end(&opened.pick, framing);
                 opened.guard.finish(balancer::Outcome::Succeeded);
                 record_tokens_per_event(&stream, stats);
                 break COMPLETE;
@@ -176,7 +176,7 @@
     let mut chunk = opened.first_chunk.take();
     stream.record_origin(&opened.pick);
     while let Some(bytes) = chunk {
-        stream.record_progress(begun_at, false);
+        stream.record_progress(begun_at);
         stats.record(stream.req.core.clock.now());
         update_memory_estimate(stream, opened, stats.chunks);
         if tx.send(Ok(bytes)).await.is_err() {
@@ -205,7 +205,7 @@
     let mut has_recorded_origin = false;
     let mut chunk = opened.first_chunk.take();
     while let Some(bytes) = chunk {
-        stream.record_progress(begun_at, false);
+        stream.record_progress(begun_at);
         if !splitter.push(&bytes) {
             return Relayed::Lost(upstream::Failure::Broken);
         }
--- a/src/router/request/mod.rs
+++ b/src/router/request/mod.rs
@@ -22,6 +22,7 @@
 use crate::fleet::origin;
 use crate::http::body;
 use crate::http::hop;
+use crate::http::progress;
 use crate::id;
 use crate::router::arrivals;
 use crate::router::availability;
@@ -31,6 +32,7 @@
 use crate::router::retries;
 use crate::router::retry_after;
 use crate::router::retry_gate;
+use crate::router::server_check;
 use crate::router::upstream;
 use crate::state::model;
 
@@ -249,23 +251,56 @@
         standing == Some(crashes::Standing::Quarantined)
     }
 
-    /// Records that a server was lost under a run of the request, which had been going on if `is_sound`.
+    /// Records that a server was lost under a run of the request, which had been going on if `is_sound`;
+    /// returns whether the leader must know it before the request runs again.
     pub fn record_loss(
         &self,
-        server: &id::BackendServerId,
+        pick: &balancer::Pick,
         begun_at: clock::Millis,
         is_sound: bool,
-    ) {
-        let now = self.core.clock.now();
+        failure: upstream::Failure,
+    ) -> bool {
+        let is_broken = match failure {
+            upstream::Failure::Broken => true,
+            upstream::Failure::TimedOut => false,
+            upstream::Failure::NotSent | upstream::Failure::Withdrawn => return false,
+        };
         let fingerprints = if is_sound {
             Vec::new()
         } else {
             self.fingerprints.clone()
         };
-        let mut suspects = self.core.suspects();
-        suspects.record_loss(now, server, fingerprints, begun_at);
-        drop(suspects);
-        self.core.report_due.notify_one();
+        if is_broken {
+            let now = self.core.clock.now();
+            let mut suspects = self.core.suspects();
+            suspects.record_loss(now, &pick.id, fingerprints, begun_at);
+            drop(suspects);
+            self.core.report_due.notify_one();
+        }
+        if !is_sound {
+            let seen = match is_broken {
+                true => server_check::Seen::Broken,
+                false => server_check::Seen::Silent,
+            };
+            self.check_server(pick, begun_at, seen);
+        }
+        is_broken && !is_sound
+    }
+
+    /// Records that a run of the request went on to its end. An answer that ends with its connection may have
+    /// been cut, so the server is checked first.
+    pub fn record_end(
+        &self,
+        pick: &balancer::Pick,
+        begun_at: clock::Millis,
+        framing: progress::Framing,
+    ) {
+        match framing {
+            progress::Framing::Length | progress::Framing::Chunked => self.record_sound(begun_at),
+            progress::Framing::UntilClose => {
+                self.check_server(pick, begun_at, server_check::Seen::EndedWithConnection);
+            }
+        }
     }
 
     /// Records that a run of the request went on.
@@ -274,6 +309,22 @@
         suspects.record_sound(&self.fingerprints, begun_at);
     }
 
+    fn check_server(
+        &self,
+        pick: &balancer::Pick,
+        begun_at: clock::Millis,
+        seen: server_check::Seen,
+    ) {
+        let run = server_check::Run {
+            server: pick.id.clone(),
+            address: pick.address,
+            fingerprints: self.fingerprints.clone(),
+            begun_at,
+            seen,
+        };
+        server_check::spawn(&self.core, run);
+    }
+
     /// Returns the fingerprints for the log, separated by commas.
     pub fn log_fingerprints(&self) -> String {
         let texts: Vec<String> = self.fingerprints.iter().map(|f| f.to_string()).collect();
