The fingerprint of a request has its query

Cause: the digest was that of account, path and body, without the query, so that sound lookups of the path cleared it and were judged with it.

--- a/src/router/request/admission.rs
+++ b/src/router/request/admission.rs
@@ -204,7 +204,8 @@
     ))?;
     let mut fingerprints = caller.parts.clone();
     let account_id = account.map(|a| &a.id);
-    fingerprints.push(table::fingerprint(account_id, head.uri.path(), &body));
+    let target = head.uri.path_and_query().map_or("/", |t| t.as_str());
+    fingerprints.push(table::fingerprint(account_id, target, &body));
     let max_wait = caller.max_wait.unwrap_or(route.time_limit);
     let priority =
         account.map_or(0, |a| u16::from(a.priority.min(63))) << 8 | u16::from(route.priority);
--- a/src/router/table.rs
+++ b/src/router/table.rs
@@ -127,16 +127,16 @@
     }
 }
 
-/// Returns a digest of account, path and body, which is the same for each resend of a request.
+/// Returns a digest of account, path with query, and body, which is the same for each resend of a request.
 pub fn fingerprint(
     account: Option<&id::ClientAccountId>,
-    path: &str,
+    target: &str,
     body: &[u8],
 ) -> model::Fingerprint {
     let mut hasher = xxhash_rust::xxh3::Xxh3::new();
     hasher.update(account.map_or("", id::ClientAccountId::as_str).as_bytes());
     hasher.update(&[0]);
-    hasher.update(path.as_bytes());
+    hasher.update(target.as_bytes());
     hasher.update(&[0]);
     hasher.update(body);
     model::Fingerprint::new(hasher.digest())
