A server lost under a prefill is evidence, and one admission covers one server

Cause: only runs at decode servers were recorded. One permission to run a suspect also covered its prefill and its decode call, so that one send could end two servers. A loss under a prefill is recorded like any other now, and the request is admitted anew before its next call, while it keeps its place at the decode server.

--- a/src/router/generate/mod.rs
+++ b/src/router/generate/mod.rs
@@ -70,6 +70,8 @@
     export: Option<prefill::Exported>,
     /// The prefill server that processed the prompt.
     prefill_server: Option<id::BackendServerId>,
+    /// Whether a server was lost under the prefill.
+    has_lost_prefill: bool,
     /// Until when a run may begin that tells whether the request crashes servers; `None` when no
     /// such run was granted.
     probe_until: Option<clock::Millis>,
@@ -119,6 +121,8 @@
     NotRun,
     /// The server takes no calls since it was picked; nothing was sent.
     Withdrawn,
+    /// A server was lost under the prefill, and the request must not run now; nothing was sent.
+    NotAdmitted(Refusal),
     /// The call would be a retry that the budget does not grant; nothing was sent.
     NoRetry,
     /// The connection failed; the request may have run.
@@ -196,6 +200,7 @@
             may_have_run: false,
             export: None,
             prefill_server: None,
+            has_lost_prefill: false,
             probe_until: None,
             begun_at: clock::Millis::ZERO,
             is_sound: false,
@@ -252,6 +257,7 @@
                     }
                 }
                 Attempt::NotRun | Attempt::Withdrawn => {}
+                Attempt::NotAdmitted(refusal) => return Err(self.end(refusal)),
                 Attempt::NoRetry => {
                     return Err(self.end(Refusal::NotRun(
                         "no retry budget",
@@ -328,9 +334,23 @@
             reservation,
         } = placement;
         let pick = &pick;
-        if self.attempts == 0 && self.export.is_none() {
-            self.export = prefill::run(&self.req).await;
-            self.prefill_server = self.export.as_ref().map(|e| e.server.clone());
+        if self.attempts == 0 && self.export.is_none() && !self.has_lost_prefill {
+            match prefill::run(&self.req).await {
+                prefill::Prefill::Done(exported) => {
+                    self.prefill_server = Some(exported.server.clone());
+                    self.export = Some(exported);
+                }
+                prefill::Prefill::Lost { must_report } => {
+                    // The request may crash servers, and one admission covers one of them.
+                    self.has_lost_prefill = true;
+                    self.must_report |= must_report;
+                    self.probe_until = None;
+                    if let Err(refusal) = self.admit_run(self.placement_deadline()).await {
+                        return Attempt::NotAdmitted(refusal);
+                    }
+                }
+                prefill::Prefill::None => {}
+            }
         }
         // A prefill that failed is an arrival, which makes this call a retry.
         if !self.req.may_call(budget::Purpose::Required).await {
--- a/src/router/prefill.rs
+++ b/src/router/prefill.rs
@@ -56,30 +56,48 @@
     Withdrawn(id::BackendServerId),
     /// The server refused the request.
     Refused(id::BackendServerId),
-    /// No prefill was attempted, or it failed, or its result is unknown.
+    /// The server was lost under the prefill.
+    Lost {
+        /// Whether the leader must know it before the request runs.
+        must_report: bool,
+    },
+    /// No prefill was attempted, or it failed.
     Unavailable,
 }
 
-/// Runs the prefill at a prefill server; `None` means that the decode server does it itself.
-pub async fn run(req: &request::Request) -> Option<Exported> {
+/// What became of the prefill of a request.
+pub enum Prefill {
+    Done(Exported),
+    /// The server was lost under it; another call needs to be admitted anew.
+    Lost {
+        /// Whether the leader must know it before the request runs.
+        must_report: bool,
+    },
+    /// The decode server does it itself.
+    None,
+}
+
+/// Runs the prefill at a prefill server.
+pub async fn run(req: &request::Request) -> Prefill {
     // A prefill that is refused makes the next call a retry. While they are refused, that retry is taken
     // before, so that the request is not refused for want of it.
     let (now, service) = (req.core.clock.now(), &req.service.id);
     let are_refused = req.core.retries().are_prefills_refused(now, service);
     if are_refused && !req.prepare_retry(budget::Purpose::Optional).await {
-        return None;
+        return Prefill::None;
     }
     let mut tried = Vec::new();
     while tried.len() < MAX_PREFILL_SERVERS && req.may_call(budget::Purpose::Optional).await {
         match attempt(req, &tried).await {
-            Outcome::Done(exported) => return Some(exported),
+            Outcome::Done(exported) => return Prefill::Done(exported),
             Outcome::ConnectFailed(server)
             | Outcome::Withdrawn(server)
             | Outcome::Refused(server) => tried.push(server),
-            Outcome::Unavailable => return None,
+            Outcome::Lost { must_report } => return Prefill::Lost { must_report },
+            Outcome::Unavailable => return Prefill::None,
         }
     }
-    None
+    Prefill::None
 }
 
 async fn attempt(req: &request::Request, tried: &[id::BackendServerId]) -> Outcome {
@@ -92,6 +110,7 @@
     let permit = picked.pick.permit;
     let now = req.core.clock.now();
     let now = permit.map_or(now, |p| now.max(p.from));
+    let begun_at = now;
     let load = message::Load {
         requests: 1,
         memory: unit::Tokens::new(0),
@@ -133,6 +152,7 @@
         request = req.log_id(),
         server = picked.pick.id.as_str(),
         failure = describe(&reply),
+        fingerprints = req.log_fingerprints(),
         predicted_ms = picked.time.as_u64(),
         took_ms = took.as_u64();
         "prefill failed"
@@ -144,7 +164,10 @@
         }
         Err(upstream::Failure::NotSent) => Outcome::ConnectFailed(picked.pick.id),
         Err(upstream::Failure::Withdrawn) => Outcome::Withdrawn(picked.pick.id),
-        Ok(Reply::Done(_) | Reply::Failed) | Err(_) => Outcome::Unavailable,
+        Err(failure @ (upstream::Failure::Broken | upstream::Failure::TimedOut)) => Outcome::Lost {
+            must_report: req.record_loss(&picked.pick, begun_at, false, failure),
+        },
+        Ok(Reply::Done(_) | Reply::Failed) => Outcome::Unavailable,
     }
 }
 
