Requests that are read late in the grace period of a stop are refused

Reported by other operators: requests that came late in the grace period of a planned stop were taken, passed on and cut at its end without an answer, also such that may not be repeated.

Cause: the phases of a stop bounded when connections are accepted, not when a request is complete.

--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -70,6 +70,8 @@
     Leaving,
     /// No new connections are accepted; running requests finish.
     Closing,
+    /// Requests that are still being read are refused; running ones finish.
+    Draining,
 }
 
 pub struct Core {
--- a/src/router/helper.rs
+++ b/src/router/helper.rs
@@ -107,7 +107,7 @@
     /// Starts to serve a request; returns false when it is not taken.
     fn begin(&self, key: &Key, forwarded: forward::Forwarded) -> bool {
         let mut exchanges = self.exchanges();
-        let is_closing = self.core.phase() == core::Phase::Closing;
+        let is_closing = self.core.phase() >= core::Phase::Closing;
         if is_closing || exchanges.len() >= MAX_EXCHANGES || exchanges.contains(key) {
             return false;
         }
--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -102,7 +102,7 @@
 /// Waits until the shutdown reaches [`core::Phase::Closing`].
 pub async fn until_closing(phase: &mut watch::Receiver<core::Phase>) {
     // A dropped sender counts as closing too.
-    let _ = phase.wait_for(|p| *p == core::Phase::Closing).await;
+    let _ = phase.wait_for(|p| *p >= core::Phase::Closing).await;
 }
 
 /// Waits until connections without a running request are closed.
--- a/src/router/origin_gate.rs
+++ b/src/router/origin_gate.rs
@@ -116,7 +116,7 @@
             if !tell(&core, term, records).await {
                 time::sleep(RETRY_INTERVAL.as_duration()).await;
             }
-            if core.phase() == core::Phase::Closing {
+            if core.phase() >= core::Phase::Closing {
                 return;
             }
         }
--- a/src/router/request/admission.rs
+++ b/src/router/request/admission.rs
@@ -107,6 +107,11 @@
     ))?;
     let (mut req, progress) =
         read_request(core, &table, head, source, received_at, log_context).await?;
+    if core.phase() == core::Phase::Draining && !req.is_forwarded {
+        // It may last beyond the grace period.
+        let retry_after = draw_retry_after(retry_after::Cause::Stopping);
+        return Err(Refusal::NotRun("router stopping", retry_after));
+    }
     let standing = core.suspects().standing(&req.fingerprints);
     if standing == Some(crashes::Standing::Quarantined) {
         log_lines::log_quarantined(core, &log_context.request_id, &req.fingerprints);
--- a/src/router/retry_after.rs
+++ b/src/router/retry_after.rs
@@ -35,6 +35,9 @@
 /// The router has no document or no server list yet: the time of one or two reports.
 const NOT_READY: Range = Range::new(300, 200);
 
+/// The router is stopping: callers that are told so connect elsewhere, where there may be capacity at once.
+const STOPPING: Range = Range::new(50, 100);
+
 /// The origin of a stream is not known yet: the time in which a leader is elected and hears of it.
 const ORIGIN_LATE: Range = Range::new(500, 500);
 
@@ -59,6 +62,8 @@
     OriginUnknown,
     /// The router has no document or no usable route.
     NotReady,
+    /// The router is stopping; others take requests.
+    Stopping,
 }
 
 /// A range of delays: the shortest one and the width, in milliseconds.
@@ -85,6 +90,7 @@
         Cause::Suspect => SUSPECT,
         Cause::OriginLate | Cause::OriginUnknown => ORIGIN_LATE,
         Cause::NotReady => NOT_READY,
+        Cause::Stopping => STOPPING,
     };
     clock::Millis::new(range.min_ms + random % range.spread_ms)
 }
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -3,6 +3,7 @@
 use std::net;
 use std::sync;
 
+use futures_util::future;
 use tokio::sync::watch;
 use tokio::task;
 use tokio::time;
@@ -11,6 +12,7 @@
 use crate::daemon;
 use crate::error;
 use crate::event;
+use crate::http::stop;
 use crate::peer::frame;
 use crate::peer::link;
 use crate::peer::server;
@@ -27,6 +29,13 @@
 /// grace period (a divisor). The rest is for running requests.
 const LEAVING_DIVISOR: u64 = 3;
 
+/// The longest time of the phase `Leaving`. A request that comes later may last beyond the grace period, however
+/// long that is.
+const MAX_LEAVING: clock::Millis = clock::Millis::new(2_500);
+
+/// The time from the phase `Closing` to the phase `Draining`, in which the last requests are read.
+const CLOSING_TIME: clock::Millis = clock::Millis::new(2 * stop::LAST_REQUEST_TIME.as_u64());
+
 /// Time kept at the end of the grace period for cutting the requests that still run.
 const FINISH_RESERVE: clock::Millis = clock::Millis::new(400);
 
@@ -137,11 +146,16 @@
     let grace = core.settings.grace;
     let started = core.clock.now();
     core.set_phase(core::Phase::Leaving);
-    let leaving = clock::Millis::new(grace.as_u64() / LEAVING_DIVISOR);
+    let leaving = clock::Millis::new(grace.as_u64() / LEAVING_DIVISOR).min(MAX_LEAVING);
     time::sleep(leaving.as_duration()).await;
     core.set_phase(core::Phase::Closing);
     let finish_by = started + grace - FINISH_RESERVE;
     let left = finish_by - core.clock.now();
+    let drain = async {
+        time::sleep(CLOSING_TIME.as_duration()).await;
+        core.set_phase(core::Phase::Draining);
+        future::pending::<()>().await;
+    };
     let finish = async {
         while tasks.join_next().await.is_some() {}
         let mut streams = core.take_streams();
@@ -149,6 +163,12 @@
         stop_helping.send_replace(true);
         while helping.join_next().await.is_some() {}
     };
+    let finish = async {
+        tokio::select! {
+            () = finish => {}
+            () = drain => {}
+        }
+    };
     if time::timeout(left.as_duration(), finish).await.is_err() {
         log::warn!(event = "cut"; "requests still run at the end of the grace period; cutting them");
     }
