--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -7,6 +7,11 @@
 #[path = "crash_support/fleet.rs"]
 mod fleet;
 
+use buckthorncleat::fleet::crashes::Judgement;
+use buckthorncleat::peer::trailer;
+use buckthorncleat::state::change::Change;
+use buckthorncleat::state::command::{Command, FeatureLevel, State};
+use buckthorncleat::state::model::Fingerprint;
 use fleet::{Bad, Fleet, Losing, Plan};
 
 const DEFAULT_SEEDS: u64 = 3;
@@ -207,3 +212,18 @@
         }
     }
 }
+
+/// Guards against verdicts that a snapshot loses, and against such that an operator can't end.
+#[test]
+fn verdicts_outlast_a_snapshot_and_end_with_a_release() {
+    let fingerprint = Fingerprint::new(7);
+    let mut state = State::default();
+    state.apply(&Command::RaiseLevel(FeatureLevel(trailer::CURRENT)));
+    state.apply(&Command::Judge(vec![Judgement::Convict(fingerprint, 4)]));
+    let mut read = State::from_bytes(&state.to_bytes().unwrap()).unwrap();
+    assert_eq!(read, state);
+    let verdict = read.verdicts().get(&fingerprint);
+    assert_eq!(verdict.map(|v| v.degree), Some(4));
+    read.apply(&Command::System(vec![Change::Release(fingerprint)]));
+    assert_eq!(read.verdicts().get(&fingerprint), None);
+}
