A verdict that a router has not heard of is not taken for an operators' one

What callers saw, by reading: a request that the leader refused before the router's next summary was told to come back in an hour, for a verdict of 5 s.

Cause: without a verdict of its own the router found no end, which stands for what an operator quarantined.

Change: no end is looked for where no verdict is known; such a caller comes back after the time of one or two summaries.

Measured: a_verdict_that_a_router_has_not_heard_of_is_not_taken_for_an_operators failed before (none where zero is wanted) and passes.

--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -266,8 +266,8 @@
         /// What the leader knows of servers that may be cold; `None` when no service has a cold start,
         /// and from a leader of version 1.
         pub cold: Option<cold::Word>,
-        /// The time until verdicts on what crashes servers end, of the next ones; those that are not
-        /// named last until an operator's release.
+        /// The time until verdicts on what crashes servers end, of the next ones. What an operator
+        /// quarantined is not named.
         pub verdict_ends: Vec<(model::Fingerprint, clock::Millis)>,
     }
 }
--- a/src/router/run_gate.rs
+++ b/src/router/run_gate.rs
@@ -28,9 +28,12 @@
     let left = core
         .suspects()
         .quarantine_left(core.clock.now(), fingerprints);
-    let retry_after = left.map_or(QUARANTINE_RETRY_AFTER, |left| {
-        retry_after::delay_after(left, rand::random())
-    });
+    let retry_after = match left {
+        None => QUARANTINE_RETRY_AFTER,
+        // The term has just ended, or the leader knows more than its last summary said.
+        Some(clock::Millis::ZERO) => request::draw_retry_after(retry_after::Cause::Suspect),
+        Some(left) => retry_after::delay_after(left, rand::random()),
+    };
     Refusal::NotRun("request crashes servers", retry_after)
 }
 
--- a/src/router/suspects.rs
+++ b/src/router/suspects.rs
@@ -78,8 +78,8 @@
         self.ends = ends.iter().map(|(f, left)| (*f, now + *left)).collect();
     }
 
-    /// Returns the time until requests with these fingerprints may run again; `None` when only an
-    /// operator's release or the leader's next word tells.
+    /// Returns the time until requests with these fingerprints may run again; zero when this router knows of
+    /// no verdict on them, `None` when no end of it was told, as for what an operator quarantined.
     pub fn quarantine_left(
         &self,
         now: clock::Millis,
@@ -90,7 +90,8 @@
         };
         let quarantined = fingerprints.iter().filter(is_quarantined);
         let ends: Option<Vec<_>> = quarantined.map(|f| self.ends.get(f).copied()).collect();
-        ends?.into_iter().max().map(|end| end - now)
+        let end = ends?.into_iter().max();
+        Some(end.map_or(clock::Millis::ZERO, |end| end - now))
     }
 
     /// Records that a server was lost under a run: with its fingerprints if the run had just begun, else
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -7,8 +7,10 @@
 #[path = "crash_support/fleet.rs"]
 mod fleet;
 
-use buckthorncleat::fleet::crashes::Judgement;
+use buckthorncleat::clock::Millis;
+use buckthorncleat::fleet::crashes::{Judgement, Standing};
 use buckthorncleat::peer::trailer;
+use buckthorncleat::router::suspects::Suspects;
 use buckthorncleat::state::change::Change;
 use buckthorncleat::state::command::{Command, FeatureLevel, State};
 use buckthorncleat::state::model::Fingerprint;
@@ -227,3 +229,19 @@
     read.apply(&Command::System(vec![Change::Release(fingerprint)]));
     assert_eq!(read.verdicts().get(&fingerprint), None);
 }
+
+/// Guards against a caller that is told to come back in an hour, since the leader's verdict of a few seconds has
+/// not reached its router yet.
+#[test]
+fn a_verdict_that_a_router_has_not_heard_of_is_not_taken_for_an_operators() {
+    let [verdict, operators, unheard] = [1, 2, 3].map(Fingerprint::new);
+    let quarantined = [verdict, operators].map(|f| (f, Standing::Quarantined));
+    let mut suspects = Suspects::default();
+    suspects.set_standings(&quarantined.into_iter().collect());
+    suspects.set_verdict_ends(Millis::new(1_000), &[(verdict, Millis::new(5_000))]);
+    let left =
+        |fingerprints: &[Fingerprint]| suspects.quarantine_left(Millis::new(2_000), fingerprints);
+    assert_eq!(left(&[verdict]), Some(Millis::new(4_000)));
+    assert_eq!(left(&[verdict, operators]), None);
+    assert_eq!(left(&[unheard]), Some(Millis::ZERO));
+}
