The end of a server counts for a loss of the last second only

Cause: a server that ended up to 3 s after it had lost an answer counted as ended with that run, which makes a verdict eight times longer. A router tells of an end 0.1 to 0.3 s after the loss, and at once.

Change: 1 s instead of 3 s.

--- a/src/fleet/crashes/verdicts.rs
+++ b/src/fleet/crashes/verdicts.rs
@@ -21,7 +21,7 @@
 const ENDED_DEGREES: u32 = 3;
 
 /// A server that is found to have ended within this time after the loss of a run ended with the run.
-pub(super) const MAX_END_DELAY: clock::Millis = clock::Millis::from_secs(3);
+pub(super) const MAX_END_DELAY: clock::Millis = clock::Millis::new(1_000);
 
 const MAX_TERM: clock::Millis = clock::Millis::from_secs(3_600);
 
