Losses of one moment have a module of their own; tests of crashes share what they have in common

Change: moments and the evidence that they give are in crashes::moments, moved without a change; seeds(), plan() and the times of the rule are in tests/crash_support.

--- a/src/fleet/crashes/mod.rs
+++ b/src/fleet/crashes/mod.rs
@@ -9,6 +9,7 @@
 //! While a fingerprint is a suspect, its requests run one at a time over the fleet, so that one run
 //! clears or convicts it and takes few with it.
 
+mod moments;
 mod requests;
 mod verdicts;
 
@@ -28,12 +29,6 @@
 /// The moments after which its requests run one at a time.
 const SUSPECT_MOMENTS: usize = 2;
 
-/// The servers that must have been lost; one may be ill itself.
-const MIN_SERVERS: usize = 2;
-
-/// The different requests that must have been lost with a part, before it is quarantined.
-const MIN_REQUESTS: usize = 2;
-
 /// The runs that must have been lost while they were the only ones of a part, before it is quarantined
 /// although other runs with it went on earlier.
 const MIN_PROBES_LOST: usize = 2;
@@ -56,9 +51,6 @@
 /// The most moments that are kept; the oldest is dropped first.
 const MAX_MOMENTS: usize = 128;
 
-/// The most runs that are kept of one moment.
-const MAX_RUNS: usize = 32;
-
 /// How long the only run of a suspect may take until it went on or lost its server.
 pub const PROBE_TIME: clock::Millis = clock::Millis::new(2_000);
 
@@ -102,7 +94,7 @@
 /// The losses of all routers.
 #[derive(Debug, Default)]
 pub struct Crashes {
-    moments: Vec<Moment>,
+    moments: Vec<moments::Moment>,
     /// When the last run that went on began, by fingerprint.
     sound: sorted::Map<model::Fingerprint, clock::Millis>,
     /// Since when a fingerprint has a standing.
@@ -118,36 +110,6 @@
     probes_lost: sorted::Map<model::Fingerprint, usize>,
 }
 
-/// Servers that were lost at one moment.
-#[derive(Debug)]
-struct Moment {
-    at: clock::Millis,
-    runs: Vec<Run>,
-    /// Whether a server was found to have ended.
-    is_ended: bool,
-}
-
-#[derive(Debug)]
-struct Run {
-    server: u64,
-    fingerprints: Vec<model::Fingerprint>,
-    begun_at: clock::Millis,
-}
-
-/// The evidence against a fingerprint that no run has cleared.
-#[derive(Debug, Default)]
-struct Evidence {
-    moments: usize,
-    /// The moments in which a server ended.
-    ended: usize,
-    /// The last of them.
-    last_at: clock::Millis,
-    servers: Vec<u64>,
-    requests: Vec<model::Fingerprint>,
-    /// The place among the parts of its runs, from the broadest.
-    depth: usize,
-}
-
 impl Crashes {
     /// Records a loss from a report that was sent at `sent_at` or later.
     pub fn record_loss(&mut self, sent_at: clock::Millis, loss: &Loss) {
@@ -176,7 +138,7 @@
         for fingerprint in &loss.fingerprints {
             self.probes.remove(fingerprint);
         }
-        let run = Run {
+        let run = moments::Run {
             server: loss.server,
             fingerprints: loss.fingerprints.clone(),
             begun_at: sent_at - loss.begun,
@@ -184,7 +146,7 @@
         let mut moments = self.moments.iter_mut();
         match moments.find(|m| m.contains(at, loss.server)) {
             Some(moment) => moment.add(run),
-            None => self.moments.push(Moment {
+            None => self.moments.push(moments::Moment {
                 at,
                 runs: vec![run],
                 is_ended: false,
@@ -335,7 +297,7 @@
     fn log_suspects(
         &self,
         standings: &sorted::Map<model::Fingerprint, Standing>,
-        evidence: &sorted::Map<model::Fingerprint, Evidence>,
+        evidence: &sorted::Map<model::Fingerprint, moments::Evidence>,
     ) {
         let is_suspect = |s: &Standing| *s == Standing::Suspect;
         let is_new = |f| {
@@ -387,8 +349,8 @@
     /// losses.
     fn pending_verdict<'a>(
         &self,
-        evidence: &'a sorted::Map<model::Fingerprint, Evidence>,
-    ) -> Option<(model::Fingerprint, &'a Evidence)> {
+        evidence: &'a sorted::Map<model::Fingerprint, moments::Evidence>,
+    ) -> Option<(model::Fingerprint, &'a moments::Evidence)> {
         let suspects = evidence
             .iter()
             .filter(|(_, e)| e.moments >= SUSPECT_MOMENTS);
@@ -420,14 +382,14 @@
 
     /// Counts the moments in which a run with both fingerprints was lost.
     fn moments_with_both(&self, a: &model::Fingerprint, b: &model::Fingerprint) -> usize {
-        let has_both = |r: &Run| r.fingerprints.contains(a) && r.fingerprints.contains(b);
+        let has_both = |r: &moments::Run| r.fingerprints.contains(a) && r.fingerprints.contains(b);
         let moments = self.moments.iter();
         moments.filter(|m| m.runs.iter().any(has_both)).count()
     }
 
     /// Returns the evidence that no run has cleared, by part.
-    fn evidence(&self) -> sorted::Map<model::Fingerprint, Evidence> {
-        let mut evidence: sorted::Map<model::Fingerprint, Evidence> = sorted::Map::new();
+    fn evidence(&self) -> sorted::Map<model::Fingerprint, moments::Evidence> {
+        let mut evidence: sorted::Map<model::Fingerprint, moments::Evidence> = sorted::Map::new();
         for moment in &self.moments {
             let servers = moment.servers();
             for (fingerprint, runs) in moment.runs_by_part().iter() {
@@ -435,7 +397,7 @@
                 let runs = runs.iter();
                 let runs =
                     runs.filter(|(r, _)| sound.is_none_or(|begun_at| r.begun_at > *begun_at));
-                let runs: Vec<&(&Run, usize)> = runs.collect();
+                let runs: Vec<&(&moments::Run, usize)> = runs.collect();
                 let mut lost: Vec<u64> = runs.iter().map(|(r, _)| r.server).collect();
                 lost.sort_unstable();
                 lost.dedup();
@@ -443,7 +405,7 @@
                 if lost.is_empty() || lost.len() * 2 < servers {
                     continue;
                 }
-                let against = evidence.get_or_insert_with(*fingerprint, Evidence::default);
+                let against = evidence.get_or_insert_with(*fingerprint, moments::Evidence::default);
                 against.moments += 1;
                 against.ended += usize::from(moment.is_ended);
                 against.last_at = against.last_at.max(moment.at);
@@ -456,89 +418,6 @@
     }
 }
 
-impl Moment {
-    /// Returns whether the loss of a server at a time is of this moment.
-    fn contains(&self, at: clock::Millis, server: u64) -> bool {
-        let distance = self.at.max(at) - self.at.min(at);
-        distance <= MOMENT
-            || distance <= NOTICE_TIME && self.runs.iter().any(|r| r.server == server)
-    }
-
-    fn add(&mut self, run: Run) {
-        let mut runs = self.runs.iter();
-        let is_known = runs.any(|r| {
-            r.server == run.server
-                && (r.fingerprints == run.fingerprints || run.fingerprints.is_empty())
-        });
-        if !is_known && self.runs.len() < MAX_RUNS {
-            self.runs.push(run);
-        }
-    }
-
-    /// Counts the servers that were lost.
-    fn servers(&self) -> usize {
-        let mut servers: Vec<u64> = self.runs.iter().map(|r| r.server).collect();
-        servers.sort_unstable();
-        servers.dedup();
-        servers.len()
-    }
-
-    /// Returns the runs of each part, with its place among the parts of the run.
-    fn runs_by_part(&self) -> sorted::Map<model::Fingerprint, Vec<(&Run, usize)>> {
-        let mut by_part = sorted::Map::new();
-        for run in &self.runs {
-            for (depth, part) in run.parts().iter().enumerate() {
-                let runs: &mut Vec<_> = by_part.get_or_insert_with(*part, Vec::new);
-                runs.push((run, depth));
-            }
-        }
-        by_part
-    }
-
-    /// Returns whether a run has such a fingerprint.
-    fn has_any(&self, is_such: impl Fn(&model::Fingerprint) -> bool) -> bool {
-        self.runs.iter().flat_map(|r| &r.fingerprints).any(is_such)
-    }
-}
-
-impl Run {
-    /// Returns the parts of the prompt.
-    fn parts(&self) -> &[model::Fingerprint] {
-        self.fingerprints
-            .split_last()
-            .map_or(&[], |(_, parts)| parts)
-    }
-}
-
-impl Evidence {
-    /// Returns whether it is enough for a verdict on a part.
-    fn is_enough(&self) -> bool {
-        self.moments >= QUARANTINE_MOMENTS
-            && self.servers.len() >= MIN_SERVERS
-            && self.requests.len() >= MIN_REQUESTS
-    }
-
-    fn standing(&self) -> Standing {
-        if self.moments >= SUSPECT_MOMENTS {
-            Standing::Suspect
-        } else {
-            Standing::Watched
-        }
-    }
-
-    fn add(&mut self, run: &Run, depth: usize) {
-        if !self.servers.contains(&run.server) {
-            self.servers.push(run.server);
-        }
-        if let Some(request) = run.fingerprints.last()
-            && !self.requests.contains(request)
-        {
-            self.requests.push(*request);
-        }
-        self.depth = self.depth.max(depth);
-    }
-}
-
 /// Returns the digest of a server's name that a [`Loss`] names.
 pub fn server_digest(server: &id::BackendServerId) -> u64 {
     xxhash_rust::xxh3::xxh3_64(server.as_str().as_bytes())
--- a/tests/crash_support/fleet.rs
+++ b/tests/crash_support/fleet.rs
@@ -31,6 +31,29 @@
 /// The digest of the requests of the first kind whose requests are copies.
 pub const COPY: u64 = 1 << 63 | 0xc0;
 
+/// Some seconds after the crash from which on the rule counts, three more requests may reach servers.
+pub const MAX_LATER_REQUESTS: usize = 3;
+pub const CONTACT_TIME: u64 = 3_000;
+
+const DEFAULT_SEEDS: u64 = 3;
+
+pub fn seeds() -> u64 {
+    let seeds = std::env::var("BUCKTHORNCLEAT_SEEDS").ok();
+    seeds.map_or(DEFAULT_SEEDS, |s| s.parse().expect("a number of seeds"))
+}
+
+/// Plans a run of 40 s at a fleet of so many routers and servers, with so many sound requests a second.
+pub fn plan((routers, servers, demand): (usize, usize, u64), bad: Vec<Bad>) -> Plan {
+    Plan {
+        routers,
+        servers,
+        demand,
+        bad,
+        length: 40_000,
+        ..Plan::default()
+    }
+}
+
 /// What happens in a run.
 #[derive(Clone, Debug, Default)]
 pub struct Plan {
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -7,24 +7,16 @@
 mod fleet;
 
 use buckthorncleat::state::model::Fingerprint;
-use fleet::{Bad, FIRST_PARTS, Fleet, Plan};
+use fleet::{Bad, CONTACT_TIME, FIRST_PARTS, Fleet, MAX_LATER_REQUESTS, Plan, plan, seeds};
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
-const DEFAULT_SEEDS: u64 = 3;
 /// Routers, servers and sound requests a second.
 const FLEETS: [(usize, usize, u64); 3] = [(9, 12, 13), (83, 60, 45), (300, 80, 73)];
 const CULPRIT: u64 = 0xbad;
 const SECOND_CULPRIT: u64 = 0xbad2;
-/// After the fifth crash the rule counts; some seconds later three more requests may reach servers.
+/// After the fifth crash the rule counts.
 const MAX_CRASHES: usize = 5;
-const MAX_LATER_REQUESTS: usize = 3;
-const CONTACT_TIME: u64 = 3_000;
-
-fn seeds() -> u64 {
-    let seeds = std::env::var("BUCKTHORNCLEAT_SEEDS").ok();
-    seeds.map_or(DEFAULT_SEEDS, |s| s.parse().expect("a number of seeds"))
-}
 
 fn bad(parts: &[Option<u64>]) -> Bad {
     Bad {
@@ -38,17 +30,6 @@
     }
 }
 
-fn plan((routers, servers, demand): (usize, usize, u64), bad: Vec<Bad>) -> Plan {
-    Plan {
-        routers,
-        servers,
-        demand,
-        bad,
-        length: 40_000,
-        ..Plan::default()
-    }
-}
-
 /// Runs a plan and checks the rule, that only culprits are quarantined, and that sound requests with the
 /// first part of bad ones go on.
 fn check(plan: &Plan, seed: u64, first: Option<u64>) -> Fleet {
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -14,24 +14,15 @@
 use buckthorncleat::state::change::Change;
 use buckthorncleat::state::command::{Command, FeatureLevel, State};
 use buckthorncleat::state::model::Fingerprint;
-use fleet::{Bad, Fleet, Losing, Plan};
+use fleet::{Bad, CONTACT_TIME, Fleet, Losing, MAX_LATER_REQUESTS, Plan, seeds};
 
-const DEFAULT_SEEDS: u64 = 3;
 /// Routers, servers and sound requests a second.
 const FLEETS: [(usize, usize, u64); 3] = [(9, 12, 13), (83, 60, 45), (300, 140, 120)];
-/// More than this many may not reach servers later than the contact time after the third crash.
-const MAX_LATER_REQUESTS: usize = 3;
-const CONTACT_TIME: u64 = 3_000;
 /// The time after a fault within which requests are served again.
 const RECOVERY_TIME: u64 = 12_000;
 /// A part of prompts that no sound request has.
 const OWN_PART: u64 = 0xabc;
 
-fn seeds() -> u64 {
-    let seeds = std::env::var("BUCKTHORNCLEAT_SEEDS").ok();
-    seeds.map_or(DEFAULT_SEEDS, |s| s.parse().expect("a number of seeds"))
-}
-
 /// Copies of one request with these parts, 2 s apart.
 fn copies(parts: &[u64]) -> Bad {
     Bad {
@@ -45,14 +36,10 @@
     }
 }
 
-fn plan((routers, servers, demand): (usize, usize, u64), bad: Vec<Bad>) -> Plan {
+fn plan(size: (usize, usize, u64), bad: Vec<Bad>) -> Plan {
     Plan {
-        routers,
-        servers,
-        demand,
-        bad,
         length: 55_000,
-        ..Plan::default()
+        ..fleet::plan(size, bad)
     }
 }
 
