--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -137,6 +137,11 @@
     tasks
 }
 
+/// Returns how long callers that still connect are served in a grace period of this length.
+pub fn leaving_time(grace: clock::Millis) -> clock::Millis {
+    clock::Millis::new(grace.as_u64() / LEAVING_DIVISOR).min(MAX_LEAVING)
+}
+
 async fn shut_down(
     core: &sync::Arc<core::Core>,
     mut tasks: task::JoinSet<error::Result<()>>,
@@ -146,7 +151,7 @@
     let grace = core.settings.grace;
     let started = core.clock.now();
     core.set_phase(core::Phase::Leaving);
-    let leaving = clock::Millis::new(grace.as_u64() / LEAVING_DIVISOR).min(MAX_LEAVING);
+    let leaving = leaving_time(grace);
     time::sleep(leaving.as_duration()).await;
     core.set_phase(core::Phase::Closing);
     let finish_by = started + grace - FINISH_RESERVE;
--- a/tests/router_units.rs
+++ b/tests/router_units.rs
@@ -10,6 +10,7 @@
 use buckthorncleat::router::balancer::{Balancer, Outcome, PickError, Requirements, memory_for};
 use buckthorncleat::router::discovery::read_interval;
 use buckthorncleat::router::events::Splitter;
+use buckthorncleat::router::run::leaving_time;
 use buckthorncleat::router::table::{Caller, Table, fingerprint};
 use buckthorncleat::sorted::Map;
 use buckthorncleat::state::model::KeyHash;
@@ -529,3 +530,18 @@
         "a broken connection shows that the server was reached"
     );
 }
+
+/// Guards against a long grace period in which requests are taken for so long that they can't end in it.
+#[test]
+fn callers_that_still_connect_are_served_for_a_bounded_part_of_the_grace_period() {
+    for (grace_s, leaving_ms) in [
+        (3, 1_000),
+        (6, 2_000),
+        (8, 2_500),
+        (30, 2_500),
+        (600, 2_500),
+    ] {
+        let leaving = leaving_time(Millis::from_secs(grace_s));
+        assert_eq!(leaving, Millis::new(leaving_ms), "{grace_s} s");
+    }
+}
