Storage: a removed segment that comes back after a loss of power no longer stops a start

When power went, the removal of a newer segment could last while that of an older one did not.

Change: each removal is synced before the next, so no loss of power leaves a gap. Folders that earlier builds left with such a gap open again. File operations go through storage::file_system, so that the tests run the real Folder on a disk that loses power; the decision which records count is in storage::replay, without I/O.

--- a/src/replica/storage/file.rs
+++ b/src/replica/storage/file.rs
@@ -1,31 +1,66 @@
 //! Durable file operations, and helpers for the names in a folder.
 
-use std::fs;
 use std::io;
-use std::io::Write as _;
 use std::path;
 
 use crate::error;
 use crate::peer::trailer;
+use crate::replica::storage::file_system;
 
 /// The suffix of files that are not complete yet.
 pub const TEMP_SUFFIX: &str = ".tmp";
 
+/// Creates a folder and its missing ancestors.
+///
+/// # Errors
+///
+/// Fails when a folder can't be created.
+pub fn create_folder(files: &dyn file_system::FileSystem, path: &path::Path) -> error::Result<()> {
+    let mut created = files.create_folder(path);
+    if let (Err(e), Some(parent)) = (&created, parent(path))
+        && e.kind() == io::ErrorKind::NotFound
+    {
+        create_folder(files, parent)?;
+        created = files.create_folder(path);
+    }
+    match created {
+        Err(e) if e.kind() != io::ErrorKind::AlreadyExists => Err(io_error("creating", path, e)),
+        _ => Ok(()),
+    }
+}
+
+/// Returns the folder that contains `path`; `None` for the root and for the working folder.
+fn parent(path: &path::Path) -> Option<&path::Path> {
+    let parent = path.parent()?;
+    match path.as_os_str().to_str() {
+        Some("." | "") => None,
+        _ if parent.as_os_str().is_empty() => Some(path::Path::new(".")),
+        _ => Some(parent),
+    }
+}
+
 /// Replaces a file atomically: writes a temporary file, syncs it, renames it and syncs the folder.
 /// The new file is durable once this returns.
 ///
 /// # Errors
 ///
 /// Fails when the disk is full or reports an error; the old file is then still there.
-pub fn replace(folder: &path::Path, name: &str, bytes: &[u8]) -> error::Result<()> {
+pub fn replace(
+    files: &dyn file_system::FileSystem,
+    folder: &path::Path,
+    name: &str,
+    bytes: &[u8],
+) -> error::Result<()> {
     let temp = folder.join(format!("{name}{TEMP_SUFFIX}"));
-    let mut file = fs::File::create(&temp).map_err(|e| io_error("creating", &temp, e))?;
-    file.write_all(bytes)
-        .map_err(|e| io_error("writing", &temp, e))?;
-    file.sync_all().map_err(|e| io_error("syncing", &temp, e))?;
+    let created = files.create(&temp);
+    let mut file = created.map_err(|e| io_error("creating", &temp, e))?;
+    let written = file.write_all(bytes);
+    written.map_err(|e| io_error("writing", &temp, e))?;
+    file.sync().map_err(|e| sync_error(&temp, e))?;
     let target = folder.join(name);
-    fs::rename(&temp, &target).map_err(|e| io_error("renaming to", &target, e))?;
-    sync_folder(folder)
+    let renamed = files.rename(&temp, &target);
+    renamed.map_err(|e| io_error("renaming to", &target, e))?;
+    sync_folder(files, folder)
 }
 
 /// Syncs a folder, so that created, renamed and removed names are durable.
@@ -33,11 +68,9 @@
 /// # Errors
 ///
 /// Fails when the disk reports an error.
-pub fn sync_folder(folder: &path::Path) -> error::Result<()> {
-    let opened = fs::File::open(folder);
-    opened
-        .and_then(|f| f.sync_all())
-        .map_err(|e| io_error("syncing", folder, e))
+pub fn sync_folder(files: &dyn file_system::FileSystem, folder: &path::Path) -> error::Result<()> {
+    let synced = files.sync_folder(folder);
+    synced.map_err(|e| sync_error(folder, e))
 }
 
 /// Removes a file; a missing file is not an error. The removal is not synced.
@@ -45,8 +78,8 @@
 /// # Errors
 ///
 /// Fails when the disk reports an error.
-pub fn remove(path: &path::Path) -> error::Result<()> {
-    match fs::remove_file(path) {
+pub fn remove(files: &dyn file_system::FileSystem, path: &path::Path) -> error::Result<()> {
+    match files.remove(path) {
         Err(e) if e.kind() != io::ErrorKind::NotFound => Err(io_error("removing", path, e)),
         _ => Ok(()),
     }
@@ -57,13 +90,12 @@
 /// # Errors
 ///
 /// Fails when the folder can't be read.
-pub fn names(folder: &path::Path) -> error::Result<Vec<String>> {
-    let entries = fs::read_dir(folder).map_err(|e| io_error("reading", folder, e))?;
-    let mut names = Vec::new();
-    for entry in entries {
-        let entry = entry.map_err(|e| io_error("reading", folder, e))?;
-        names.push(entry.file_name().to_string_lossy().into_owned());
-    }
+pub fn names(
+    files: &dyn file_system::FileSystem,
+    folder: &path::Path,
+) -> error::Result<Vec<String>> {
+    let names = files.names(folder);
+    let mut names = names.map_err(|e| io_error("reading", folder, e))?;
     names.sort();
     Ok(names)
 }
@@ -73,6 +105,12 @@
     error::Error::io(format!("{doing} {}", path.display()), source)
 }
 
+/// Wraps the error of a sync. It never counts as a full disk: what the disk contains is unknown, so
+/// the operation must not be tried again.
+pub fn sync_error(path: &path::Path, source: io::Error) -> error::Error {
+    io_error("syncing", path, io::Error::other(source))
+}
+
 /// Makes the error for data with the right checksum that can't be decoded: a later build wrote it.
 pub fn later_build(what: String) -> error::Error {
     let remedy = format!(
--- a/src/replica/storage/identity.rs
+++ b/src/replica/storage/identity.rs
@@ -1,6 +1,5 @@
 //! The identity of a data folder: the instance that it belongs to and its incarnation.
 
-use std::fs;
 use std::path;
 
 use crate::error;
@@ -8,6 +7,7 @@
 use crate::macros;
 use crate::replica::core::message;
 use crate::replica::storage::file;
+use crate::replica::storage::file_system;
 
 const FILE_NAME: &str = "member.json";
 
@@ -29,15 +29,15 @@
 /// Fails when the folder belongs to another instance or version, when it has other files but no
 /// identity, or when the identity can't be read or written.
 pub fn read_or_create(
+    files: &dyn file_system::FileSystem,
     folder: &path::Path,
     instance: &id::InstanceId,
 ) -> error::Result<message::NodeId> {
-    let path = folder.join(FILE_NAME);
-    let is_empty = file::names(folder)?.iter().all(|n| is_ignorable(n));
-    let identity = if path.exists() {
-        read(&path)?
-    } else if is_empty {
-        create(folder, instance)?
+    let names = file::names(files, folder)?;
+    let identity = if names.iter().any(|n| n == FILE_NAME) {
+        read(files, &folder.join(FILE_NAME))?
+    } else if names.iter().all(|n| is_ignorable(n)) {
+        create(files, folder, instance)?
     } else {
         let remedy = "it has files but no member.json; name an empty folder, or put the file back";
         return Err(error::Error::bad_value(
@@ -67,15 +67,21 @@
     name == super::LOCK_FILE_NAME || name.ends_with(file::TEMP_SUFFIX)
 }
 
-fn read(path: &path::Path) -> error::Result<Identity> {
-    let text = fs::read(path).map_err(|e| file::io_error("reading", path, e))?;
+fn read(files: &dyn file_system::FileSystem, path: &path::Path) -> error::Result<Identity> {
+    let text = files
+        .read(path)
+        .map_err(|e| file::io_error("reading", path, e))?;
     serde_json::from_slice(&text).map_err(|e| {
         let remedy = "while the other members are healthy, empty the data folder";
         error::Error::damaged(format!("{}: {e}", path.display()), remedy)
     })
 }
 
-fn create(folder: &path::Path, instance: &id::InstanceId) -> error::Result<Identity> {
+fn create(
+    files: &dyn file_system::FileSystem,
+    folder: &path::Path,
+    instance: &id::InstanceId,
+) -> error::Result<Identity> {
     let identity = Identity {
         version: VERSION,
         instance: instance.clone(),
@@ -83,6 +89,6 @@
     };
     let text = serde_json::to_vec(&identity)
         .map_err(|e| error::Error::damaged(format!("identity ({e})"), "report this fault"))?;
-    file::replace(folder, FILE_NAME, &text)?;
+    file::replace(files, folder, FILE_NAME, &text)?;
     Ok(identity)
 }
--- a/src/replica/storage/mod.rs
+++ b/src/replica/storage/mod.rs
@@ -6,13 +6,17 @@
 //! again after a restart.
 
 mod file;
+pub mod file_system;
 mod identity;
 mod record;
+mod replay;
 mod segment;
 mod snapshot;
 
-use std::fs;
+use std::io;
+use std::mem;
 use std::path;
+use std::sync;
 
 use crate::error;
 use crate::id;
@@ -27,16 +31,23 @@
 
 #[derive(Debug)]
 pub struct Folder {
+    files: sync::Arc<dyn file_system::FileSystem>,
     path: path::PathBuf,
     node: message::NodeId,
+    log: Log,
+    /// Whether a write has failed; later ones are refused.
+    failed: bool,
+    _lock: Box<dyn file_system::Lock>,
+}
+
+/// The segments of the log, the newest of which is open.
+#[derive(Debug)]
+struct Log {
     hard_state: message::HardState,
     /// The segments before the current one, oldest first.
     closed: Vec<segment::Info>,
     current: segment::Info,
     writer: segment::Writer,
-    /// Whether a write has failed; later ones are refused.
-    failed: bool,
-    _lock: fs::File,
 }
 
 impl Folder {
@@ -51,41 +62,31 @@
         path: &path::Path,
         instance: &id::InstanceId,
     ) -> error::Result<(Self, core::Stored)> {
-        fs::create_dir_all(path).map_err(|e| file::io_error("creating", path, e))?;
-        let lock = lock(path)?;
-        let node = identity::read_or_create(path, instance)?;
-        remove_temporary(path)?;
-        let snapshot = snapshot::read_newest(path)?;
-        let mut replay = Replay::default();
-        let numbers = segment::numbers(path)?;
-        for number in &numbers {
-            let is_last = Some(number) == numbers.last();
-            replay.replay_segment(*number, segment::read(path, *number, is_last)?)?;
-        }
-        let entries = replay.entries_after(snapshot.as_ref())?;
-        let (current, writer) = match replay.segments.pop() {
-            Some(last) => (
-                last,
-                segment::Writer::open(path, last.number, replay.valid_bytes)?,
-            ),
-            None => (segment::Info::default(), segment::Writer::create(path, 0)?),
-        };
-        let mut folder = Self {
+        Self::open_in(sync::Arc::new(file_system::Os), path, instance)
+    }
+
+    /// Opens or creates a data folder in a given file system, see [`Folder::open`].
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Folder::open`] does.
+    pub fn open_in(
+        files: sync::Arc<dyn file_system::FileSystem>,
+        path: &path::Path,
+        instance: &id::InstanceId,
+    ) -> error::Result<(Self, core::Stored)> {
+        file::create_folder(&*files, path)?;
+        let lock = lock(&*files, path)?;
+        let node = identity::read_or_create(&*files, path, instance)?;
+        let (log, stored) = Log::open(&*files, path)?;
+        let folder = Self {
+            files,
             path: path.to_owned(),
             node,
-            hard_state: replay.hard_state.clone(),
-            closed: replay.segments,
-            current,
-            writer,
+            log,
             failed: false,
             _lock: lock,
         };
-        folder.repair_segment_start(entries.is_none(), snapshot.as_ref())?;
-        let stored = core::Stored {
-            hard_state: replay.hard_state,
-            snapshot,
-            entries: entries.unwrap_or_default(),
-        };
         Ok((folder, stored))
     }
 
@@ -114,25 +115,101 @@
     }
 
     fn write_all(&mut self, batches: &[message::Batch]) -> error::Result<()> {
-        if self.writer.length() >= SEGMENT_BYTES {
-            self.start_segment(false)?;
+        if self.log.writer.length() >= SEGMENT_BYTES {
+            self.log.start_segment(&*self.files, &self.path, false)?;
         }
         let mut buf = Vec::new();
         for batch in batches {
             if let Some(snapshot) = &batch.snapshot {
-                self.commit(&mut buf)?;
+                self.log.commit(&mut buf)?;
                 self.write_snapshot(snapshot, batch)?;
             }
             if let Some(hard_state) = &batch.hard_state {
-                self.hard_state = hard_state.clone();
-                self.append_record(&mut buf, &record::Record::HardState(hard_state.clone()))?;
+                self.log.append_hard_state(&mut buf, hard_state)?;
             }
             for entry in &batch.entries {
-                self.current.highest_index = self.current.highest_index.max(entry.at.index);
-                self.append_record(&mut buf, &record::Record::Entry(entry.clone()))?;
+                self.log.append_entry(&mut buf, entry)?;
             }
         }
-        self.commit(&mut buf)
+        self.log.commit(&mut buf)
+    }
+
+    fn write_snapshot(
+        &mut self,
+        snapshot: &message::Snapshot,
+        batch: &message::Batch,
+    ) -> error::Result<()> {
+        snapshot::write(&*self.files, &self.path, snapshot)?;
+        if let Some(hard_state) = &batch.hard_state {
+            self.log.hard_state = hard_state.clone();
+        }
+        let (files, path) = (&*self.files, &self.path);
+        self.log.start_segment(files, path, batch.reset)?;
+        let covered = snapshot.metadata.at.index;
+        snapshot::remove_before(files, path, covered)?;
+        self.log.remove_segments(files, path, covered, batch.reset)
+    }
+}
+
+impl Log {
+    /// Reads the newest snapshot and the log, and opens the last segment.
+    fn open(
+        files: &dyn file_system::FileSystem,
+        path: &path::Path,
+    ) -> error::Result<(Self, core::Stored)> {
+        remove_temporary(files, path)?;
+        let snapshot = snapshot::read_newest(files, path)?;
+        let mut replay = replay::Replay::default();
+        let mut valid_bytes = 0;
+        let numbers = segment::numbers(files, path)?;
+        for number in &numbers {
+            let is_last = Some(number) == numbers.last();
+            let scan = segment::read(files, path, *number, is_last)?;
+            valid_bytes = scan.valid_bytes as u64;
+            replay.add_segment(*number, scan.records);
+        }
+        let mut read = replay.into_log(snapshot.as_ref().map(|s| s.metadata.at))?;
+        let (current, writer) = match read.segments.pop() {
+            Some(last) => (
+                last,
+                segment::Writer::open(files, path, last.number, valid_bytes)?,
+            ),
+            None => (
+                segment::Info::default(),
+                segment::Writer::create(files, path, 0)?,
+            ),
+        };
+        let mut log = Self {
+            hard_state: read.hard_state,
+            closed: read.segments,
+            current,
+            writer,
+        };
+        log.repair_start(files, path, read.entries.is_none())?;
+        for leftover in read.leftovers {
+            log::info!(event = "segment_removed", segment = leftover.number; "removed log segment {}, which the snapshot covers", leftover.number);
+            segment::remove(files, path, leftover.number)?;
+        }
+        let stored = core::Stored {
+            hard_state: log.hard_state.clone(),
+            snapshot,
+            entries: read.entries.unwrap_or_default(),
+        };
+        Ok((log, stored))
+    }
+
+    fn append_hard_state(
+        &mut self,
+        buf: &mut Vec<u8>,
+        hard_state: &message::HardState,
+    ) -> error::Result<()> {
+        self.hard_state = hard_state.clone();
+        self.append_record(buf, &record::Record::HardState(hard_state.clone()))
+    }
+
+    fn append_entry(&mut self, buf: &mut Vec<u8>, entry: &message::Entry) -> error::Result<()> {
+        self.current.highest_index = self.current.highest_index.max(entry.at.index);
+        self.append_record(buf, &record::Record::Entry(entry.clone()))
     }
 
     fn append_record(&self, buf: &mut Vec<u8>, record: &record::Record) -> error::Result<()> {
@@ -147,172 +224,88 @@
         Ok(())
     }
 
-    fn write_snapshot(
-        &mut self,
-        snapshot: &message::Snapshot,
-        batch: &message::Batch,
-    ) -> error::Result<()> {
-        snapshot::write(&self.path, snapshot)?;
-        if let Some(hard_state) = &batch.hard_state {
-            self.hard_state = hard_state.clone();
-        }
-        self.start_segment(batch.reset)?;
-        let covered = snapshot.metadata.at.index;
-        snapshot::remove_before(&self.path, covered)?;
-        self.remove_segments(covered, batch.reset)
-    }
-
     /// Writes the records at the start of a segment that a crash prevented from being written.
-    fn repair_segment_start(
+    fn repair_start(
         &mut self,
+        files: &dyn file_system::FileSystem,
+        path: &path::Path,
         log_replaced: bool,
-        snapshot: Option<&message::Snapshot>,
     ) -> error::Result<()> {
         if log_replaced {
-            self.start_segment(true)?;
-            let covered = snapshot.map(|s| s.metadata.at.index);
-            return self.remove_segments(covered.unwrap_or_default(), true);
+            self.start_segment(files, path, true)?;
+            return self.remove_segments(files, path, id::LogIndex::default(), true);
         }
         if self.writer.length() > 0 {
             return Ok(());
         }
         let mut buf = Vec::new();
-        self.append_record(
-            &mut buf,
-            &record::Record::HardState(self.hard_state.clone()),
-        )?;
+        self.append_hard_state(&mut buf, &self.hard_state.clone())?;
         self.commit(&mut buf)
     }
 
     /// Starts the next segment. Each one begins with the term and vote, so that older segments can
     /// be removed.
-    fn start_segment(&mut self, reset: bool) -> error::Result<()> {
+    fn start_segment(
+        &mut self,
+        files: &dyn file_system::FileSystem,
+        path: &path::Path,
+        reset: bool,
+    ) -> error::Result<()> {
         let number = self.current.number + 1;
-        self.writer = segment::Writer::create(&self.path, number)?;
+        self.writer = segment::Writer::create(files, path, number)?;
         let next = segment::Info {
             number,
             highest_index: id::LogIndex::default(),
         };
-        self.closed.push(std::mem::replace(&mut self.current, next));
+        self.closed.push(mem::replace(&mut self.current, next));
         let mut buf = Vec::new();
         if reset {
             self.append_record(&mut buf, &record::Record::Reset)?;
         }
-        self.append_record(
-            &mut buf,
-            &record::Record::HardState(self.hard_state.clone()),
-        )?;
+        self.append_hard_state(&mut buf, &self.hard_state.clone())?;
         self.commit(&mut buf)
     }
 
     /// Removes the closed segments from the oldest on, as far as a snapshot includes their entries,
-    /// or all of them.
-    fn remove_segments(&mut self, covered: id::LogIndex, all: bool) -> error::Result<()> {
+    /// or all of them. Each removal is durable before the next, so that a loss of power leaves no
+    /// gap between the segments.
+    fn remove_segments(
+        &mut self,
+        files: &dyn file_system::FileSystem,
+        path: &path::Path,
+        covered: id::LogIndex,
+        all: bool,
+    ) -> error::Result<()> {
         while self
             .closed
             .first()
             .is_some_and(|s| all || s.highest_index <= covered)
         {
-            segment::remove(&self.path, self.closed[0].number)?;
+            segment::remove(files, path, self.closed[0].number)?;
             self.closed.remove(0);
         }
         Ok(())
     }
 }
 
-/// The result of replaying the records of all segments.
-#[derive(Debug, Default)]
-struct Replay {
-    hard_state: message::HardState,
-    entries: Vec<message::Entry>,
-    segments: Vec<segment::Info>,
-    valid_bytes: u64,
-}
-
-impl Replay {
-    fn replay_segment(&mut self, number: u64, scan: record::Scan) -> error::Result<()> {
-        let mut info = segment::Info {
-            number,
-            highest_index: id::LogIndex::default(),
-        };
-        for record in scan.records {
-            match record {
-                record::Record::HardState(hard_state) => self.hard_state = hard_state,
-                record::Record::Reset => self.entries.clear(),
-                record::Record::Entry(entry) => {
-                    info.highest_index = info.highest_index.max(entry.at.index);
-                    self.replay_entry(entry)?;
-                }
-            }
-        }
-        self.segments.push(info);
-        self.valid_bytes = scan.valid_bytes as u64;
-        Ok(())
-    }
-
-    fn replay_entry(&mut self, entry: message::Entry) -> error::Result<()> {
-        let index = entry.at.index;
-        let keep = self.entries.partition_point(|e| e.at.index < index);
-        self.entries.truncate(keep);
-        let follows = self
-            .entries
-            .last()
-            .is_none_or(|last| last.at.index.next() == index);
-        if !follows {
-            return Err(gap_error(index));
-        }
-        self.entries.push(entry);
-        Ok(())
-    }
-
-    /// Returns the entries that follow the snapshot, or `None` when the snapshot replaced the log.
-    fn entries_after(
-        &mut self,
-        snapshot: Option<&message::Snapshot>,
-    ) -> error::Result<Option<Vec<message::Entry>>> {
-        let at = snapshot.map(|s| s.metadata.at);
-        let index = at.unwrap_or_default().index;
-        let covered = self.entries.partition_point(|e| e.at.index <= index);
-        let rest = self.entries.split_off(covered);
-        if self.entries.last().is_some_and(|last| Some(last.at) != at) {
-            // The process crashed after a snapshot of the leader was installed and before the log
-            // that the snapshot replaces was reset.
-            return Ok(None);
-        }
-        match rest.first() {
-            Some(first) if at.is_none() || first.at.index != index.next() => {
-                Err(gap_error(first.at.index))
-            }
-            _ => Ok(Some(rest)),
-        }
-    }
-}
-
-fn gap_error(index: id::LogIndex) -> error::Error {
-    let remedy = "while the other members are healthy, empty the data folder and start the \
-                  member again: it joins as a learner";
-    error::Error::damaged(format!("the log before entry {index}"), remedy)
-}
-
-fn lock(path: &path::Path) -> error::Result<fs::File> {
+fn lock(
+    files: &dyn file_system::FileSystem,
+    path: &path::Path,
+) -> error::Result<Box<dyn file_system::Lock>> {
     let name = path.join(LOCK_FILE_NAME);
-    let opened = fs::File::options()
-        .create(true)
-        .truncate(false)
-        .write(true)
-        .open(&name);
-    let file = opened.map_err(|e| file::io_error("opening", &name, e))?;
-    file.try_lock().map_err(|_| {
+    files.lock(&name).map_err(|e| {
+        if e.kind() != io::ErrorKind::WouldBlock {
+            return file::io_error("locking", &name, e);
+        }
         let remedy = "another process has it open; stop that process, or name another folder";
         error::Error::bad_value("data_folder", path.display(), remedy)
-    })?;
-    Ok(file)
+    })
 }
 
-fn remove_temporary(path: &path::Path) -> error::Result<()> {
-    for name in file::names(path)? {
+fn remove_temporary(files: &dyn file_system::FileSystem, path: &path::Path) -> error::Result<()> {
+    for name in file::names(files, path)? {
         if name.ends_with(file::TEMP_SUFFIX) {
-            file::remove(&path.join(name))?;
+            file::remove(files, &path.join(name))?;
         }
     }
     Ok(())
--- a/src/replica/storage/segment.rs
+++ b/src/replica/storage/segment.rs
@@ -1,13 +1,12 @@
 //! Segment files of the log.
 
-use std::fs;
-use std::io::Write as _;
 use std::path;
 use std::time;
 
 use crate::error;
 use crate::id;
 use crate::replica::storage::file;
+use crate::replica::storage::file_system;
 use crate::replica::storage::record;
 
 const PREFIX: &str = "log-";
@@ -16,7 +15,7 @@
 /// The number and the highest index of a segment.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Info {
-    /// The number of the segment; numbers are consecutive.
+    /// The number of the segment; those of a complete log are consecutive.
     pub number: u64,
     /// The highest index of an entry in the segment; zero when there is none.
     pub highest_index: id::LogIndex,
@@ -26,7 +25,7 @@
 #[derive(Debug)]
 pub struct Writer {
     path: path::PathBuf,
-    file: fs::File,
+    file: Box<dyn file_system::File>,
     length: u64,
 }
 
@@ -36,11 +35,15 @@
     /// # Errors
     ///
     /// Fails when the disk reports an error.
-    pub fn create(folder: &path::Path, number: u64) -> error::Result<Self> {
+    pub fn create(
+        files: &dyn file_system::FileSystem,
+        folder: &path::Path,
+        number: u64,
+    ) -> error::Result<Self> {
         let path = folder.join(name(number));
-        let created = fs::File::create(&path);
+        let created = files.create(&path);
         let file = created.map_err(|e| file::io_error("creating", &path, e))?;
-        file::sync_folder(folder)?;
+        file::sync_folder(files, folder)?;
         Ok(Self {
             path,
             file,
@@ -53,14 +56,18 @@
     /// # Errors
     ///
     /// Fails when the disk reports an error.
-    pub fn open(folder: &path::Path, number: u64, length: u64) -> error::Result<Self> {
+    pub fn open(
+        files: &dyn file_system::FileSystem,
+        folder: &path::Path,
+        number: u64,
+        length: u64,
+    ) -> error::Result<Self> {
         let path = folder.join(name(number));
-        let opened = fs::File::options().append(true).open(&path);
-        let file = opened.map_err(|e| file::io_error("opening", &path, e))?;
-        file.set_len(length)
-            .map_err(|e| file::io_error("cutting", &path, e))?;
-        file.sync_all()
-            .map_err(|e| file::io_error("syncing", &path, e))?;
+        let opened = files.append(&path);
+        let mut file = opened.map_err(|e| file::io_error("opening", &path, e))?;
+        let truncated = file.truncate(length);
+        truncated.map_err(|e| file::io_error("truncating", &path, e))?;
+        file.sync().map_err(|e| file::sync_error(&path, e))?;
         Ok(Self { path, file, length })
     }
 
@@ -78,39 +85,34 @@
         let written = self.file.write_all(bytes);
         written.map_err(|e| file::io_error("writing", &self.path, e))?;
         let began = time::Instant::now();
-        let synced = self.file.sync_data();
+        let synced = self.file.sync();
         metrics::histogram!("buckthorncleat_log_sync_seconds")
             .record(began.elapsed().as_secs_f64());
         metrics::counter!("buckthorncleat_log_bytes_total").increment(bytes.len() as u64);
-        synced.map_err(|e| file::io_error("syncing", &self.path, e))?;
+        synced.map_err(|e| file::sync_error(&self.path, e))?;
         self.length += bytes.len() as u64;
         Ok(())
     }
 }
 
-/// Returns the numbers of the segments in a folder, which are consecutive.
+/// Returns the numbers of the segments in a folder, in order.
 ///
 /// # Errors
 ///
-/// Fails when a segment is missing or the folder can't be read.
-pub fn numbers(folder: &path::Path) -> error::Result<Vec<u64>> {
-    let names = file::names(folder)?;
+/// Fails when the folder can't be read.
+pub fn numbers(
+    files: &dyn file_system::FileSystem,
+    folder: &path::Path,
+) -> error::Result<Vec<u64>> {
+    let names = file::names(files, folder)?;
     let number = |name: &String| -> Option<u64> {
         name.strip_prefix(PREFIX)?
             .strip_suffix(SUFFIX)?
             .parse()
             .ok()
     };
-    let numbers: Vec<u64> = names.iter().filter_map(number).collect();
-    let gap = numbers.windows(2).find(|w| w[1] != w[0] + 1);
-    if let Some(gap) = gap {
-        let remedy = "put it back, or empty the data folder while the other members are healthy";
-        let missing = name(gap[0] + 1);
-        return Err(error::Error::damaged(
-            format!("missing log segment {missing}"),
-            remedy,
-        ));
-    }
+    let mut numbers: Vec<u64> = names.iter().filter_map(number).collect();
+    numbers.sort_unstable();
     Ok(numbers)
 }
 
@@ -119,21 +121,34 @@
 /// # Errors
 ///
 /// Fails when synced data is damaged or the file can't be read.
-pub fn read(folder: &path::Path, number: u64, is_last: bool) -> error::Result<record::Scan> {
+pub fn read(
+    files: &dyn file_system::FileSystem,
+    folder: &path::Path,
+    number: u64,
+    is_last: bool,
+) -> error::Result<record::Scan> {
     let path = folder.join(name(number));
-    let bytes = fs::read(&path).map_err(|e| file::io_error("reading", &path, e))?;
+    let bytes = files
+        .read(&path)
+        .map_err(|e| file::io_error("reading", &path, e))?;
     record::scan(&bytes, &name(number), is_last)
 }
 
-/// Removes a segment; a missing file is not an error.
+/// Removes a segment; a missing file is not an error. The removal is durable once this returns.
 ///
 /// # Errors
 ///
 /// Fails when the disk reports an error.
-pub fn remove(folder: &path::Path, number: u64) -> error::Result<()> {
-    file::remove(&folder.join(name(number)))
+pub fn remove(
+    files: &dyn file_system::FileSystem,
+    folder: &path::Path,
+    number: u64,
+) -> error::Result<()> {
+    file::remove(files, &folder.join(name(number)))?;
+    file::sync_folder(files, folder)
 }
 
-fn name(number: u64) -> String {
+/// Returns the file name of a segment.
+pub fn name(number: u64) -> String {
     format!("{PREFIX}{number:020}{SUFFIX}")
 }
--- a/src/replica/storage/snapshot.rs
+++ b/src/replica/storage/snapshot.rs
@@ -1,12 +1,12 @@
 //! Snapshot files: a CRC-32 checksum in little-endian order, followed by the encoded snapshot.
 
-use std::fs;
 use std::path;
 
 use crate::error;
 use crate::id;
 use crate::replica::core::message;
 use crate::replica::storage::file;
+use crate::replica::storage::file_system;
 
 const PREFIX: &str = "snapshot-";
 const SUFFIX: &str = ".snap";
@@ -18,12 +18,16 @@
 /// # Errors
 ///
 /// Fails when the disk is full or reports an error.
-pub fn write(folder: &path::Path, snapshot: &message::Snapshot) -> error::Result<()> {
+pub fn write(
+    files: &dyn file_system::FileSystem,
+    folder: &path::Path,
+    snapshot: &message::Snapshot,
+) -> error::Result<()> {
     let encoded = postcard::to_stdvec(snapshot)
         .map_err(|e| error::Error::damaged(format!("snapshot: {e}"), "report this fault"))?;
     let mut bytes = crc32fast::hash(&encoded).to_le_bytes().to_vec();
     bytes.extend_from_slice(&encoded);
-    file::replace(folder, &name(snapshot.metadata.at.index), &bytes)
+    file::replace(files, folder, &name(snapshot.metadata.at.index), &bytes)
 }
 
 /// Reads the newest snapshot, if there is one, and removes the older ones.
@@ -32,12 +36,17 @@
 ///
 /// Fails when the newest snapshot is damaged, since the log entries that an older one would need
 /// are removed. Fails when the disk reports an error.
-pub fn read_newest(folder: &path::Path) -> error::Result<Option<message::Snapshot>> {
-    let Some(newest) = indexes(folder)?.pop() else {
+pub fn read_newest(
+    files: &dyn file_system::FileSystem,
+    folder: &path::Path,
+) -> error::Result<Option<message::Snapshot>> {
+    let Some(newest) = indexes(files, folder)?.pop() else {
         return Ok(None);
     };
     let path = folder.join(name(newest));
-    let bytes = fs::read(&path).map_err(|e| file::io_error("reading", &path, e))?;
+    let bytes = files
+        .read(&path)
+        .map_err(|e| file::io_error("reading", &path, e))?;
     let encoded = intact(&bytes).ok_or_else(|| {
         let remedy = "while the other members are healthy, empty the data folder and start the \
                       member again: it joins as a learner";
@@ -45,19 +54,24 @@
     })?;
     let snapshot = postcard::from_bytes(encoded);
     let snapshot = snapshot.map_err(|_| file::later_build(path.display().to_string()))?;
-    remove_before(folder, newest)?;
+    remove_before(files, folder, newest)?;
     Ok(Some(snapshot))
 }
 
-/// Removes the snapshots of positions before an index.
+/// Removes the snapshots of positions before an index. The removals are not synced: an older
+/// snapshot that comes back is removed again.
 ///
 /// # Errors
 ///
 /// Fails when the disk reports an error.
-pub fn remove_before(folder: &path::Path, index: id::LogIndex) -> error::Result<()> {
-    for old in indexes(folder)? {
+pub fn remove_before(
+    files: &dyn file_system::FileSystem,
+    folder: &path::Path,
+    index: id::LogIndex,
+) -> error::Result<()> {
+    for old in indexes(files, folder)? {
         if old < index {
-            file::remove(&folder.join(name(old)))?;
+            file::remove(files, &folder.join(name(old)))?;
         }
     }
     Ok(())
@@ -70,8 +84,11 @@
     (crc32fast::hash(encoded) == sum).then_some(encoded)
 }
 
-fn indexes(folder: &path::Path) -> error::Result<Vec<id::LogIndex>> {
-    let names = file::names(folder)?;
+fn indexes(
+    files: &dyn file_system::FileSystem,
+    folder: &path::Path,
+) -> error::Result<Vec<id::LogIndex>> {
+    let names = file::names(files, folder)?;
     let index = |name: &String| -> Option<id::LogIndex> {
         name.strip_prefix(PREFIX)?
             .strip_suffix(SUFFIX)?
--- a/tests/storage.rs
+++ b/tests/storage.rs
@@ -235,6 +235,73 @@
     }
 }
 
+/// Copies a segment that a snapshot has made superfluous back into the folder, as a loss of power
+/// does when its removal was not synced.
+fn restore(segment: &(path::PathBuf, Vec<u8>)) {
+    fs::write(&segment.0, &segment.1).unwrap();
+}
+
+/// Guards against a member that is refused for good since an older removal of a segment did not last
+/// while a newer one did, as earlier builds left it.
+#[test]
+fn segment_missing_among_covered_ones_is_no_error() {
+    let folder = create_folder(&[entries(1..=3, 1), entries(4..=6, 1)]);
+    let oldest = files(folder.path(), ".seg").remove(0);
+    let oldest = (oldest.clone(), fs::read(&oldest).unwrap());
+    let (mut writer, _) = open(folder.path()).unwrap();
+    writer.write(&[snapshot(4, 1), entries(7..=9, 1)]).unwrap();
+    writer.write(&[snapshot(9, 1)]).unwrap();
+    writer.write(&[entries(10..=12, 2)]).unwrap();
+    drop(writer);
+    let before = files(folder.path(), ".seg");
+    restore(&oldest);
+    assert!(files(folder.path(), ".seg").len() > before.len());
+    let (mut again, stored) = open(folder.path()).unwrap();
+    assert_eq!(indexes(&stored), [10, 11, 12]);
+    assert_eq!(stored.hard_state.term, id::Term::new(2));
+    assert_eq!(files(folder.path(), ".seg"), before, "still there");
+    again.write(&[entries(13..=13, 2)]).unwrap();
+    drop(again);
+    assert_eq!(indexes(&open(folder.path()).unwrap().1), [10, 11, 12, 13]);
+}
+
+/// Guards against acknowledged entries that are dropped when covered ones are missing.
+#[test]
+fn segment_missing_behind_the_snapshot_is_an_error() {
+    // The removed segment contains the entries 3 to 8, and later ones nothing, entries that follow
+    // it, or entries that replace some of its own.
+    for (last, part) in [
+        (None, "missing log segment"),
+        (Some(entries(9..=9, 1)), "missing log segment"),
+        (Some(entries(8..=8, 2)), "missing log segment"),
+    ] {
+        let folder = create_folder(&[entries(1..=2, 1)]);
+        let oldest = files(folder.path(), ".seg").remove(0);
+        let oldest = (oldest.clone(), fs::read(&oldest).unwrap());
+        let (mut writer, _) = open(folder.path()).unwrap();
+        writer.write(&[snapshot(2, 1), entries(3..=8, 1)]).unwrap();
+        writer.write(&[snapshot(6, 1)]).unwrap();
+        let needed = files(folder.path(), ".seg").remove(0);
+        writer.write(last.as_slice()).unwrap();
+        drop(writer);
+        fs::remove_file(&needed).unwrap();
+        restore(&oldest);
+        let error = open(folder.path()).unwrap_err().to_string();
+        assert!(error.contains(part), "{error}");
+    }
+}
+
+/// Guards against a vote that is forgotten with the log: the member could vote twice in a term.
+#[test]
+fn snapshot_without_log_is_an_error() {
+    let folder = create_folder(&[entries(1..=2, 1), snapshot(2, 1)]);
+    for segment in files(folder.path(), ".seg") {
+        fs::remove_file(segment).unwrap();
+    }
+    let error = open(folder.path()).unwrap_err().to_string();
+    assert!(error.contains("missing log segment"), "{error}");
+}
+
 #[test]
 fn hard_state_survives_an_empty_new_segment() {
     let folder = create_folder(&[entries(1..=3, 5)]);
