Storage: what an ended process left is synced before a data folder is read

What callers could see: a member that ended between a rename, a creation or a removal and the sync of its folder, started again and then lost power could lose acknowledged entries, or be refused, though its disk was never lost.

Cause: the next process sees names that are not durable.

Change: the folder is synced after it is locked and before anything in it is read.

--- a/src/replica/storage/mod.rs
+++ b/src/replica/storage/mod.rs
@@ -77,6 +77,8 @@
     ) -> error::Result<(Self, core::Stored)> {
         file::create_folder(&*files, path)?;
         let lock = lock(&*files, path)?;
+        // A process that ended may have left names that are visible and not durable yet.
+        file::sync_folder(&*files, path)?;
         let node = identity::read_or_create(&*files, path, instance)?;
         let (log, stored) = Log::open(&*files, path)?;
         let folder = Self {
--- a/tests/storage_power.rs
+++ b/tests/storage_power.rs
@@ -82,11 +82,30 @@
             opened
                 .map_err(|e| format!("power lost after {operation} operations, {fates:?}: {e}"))?;
         }
+        let ended = end_process_then_lose_power(member, &mut random);
+        ended.map_err(|e| format!("process ended after {operation} operations: {e}"))?;
     }
     Ok(())
 }
 
-/// Loses power at random operations, some processes after they had no space left.
+/// Lets another process go on with what is visible and not durable, and then loses power.
+fn end_process_then_lose_power(
+    mut member: writes::Member,
+    rng: &mut impl rand::Rng,
+) -> Result<(), String> {
+    member.disk.lose_power_after(None);
+    run(&mut member, rng)?;
+    for fates in outcomes(&member.disk.unsynced(), 16, rng) {
+        let mut after = member.fork();
+        after.lose_power(&fates);
+        let opened = after.open();
+        opened.map_err(|e| format!("then power lost, {fates:?}: {e}"))?;
+    }
+    Ok(())
+}
+
+/// Ends processes at random operations, some with the power, some without, and others for lack of
+/// space.
 fn lose_power_repeatedly(member: &mut writes::Member, seed: u64) -> Result<(), String> {
     let mut random = rng(seed);
     for process in 0..12 {
@@ -100,8 +119,10 @@
             member.disk.fill(begin..begin + random.random_range(1..20));
         }
         run(member, &mut random).map_err(|e| format!("process {process}: {e}"))?;
-        let fates = random_outcome(&member.disk.unsynced(), &mut random);
-        member.lose_power(&fates);
+        if random.random_bool(0.6) {
+            let fates = random_outcome(&member.disk.unsynced(), &mut random);
+            member.lose_power(&fates);
+        }
     }
     member.disk.fill(0..0);
     member.disk.lose_power_after(None);
