Storage: a new data folder and its ancestors are durable before the member has an identity

What callers could see: a member whose data folder the program had created came back as a new one after a loss of power, with its vote and its entries gone, though its disk was not lost.

Cause: the folder was created without a sync of the folder that contains it.

Change: all ancestors are synced before the identity is written. Ancestors that the process may not open, or on a file system that is never written, were not created by it and are left out.

Measured: the simulated disk starts without the folder now.

--- a/src/replica/storage/file.rs
+++ b/src/replica/storage/file.rs
@@ -10,7 +10,7 @@
 /// The suffix of files that are not complete yet.
 pub const TEMP_SUFFIX: &str = ".tmp";
 
-/// Creates a folder and its missing ancestors.
+/// Creates a folder and its missing ancestors. Their names are durable after [`sync_ancestors`].
 ///
 /// # Errors
 ///
@@ -29,6 +29,25 @@
     }
 }
 
+/// Syncs the names of a folder and of its ancestors. Ancestors that this process may not open, or
+/// that are never written, were not created by it and are left out.
+///
+/// # Errors
+///
+/// Fails when the disk reports an error.
+pub fn sync_ancestors(files: &dyn file_system::FileSystem, path: &path::Path) -> error::Result<()> {
+    let mut folder = path;
+    while let Some(parent) = parent(folder) {
+        match files.sync_folder(parent).map_err(|e| (e.kind(), e)) {
+            Ok(()) => {}
+            Err((io::ErrorKind::PermissionDenied | io::ErrorKind::ReadOnlyFilesystem, _)) => break,
+            Err((_, e)) => return Err(sync_error(parent, e)),
+        }
+        folder = parent;
+    }
+    Ok(())
+}
+
 /// Returns the folder that contains `path`; `None` for the root and for the working folder.
 fn parent(path: &path::Path) -> Option<&path::Path> {
     let parent = path.parent()?;
--- a/src/replica/storage/identity.rs
+++ b/src/replica/storage/identity.rs
@@ -37,6 +37,7 @@
     let identity = if names.iter().any(|n| n == FILE_NAME) {
         read(files, &folder.join(FILE_NAME))?
     } else if names.iter().all(|n| is_ignorable(n)) {
+        file::sync_ancestors(files, folder)?;
         create(files, folder, instance)?
     } else {
         let remedy = "it has files but no member.json; name an empty folder, or put the file back";
--- a/tests/storage_support/writes.rs
+++ b/tests/storage_support/writes.rs
@@ -54,10 +54,10 @@
     ///
     /// Fails when the folder is refused or does not contain what was acknowledged.
     pub fn open(&mut self) -> Result<Option<storage::Folder>, String> {
-        let path = path::Path::new(disk::ROOT);
+        let path = path::Path::new(disk::ROOT).join("groups/control-0");
         let files = sync::Arc::new(self.disk.clone());
         let instance = "control-0".parse().unwrap();
-        let (folder, stored) = match storage::Folder::open_in(files, path, &instance) {
+        let (folder, stored) = match storage::Folder::open_in(files, &path, &instance) {
             Ok(opened) => opened,
             Err(e) if e.classify() == buckthorncleat::Category::Io => return Ok(None),
             Err(e) => return Err(e.to_string()),
