Router: large answers grow in blocks of one size, and events share their memory

Cause: each answer that was read whole grew by reallocation, so that the allocator kept pieces of many sizes beside the 16 MB that the answers may take. Events had a limit each and none together: 200 unfinished ones take 25 MB more.

Change: http::memory keeps answers in blocks of 16 KiB, joined when they are complete, and unfinished events above 32 KiB take their share of the same 16 MB.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -5,5 +5,6 @@
 pub mod body;
 pub mod caller;
 pub mod hop;
+pub mod memory;
 pub mod progress;
 pub mod stop;
--- a/src/router/events.rs
+++ b/src/router/events.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+use crate::http::memory;
 use crate::http::progress;
 
 /// Size limit of an event; a longer one is taken for damaged data. All streams of a router may be
@@ -14,6 +15,7 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     buf: BytesMut,
+    memory: memory::Share,
     scanned: usize,
     /// Position after the scanned bytes.
     position: progress::Position,
@@ -31,16 +33,18 @@
 }
 
 impl Splitter {
-    /// Appends bytes; returns false when the buffered data exceeds the size limit of an event.
+    /// Appends bytes; returns false when the buffered data exceeds the size limit of an event, or the
+    /// memory that the process has left.
     pub fn push(&mut self, bytes: &[u8]) -> bool {
         self.buf.extend_from_slice(bytes);
-        self.buf.len() <= MAX_EVENT_BYTES
+        self.buf.len() <= MAX_EVENT_BYTES && self.memory.resize(self.buf.len())
     }
 
     /// Returns the next complete event.
     pub fn next_event(&mut self) -> Option<Event> {
         let end = self.find_end()?;
         let bytes = self.buf.copy_to_bytes(end);
+        self.memory.resize(self.buf.len());
         self.scanned = 0;
         let id = event_id(&bytes);
         let has_fields = lines(&bytes).any(|line| !line.is_empty() && !line.starts_with(b":"));
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -3,7 +3,6 @@
 //! A platform's messages are encoded and decoded by a [`protocol::Codec`]; this module works with
 //! types of this crate.
 
-mod answer_memory;
 pub mod arrivals;
 pub mod availability;
 mod backend;
--- a/src/router/upstream.rs
+++ b/src/router/upstream.rs
@@ -19,8 +19,8 @@
 use crate::http::allowance;
 use crate::http::body;
 use crate::http::hop;
+use crate::http::memory;
 use crate::http::progress;
-use crate::router::answer_memory;
 use crate::router::balancer;
 use crate::router::request;
 
@@ -229,16 +229,14 @@
         max_bytes: usize,
     ) -> Result<Bytes, Failure> {
         let read = async {
-            let mut whole = bytes::BytesMut::new();
-            let mut memory = answer_memory::Share::default();
+            let mut whole = memory::Whole::default();
             while let Some(chunk) = self.next_chunk().await? {
-                if whole.len() + chunk.len() > max_bytes || !memory.grow(chunk.len()) {
+                if whole.len() + chunk.len() > max_bytes || !whole.push(&chunk) {
                     metrics::counter!("buckthorncleat_oversized_answers_total").increment(1);
                     return Err(Failure::Broken);
                 }
-                whole.extend_from_slice(&chunk);
             }
-            Ok(whole.freeze())
+            Ok(whole.into_bytes())
         };
         match time::timeout(timeout.as_duration(), read).await {
             Ok(result) => result,
