Engine client: answers share the memory for large ones, and an event has the router's limit

What callers could see, own interface: faulty engines that send bodies without end take the memory of the gateway that calls them.

Cause: each call could read 4 MB, and each event 1 MB, with no limit over the process.

Change: the client reads bodies through http::memory, which refuses what is beyond 16 MB over all calls; an event may have 128 KiB, as at the router.

Evidence: two_hundred_bodies_without_end_share_the_memory_for_large_answers failed before with 531,212 and 670,332 kB; after the change 61,024 to 61,792 kB in three runs, engines included.

--- a/src/backend/client.rs
+++ b/src/backend/client.rs
@@ -16,6 +16,7 @@
 
 use crate::clock;
 use crate::http::allowance;
+use crate::http::memory;
 use crate::http::progress;
 use crate::macros;
 
@@ -216,14 +217,18 @@
 }
 
 async fn read_to_end(streaming: &mut Streaming, max_body: usize) -> Result<Bytes, Failure> {
-    let mut buf = bytes::BytesMut::new();
+    let mut whole = memory::Whole::default();
     while let Some(data) = streaming.next().await {
-        buf.extend_from_slice(&data?);
-        if buf.len() > max_body {
+        let data = data?;
+        if whole.len() + data.len() > max_body {
             return Err(Failure::Malformed(format!(
                 "the body has more than {max_body} bytes"
             )));
         }
+        if !whole.push(&data) {
+            let why = "the memory for large responses is in use by other calls";
+            return Err(Failure::Malformed(why.to_owned()));
+        }
     }
-    Ok(buf.freeze())
+    Ok(whole.into_bytes())
 }
--- a/src/backend/engine.rs
+++ b/src/backend/engine.rs
@@ -253,7 +253,7 @@
 
 /// What an engine may send until an event is complete; the buffers hold some of the next ones by
 /// then.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 128 << 10;
 
 /// A stream of tokens from an engine.
 pub struct TokenStream {
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -83,3 +83,38 @@
         assert!(sent < SOCKET_BUFFERS + MAX_READ, "{sent}");
     }
 }
+
+/// Returns the most memory that this process has had, in kB.
+fn peak_memory_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+    let number = line.unwrap().trim().trim_end_matches("kB").trim();
+    number.parse().unwrap()
+}
+
+/// Memory of the smallest instances.
+const INSTANCE_MEMORY_KB: u64 = 88 * 1_000;
+
+/// Guards against engines whose bodies without end fill the memory together, each of them below its
+/// own limit.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn two_hundred_bodies_without_end_share_the_memory_for_large_answers() {
+    let idle_kb = peak_memory_kb();
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n";
+    let mut calls = tokio::task::JoinSet::new();
+    for _ in 0..200 {
+        let (address, serving) = endless_engine(head, "a".repeat(65_536)).await;
+        calls.spawn(async move {
+            let failure = Engine::new(address).held().await.unwrap_err();
+            assert!(matches!(failure, EngineError::Call(_)), "{failure}");
+            serving.await.unwrap();
+        });
+    }
+    calls.join_all().await;
+    let peak_kb = peak_memory_kb();
+    println!("200 bodies without end: {idle_kb} kB idle, {peak_kb} kB at most");
+    assert!(
+        peak_kb < INSTANCE_MEMORY_KB,
+        "{peak_kb} kB, {idle_kb} kB idle"
+    );
+}
