Control group: a member whose disk is full stays up and goes on when there is space

Cause: any failed write counted as a disk in an unknown state and ended the member. After a write that did not fit the state is known: the log ends with the last synced batch, and what follows it is a torn tail.

Group and storage only; whole processes and the admin API were not staged.

--- a/src/error.rs
+++ b/src/error.rs
@@ -154,6 +154,17 @@
         self.classify() == Category::Unavailable
     }
 
+    /// Returns whether an operation failed since there is no space left on the disk.
+    pub fn is_storage_full(&self) -> bool {
+        let ErrorCode::Io { source, .. } = &*self.code else {
+            return false;
+        };
+        matches!(
+            source.kind(),
+            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
+        )
+    }
+
     /// Returns the time after which to try again, if the error is
     /// [unavailable](Self::is_unavailable).
     pub fn retry_after(&self) -> Option<clock::Millis> {
--- a/src/replica/group/mod.rs
+++ b/src/replica/group/mod.rs
@@ -27,6 +27,7 @@
 use crate::replica::core::members;
 use crate::replica::core::message;
 use crate::replica::storage;
+use crate::replica::storage::file_system;
 use crate::state::command;
 
 pub use versions::{MemberVersions, Versions};
@@ -137,7 +138,25 @@
         recorder: sync::Arc<event::Recorder>,
         stop: watch::Receiver<bool>,
     ) -> error::Result<(Self, Running)> {
-        let (folder, stored) = storage::Folder::open(&settings.data_folder, &settings.instance)?;
+        let files = sync::Arc::new(file_system::Os);
+        Self::start_in(files, settings, links, clock, recorder, stop)
+    }
+
+    /// Starts a member, see [`Self::start`], whose data folder is in a given file system.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::start`] does.
+    pub fn start_in(
+        files: sync::Arc<dyn file_system::FileSystem>,
+        settings: Settings,
+        links: sync::Arc<link::Links>,
+        clock: clock::Clock,
+        recorder: sync::Arc<event::Recorder>,
+        stop: watch::Receiver<bool>,
+    ) -> error::Result<(Self, Running)> {
+        let (folder, stored) =
+            storage::Folder::open_in(files, &settings.data_folder, &settings.instance)?;
         let state = driver::decode_state(stored.snapshot.as_ref())?;
         let shared = sync::Arc::new(Shared::new(settings.instance.clone(), state));
         let replica = core::Replica::new(core_settings(&settings, &folder), stored, clock.now());
--- a/src/replica/storage/mod.rs
+++ b/src/replica/storage/mod.rs
@@ -1,9 +1,12 @@
 //! The data folder of one member: its identity, log segments and snapshots.
 //!
 //! Data is durable once [`Folder::write`] has returned: log records are synced, and a snapshot is
-//! written to a temporary file, synced and renamed. After a disk error the folder accepts no more
-//! writes, since the contents of the disk are then unknown. The member stops, and reads the folder
-//! again after a restart.
+//! written to a temporary file, synced and renamed.
+//!
+//! A write that fails for lack of space may be tried again: the folder first reads what is there, as
+//! after a restart. After any other disk error, and after a failed sync, it accepts no more writes,
+//! since the contents of the disk are then unknown. The member stops, and reads the folder again
+//! after a restart.
 
 mod file;
 pub mod file_system;
@@ -35,11 +38,22 @@
     path: path::PathBuf,
     node: message::NodeId,
     log: Log,
-    /// Whether a write has failed; later ones are refused.
-    failed: bool,
+    condition: Condition,
+    /// The batches of the last write that are durable.
+    written: usize,
     _lock: Box<dyn file_system::Lock>,
 }
 
+/// Whether a folder accepts writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Condition {
+    Sound,
+    /// The last write failed for lack of space; the log is read again before the next one.
+    Full,
+    /// A write failed for another reason.
+    Failed,
+}
+
 /// The segments of the log, the newest of which is open.
 #[derive(Debug)]
 struct Log {
@@ -86,7 +100,8 @@
             path: path.to_owned(),
             node,
             log,
-            failed: false,
+            condition: Condition::Sound,
+            written: 0,
             _lock: lock,
         };
         Ok((folder, stored))
@@ -102,9 +117,12 @@
     ///
     /// # Errors
     ///
-    /// Fails when the disk is full or reports an error. All later calls fail too.
+    /// Fails [for lack of space](error::Error::is_storage_full): the next call must then begin with
+    /// the batches that follow the first [`Folder::written`] ones of this call. Fails when the disk
+    /// reports another error; all later calls fail too.
     pub fn write(&mut self, batches: &[message::Batch]) -> error::Result<()> {
-        if self.failed {
+        self.written = 0;
+        if self.condition == Condition::Failed {
             let remedy = "repair the disk, then restart the member";
             return Err(error::Error::damaged(
                 "the data folder, after a disk error,",
@@ -112,18 +130,31 @@
             ));
         }
         let result = self.write_all(batches);
-        self.failed = result.is_err();
+        self.condition = match &result {
+            Ok(()) => Condition::Sound,
+            Err(e) if e.is_storage_full() => Condition::Full,
+            Err(_) => Condition::Failed,
+        };
         result
     }
 
+    /// Returns how many batches of the last call of [`Folder::write`] are durable for certain.
+    pub fn written(&self) -> usize {
+        self.written
+    }
+
     fn write_all(&mut self, batches: &[message::Batch]) -> error::Result<()> {
+        if self.condition == Condition::Full {
+            self.log = Log::open(&*self.files, &self.path)?.0;
+        }
         if self.log.writer.length() >= SEGMENT_BYTES {
             self.log.start_segment(&*self.files, &self.path, false)?;
         }
         let mut buf = Vec::new();
-        for batch in batches {
+        for (number, batch) in batches.iter().enumerate() {
             if let Some(snapshot) = &batch.snapshot {
                 self.log.commit(&mut buf)?;
+                self.written = number;
                 self.write_snapshot(snapshot, batch)?;
             }
             if let Some(hard_state) = &batch.hard_state {
@@ -133,7 +164,9 @@
                 self.log.append_entry(&mut buf, entry)?;
             }
         }
-        self.log.commit(&mut buf)
+        self.log.commit(&mut buf)?;
+        self.written = batches.len();
+        Ok(())
     }
 
     fn write_snapshot(
--- a/tests/storage_power.rs
+++ b/tests/storage_power.rs
@@ -65,6 +65,29 @@
     Ok(())
 }
 
+/// Leaves no space for some operations from each one of a process on; it must go on once there is
+/// space. Then loses power.
+fn fill_at_each_operation(start: &writes::Member, seed: u64) -> Result<(), String> {
+    let mut whole = start.fork();
+    let before = whole.disk.operations();
+    run(&mut whole, &mut rng(seed))?;
+    for operation in 0..=whole.disk.operations() - before {
+        for count in [1, 2, 7] {
+            let mut member = start.fork();
+            member.disk.fill(operation..operation + count);
+            let mut random = rng(seed);
+            let checked = run(&mut member, &mut random).and_then(|()| {
+                if !member.is_acknowledged() {
+                    return Err("a write failed although there is space again".to_owned());
+                }
+                end_process_then_lose_power(member, &mut random)
+            });
+            checked.map_err(|e| format!("full for {count} from operation {operation} on: {e}"))?;
+        }
+    }
+    Ok(())
+}
+
 /// Loses power after each operation of a process, in each way, and checks what the next one reads.
 fn lose_power_at_each_operation(start: &writes::Member, seed: u64) -> Result<(), String> {
     let mut whole = start.fork();
@@ -149,7 +172,24 @@
     }
 }
 
-/// Shows that the test above finds syncs that are left out or come too late.
+/// Guards against a member that refuses all writes, or loses acknowledged entries, after its disk was
+/// full for a moment.
+#[test]
+fn writes_go_on_when_a_full_disk_has_space_again() {
+    for seed in 0..seeds() {
+        let mut member = writes::Member::new(disk::Fault::None);
+        let seeded = |e| format!("seed {seed}: {e}");
+        fill_at_each_operation(&member, seed)
+            .map_err(seeded)
+            .unwrap();
+        run(&mut member, &mut rng(seed)).unwrap();
+        fill_at_each_operation(&member, seed + 1)
+            .map_err(seeded)
+            .unwrap();
+    }
+}
+
+/// Shows that the tests above find syncs that are left out or come too late.
 #[test]
 fn injected_faults_of_the_disk_are_found() {
     for fault in [
