Links: a panic of the transport during a dial is an error of the dial

Cause: the library panics, instead of returning an error, when the peer shuts the connection down during the handshake.

Change: Links::connect catches it, logs dial_panicked with the address, and fails as unavailable, as for any other dial that fails; the next request dials again.

Measured: a_panic_of_a_library_is_an_error. The panic itself was not provoked by a test.

--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -16,6 +16,7 @@
 use crate::peer::frame;
 use crate::peer::message;
 use crate::peer::trailer;
+use crate::tasks;
 
 /// Time after which a caller may retry a request that got no answer.
 const RETRY_AFTER: clock::Millis = clock::Millis::new(200);
@@ -289,10 +290,16 @@
         if let Some(socket) = self.lock().as_ref() {
             return Ok(sync::Arc::clone(socket));
         }
-        let dialled = reqrep0::Req0::dial(url(self.address)?).await;
-        let socket = dialled.map_err(|e| {
-            error::Error::unavailable(format!("dialling {}: {e}", self.address), RETRY_AFTER)
+        let failed = |why: String| {
+            error::Error::unavailable(format!("dialling {}: {why}", self.address), RETRY_AFTER)
+        };
+        // The library panics when the peer shuts the connection down during the handshake.
+        let dialled = tasks::catch_panic(reqrep0::Req0::dial(url(self.address)?)).await;
+        let dialled = dialled.map_err(|why| {
+            log::warn!(event = "dial_panicked", address = self.address.to_string(), detail = why.as_str(); "the connection to {} ended in its handshake: {why}", self.address);
+            failed(why)
         })?;
+        let socket = dialled.map_err(|e| failed(e.to_string()))?;
         let socket = sync::Arc::new(socket);
         *self.lock() = Some(sync::Arc::clone(&socket));
         Ok(socket)
--- a/src/tasks.rs
+++ b/src/tasks.rs
@@ -1,5 +1,8 @@
 //! The named tasks of a daemon, which its shutdown waits for within a bound.
 
+use std::panic;
+
+use futures_util::FutureExt as _;
 use tokio::task;
 use tokio::time;
 
@@ -89,3 +92,17 @@
         time::timeout(limit.as_duration(), join).await.is_ok()
     }
 }
+
+/// Awaits work of a library that may panic instead of returning an error.
+///
+/// # Errors
+///
+/// Returns the message of the panic; empty when it has none.
+pub async fn catch_panic<T>(work: impl Future<Output = T>) -> Result<T, String> {
+    let ended = panic::AssertUnwindSafe(work).catch_unwind().await;
+    ended.map_err(|payload| {
+        let text = payload.downcast_ref::<&str>().map(ToString::to_string);
+        let text = text.or_else(|| payload.downcast_ref::<String>().cloned());
+        text.unwrap_or_default()
+    })
+}
--- a/tests/tasks.rs
+++ b/tests/tasks.rs
@@ -5,7 +5,7 @@
 
 use buckthorncleat::clock::Millis;
 use buckthorncleat::error::Error;
-use buckthorncleat::tasks::Tasks;
+use buckthorncleat::tasks::{Tasks, catch_panic};
 
 const LIMIT: Millis = Millis::new(200);
 
@@ -39,3 +39,12 @@
     assert!(begun.elapsed() < HANG_GUARD);
     assert!(tasks.running().is_empty());
 }
+
+/// Guards against a task that ends with the panic of a library that it calls.
+#[tokio::test]
+async fn a_panic_of_a_library_is_an_error() {
+    let caught = catch_panic(async { panic!("errno {}", 31) }).await;
+    let never: Result<(), String> = caught;
+    assert_eq!(never, Err("errno 31".to_owned()));
+    assert_eq!(catch_panic(async { 5 }).await, Ok(5));
+}
