Router: large bodies of callers share memory and wait for it

Cause: each body was collected and then copied, and nothing bounded all bodies together.

Change: bodies above 32 KiB take from 16 MiB that all share, before they are read and in the order of arrival, and give it back with the request. One that gets none within a second is refused as not run, with Retry-After, after it was read to its end; so the refusal isn't lost in a reset. A body of known length is read into one piece of that size.

--- a/src/http/memory.rs
+++ b/src/http/memory.rs
@@ -1,10 +1,11 @@
-//! Bounds the memory of what is read from servers before it is complete, over all calls of the
-//! process.
+//! Bounds the memory of what is read from servers before it is complete, and of the bodies of
+//! callers, over all calls of the process.
 
 use std::collections;
 use std::sync::atomic;
 
 use bytes::Bytes;
+use tokio::sync;
 
 /// What one call may take without a share of [`MAX_LARGE_BYTES`]; so large answers never keep small
 /// ones from being read.
@@ -17,6 +18,11 @@
 /// fits the next, and an answer that grows is not copied.
 const BLOCK_BYTES: usize = 16 << 10;
 
+/// What the large bodies of all callers may take together, in KiB. A larger one is held alone.
+const MAX_BODIES_KIB: usize = 16 << 10;
+
+static BODIES_KIB: sync::Semaphore = sync::Semaphore::const_new(MAX_BODIES_KIB);
+
 static LARGE_BYTES: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
 
 /// The memory that one call takes. Dropping it frees its share.
@@ -54,6 +60,28 @@
     }
 }
 
+/// The memory of a caller's body, given back on drop.
+#[derive(Debug, Default)]
+pub struct BodyPermit(Option<sync::SemaphorePermit<'static>>);
+
+impl BodyPermit {
+    /// Waits until there is memory for a body of so many bytes, in the order of the calls. A small one
+    /// never waits.
+    pub async fn acquire(bytes: usize) -> Self {
+        if bytes <= SMALL_BYTES {
+            return Self::default();
+        }
+        let kib = bytes.div_ceil(1 << 10).min(MAX_BODIES_KIB);
+        // The semaphore is never closed, and the number is below `u32::MAX`.
+        Self(BODIES_KIB.acquire_many(kib as u32).await.ok())
+    }
+
+    /// Returns whether a body of so many bytes needs no more memory than this.
+    pub fn covers(&self, bytes: usize) -> bool {
+        self.0.is_some() || bytes <= SMALL_BYTES
+    }
+}
+
 /// A body that is read whole.
 #[derive(Debug, Default)]
 pub struct Whole {
--- a/src/router/request/admission.rs
+++ b/src/router/request/admission.rs
@@ -4,16 +4,15 @@
 use std::sync;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use hyper::body as hyper_body;
 use hyper::header;
 use tokio::time;
 
 use crate::clock;
-use crate::document;
 use crate::fleet::crashes;
 use crate::fleet::forward as fleet_forward;
 use crate::fleet::quota;
+use crate::http::memory;
 use crate::id;
 use crate::router::arrivals;
 use crate::router::core;
@@ -22,6 +21,7 @@
 use crate::router::helper;
 use crate::router::plain;
 use crate::router::request;
+use crate::router::request::caller_body;
 use crate::router::request::log_lines;
 use crate::router::retry_after;
 use crate::router::run_gate;
@@ -180,9 +180,11 @@
     let is_forwarded = matches!(source, Source::Router(_));
     let mut arrivals = arrivals::Arrivals::default();
     let mut known_origin = None;
+    let mut body_memory = memory::BodyPermit::default();
     let (body, service, progress) = match source {
         Source::Caller(incoming) => {
-            let body = read_body(incoming, &table.document().limits).await?;
+            let body;
+            (body, body_memory) = caller_body::read(incoming, &table.document().limits).await?;
             let service = table.pick_service(route, rand::random());
             (body, service.cloned(), fleet_forward::Progress::Read)
         }
@@ -217,6 +219,7 @@
     let request = Request {
         core: sync::Arc::clone(core),
         body,
+        _body_memory: body_memory,
         route: route.clone(),
         service,
         account: account_id.cloned(),
@@ -333,16 +336,3 @@
     let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
     Some(host.to_ascii_lowercase())
 }
-
-async fn read_body(
-    incoming: hyper_body::Incoming,
-    limits: &document::CallerLimits,
-) -> Result<Bytes, Refusal> {
-    let bounded = http_body_util::Limited::new(incoming, limits.max_body_bytes);
-    let read = time::timeout(limits.idle_timeout.as_duration(), bounded.collect());
-    match read.await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
-        Ok(Err(_)) | Err(_) => Err(Refusal::Malformed),
-    }
-}
--- a/src/router/request/mod.rs
+++ b/src/router/request/mod.rs
@@ -1,6 +1,7 @@
 //! An admitted request of a caller, with what all its attempts need.
 
 mod admission;
+mod caller_body;
 mod log_lines;
 mod refusal;
 
@@ -22,6 +23,7 @@
 use crate::fleet::origin;
 use crate::http::body;
 use crate::http::hop;
+use crate::http::memory;
 use crate::http::progress;
 use crate::id;
 use crate::router::arrivals;
@@ -52,6 +54,8 @@
     /// The head as received.
     pub head: hyper::http::request::Parts,
     pub body: Bytes,
+    /// The memory that the body takes.
+    _body_memory: memory::BodyPermit,
     /// What the caller's headers say.
     pub caller: protocol::CallerHead,
     pub route: document::Route,
--- a/src/router/retry_after.rs
+++ b/src/router/retry_after.rs
@@ -35,6 +35,9 @@
 /// The router has no document or no server list yet: the time of one or two reports.
 const NOT_READY: Range = Range::new(300, 200);
 
+/// The bodies of other requests take the memory: the time in which some of them end.
+const MEMORY_FULL: Range = Range::new(500, 500);
+
 /// The router is stopping: callers that are told so connect elsewhere, where there may be capacity at once.
 const STOPPING: Range = Range::new(50, 100);
 
@@ -62,6 +65,8 @@
     OriginUnknown,
     /// The router has no document or no usable route.
     NotReady,
+    /// The bodies of other requests take the memory.
+    MemoryFull,
     /// The router is stopping; others take requests.
     Stopping,
 }
@@ -90,6 +95,7 @@
         Cause::Suspect => SUSPECT,
         Cause::OriginLate | Cause::OriginUnknown => ORIGIN_LATE,
         Cause::NotReady => NOT_READY,
+        Cause::MemoryFull => MEMORY_FULL,
         Cause::Stopping => STOPPING,
     };
     clock::Millis::new(range.min_ms + random % range.spread_ms)
