--- a/review/stand-in-2/cases.rs
+++ b/review/stand-in-2/cases.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::net::{Deployment, Message, Record, call, fail};
-use crate::worker::{Plan, Run, Seen, Worker, serve_list};
+use crate::worker::{Incarnation, Plan, Run, Seen, Worker, serve_list};
 
 const KEY: &str = "i9n73hh2b9wu3fexd9dn";
 const HOST: &str = "ficu95.example";
@@ -315,7 +315,7 @@
                 r#"{{"service":"lotes-app","address":"{}","zone":"{}","slots":6,"state":"ready","id":"{}"}}"#,
                 worker.address,
                 worker.zone,
-                worker.listed_id()
+                worker.listed().id
             );
             entries.insert(0, odd.into_bytes());
         }
@@ -375,3 +375,68 @@
     }
     has_trouble && (status == 200 || is_in_force)
 }
+
+/// ORDER: workers end and are back at once under their names with newer software, before the list shows it.
+pub fn reborn_version(record: &Record, has_trouble: bool) -> bool {
+    const EVENTS: u64 = 120;
+    let mut deployment = Deployment::new();
+    let seen = Seen::default();
+    let stages = ["prefill", "prefill", "decode", "decode", "decode", "decode", "decode", "decode", "decode", "decode"];
+    let workers = stages.into_iter().enumerate().map(|(index, stage)| {
+        let ip = deployment.worker_ip(index);
+        let run = plan(|_| Run::Stream(EVENTS));
+        Worker::start("guia-llm", Some(stage), ZONES[index % 3], ip, record, &seen, run)
+    });
+    let workers: Vec<Worker> = workers.collect();
+    let listed = workers.clone();
+    let list = serve_list(list_ip(&deployment), move || {
+        listed.iter().map(|w| w.entry("ready").into_bytes()).collect()
+    });
+    begin(&mut deployment, list, record);
+    let fronts = [deployment.front(0), deployment.front(1)];
+    let joined = Arc::new(Mutex::new((0, 0, 0)));
+    let begun = Instant::now();
+    // 13 streams a second, as on the site's sheet, until shortly before the workers end.
+    let clients: Vec<_> = (0..40u64)
+        .map(|n| {
+            let (record, joined) = (record.clone(), Arc::clone(&joined));
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(n * 1_000 / 13));
+                let request = client_request("POST", &format!("/chat/s{n}"), n, 14_000, b"x");
+                let to = fronts[n as usize % 2];
+                let answer = send(&record, to, &request, &format!("stream {n}"));
+                let mut joined = joined.lock().unwrap();
+                joined.0 += 1;
+                let Some(answer) = answer else { return };
+                joined.1 += u64::from(answer.is_whole && answer.status() == 200);
+                let text = String::from_utf8_lossy(&answer.body).into_owned();
+                if let (Some(_), Some(at)) = (text.find("data: v1"), text.find("data: v2")) {
+                    joined.2 += 1;
+                    let around = text[at.saturating_sub(30)..at + 12].replace('\n', "|");
+                    record.note(format!("stream {n} holds events of two versions: {around}"));
+                }
+            })
+        })
+        .collect();
+    if has_trouble {
+        // Two of ten at a time.
+        for (at_ms, pair) in [(4_000, [2, 3]), (4_500, [4, 5]), (5_000, [6, 7])] {
+            thread::sleep(Duration::from_millis(at_ms).saturating_sub(begun.elapsed()));
+            for index in pair {
+                let worker = workers[index].clone();
+                let next = Incarnation {
+                    id: worker.listed().id,
+                    version: "v2",
+                };
+                record.note(format!("worker {} ends", next.id));
+                thread::spawn(move || worker.crash(Duration::from_millis(200), next));
+            }
+        }
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    let (sent, whole, joined) = *joined.lock().unwrap();
+    record.note(format!("{joined} of {sent} streams hold events of two versions; {whole} are whole"));
+    joined > 2
+}
--- a/review/stand-in-2/worker.rs
+++ b/review/stand-in-2/worker.rs
@@ -42,14 +42,23 @@
     pub stage: Option<&'static str>,
     pub address: SocketAddr,
     pub zone: &'static str,
-    /// The id of the incarnation that runs, and the one that the list shows.
-    id: Arc<Mutex<(String, String)>>,
+    /// The incarnation that runs, and the one that the list shows.
+    incarnations: Arc<Mutex<(Incarnation, Incarnation)>>,
+    /// What ends the incarnation that runs.
+    running: Arc<Mutex<Option<(Arc<AtomicBool>, Connections)>>>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     /// The times at which workers ended under a request, with its path.
     crashes: Arc<Mutex<Vec<(f64, String)>>>,
     record: Record,
     plan: Plan,
-    starts: Arc<AtomicU64>,
+}
+
+/// One start of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Incarnation {
+    pub id: String,
+    /// The version of its software.
+    pub version: &'static str,
 }
 
 /// The arrivals and crashes at all workers of a case.
@@ -78,45 +87,47 @@
         let listener = TcpListener::bind((ip, 0));
         let listener = listener.unwrap_or_else(|e| fail(&format!("a worker: {e}")));
         let address = listener.local_addr().expect("an address");
-        let id = new_id();
+        let first = Incarnation {
+            id: new_id(),
+            version: "v1",
+        };
         let worker = Self {
             service,
             stage,
             address,
             zone,
-            id: Arc::new(Mutex::new((id.clone(), id))),
+            incarnations: Arc::new(Mutex::new((first.clone(), first))),
+            running: Arc::default(),
             arrivals: Arc::clone(&seen.arrivals),
             crashes: Arc::clone(&seen.crashes),
             record: record.clone(),
             plan,
-            starts: Arc::default(),
         };
         worker.serve(listener);
         worker
     }
 
-    pub fn listed_id(&self) -> String {
-        self.id.lock().unwrap().1.clone()
+    /// Returns the incarnation that the list shows.
+    pub fn listed(&self) -> Incarnation {
+        self.incarnations.lock().unwrap().1.clone()
     }
 
     fn serve(&self, listener: TcpListener) {
         let stop = Arc::new(AtomicBool::new(false));
         let open = Connections::default();
-        let start = self.starts.fetch_add(1, Ordering::SeqCst) + 1;
+        *self.running.lock().unwrap() = Some((Arc::clone(&stop), Arc::clone(&open)));
         let worker = self.clone();
-        let (end, closing) = (Arc::clone(&stop), Arc::clone(&open));
-        let handler = move |request: &Message, stream: &mut TcpStream| {
-            let crash = || worker.crash(start, &end, &closing);
-            worker.answer(request, stream, &crash)
-        };
+        let handler =
+            move |request: &Message, stream: &mut TcpStream| worker.answer(request, stream);
         serve(listener, stop, open, Arc::new(handler));
     }
 
-    /// Ends this incarnation and starts the next one some seconds later.
-    fn crash(&self, start: u64, stop: &AtomicBool, open: &Connections) {
-        if self.starts.load(Ordering::SeqCst) != start || stop.swap(true, Ordering::SeqCst) {
+    /// Ends the incarnation that runs, and starts the next one after a time.
+    pub fn crash(&self, down: Duration, next: Incarnation) {
+        let Some((stop, open)) = self.running.lock().unwrap().take() else {
             return;
-        }
+        };
+        stop.store(true, Ordering::SeqCst);
         // The listener is closed before the connections.
         thread::sleep(Duration::from_millis(10));
         for connection in open.lock().unwrap().drain(..) {
@@ -124,21 +135,20 @@
         }
         let worker = self.clone();
         thread::spawn(move || {
-            thread::sleep(DOWN);
-            let id = new_id();
-            worker.id.lock().unwrap().0 = id.clone();
+            thread::sleep(down);
+            worker.incarnations.lock().unwrap().0 = next.clone();
             let listener = TcpListener::bind(worker.address);
             let listener = listener.unwrap_or_else(|e| fail(&format!("a worker: {e}")));
             worker.serve(listener);
-            worker.record.note(format!("worker {} is back as {id}", worker.address));
+            worker.record.note(format!("worker {} is back as {next:?}", worker.address));
             thread::sleep(LIST_LAG);
-            worker.id.lock().unwrap().1 = id;
+            worker.incarnations.lock().unwrap().1 = next;
         });
     }
 
     /// Answers a request; returns whether the connection goes on.
-    fn answer(&self, request: &Message, stream: &mut TcpStream, crash: &dyn Fn()) -> bool {
-        let id = self.id.lock().unwrap().0.clone();
+    fn answer(&self, request: &Message, stream: &mut TcpStream) -> bool {
+        let Incarnation { id, version } = self.incarnations.lock().unwrap().0.clone();
         let request_id = request.header("request-id").unwrap_or("").to_owned();
         let head = |status: &str| format!("HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\n");
         let path = request.path().to_owned();
@@ -196,22 +206,33 @@
                     format!("{head}Response-Signature: s.{id}\r\nContent-Length: {length}\r\n\r\n{body}");
                 stream.write_all(answer.as_bytes()).is_ok()
             }
-            Run::Stream(events) => self.stream(request, stream, &head, events),
+            Run::Stream(events) => self.stream(request, stream, &head, version, events),
             Run::Crash(after_ms) => {
                 let events = after_ms / EVENT_MS + 1;
-                if !self.stream_events(request, stream, &head, events) {
+                if !self.stream_events(request, stream, &head, version, events) {
                     return false;
                 }
                 self.record.note(format!("worker {id} ends under request {request_id}"));
                 self.crashes.lock().unwrap().push((self.record.now(), path));
-                crash();
+                let next = Incarnation {
+                    id: new_id(),
+                    version,
+                };
+                self.crash(DOWN, next);
                 false
             }
         }
     }
 
-    fn stream(&self, request: &Message, stream: &mut TcpStream, head: &str, events: u64) -> bool {
-        self.stream_events(request, stream, head, events)
+    fn stream(
+        &self,
+        request: &Message,
+        stream: &mut TcpStream,
+        head: &str,
+        version: &str,
+        events: u64,
+    ) -> bool {
+        self.stream_events(request, stream, head, version, events)
             && stream.write_all(b"0\r\n\r\n").is_ok()
     }
 
@@ -220,6 +241,7 @@
         request: &Message,
         stream: &mut TcpStream,
         head: &str,
+        version: &str,
         events: u64,
     ) -> bool {
         let after = request.header("last-event-id").and_then(|e| e.parse::<u64>().ok());
@@ -233,7 +255,7 @@
             return false;
         }
         for number in first..first + events {
-            let event = format!("id: {number}\ndata: e{number}\n\n");
+            let event = format!("id: {number}\ndata: {version} e{number}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).is_err() {
                 return false;
@@ -251,12 +273,10 @@
             ),
             None => String::new(),
         };
+        let Incarnation { id, version } = self.listed();
         format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":6,"state":"{state}","coldRemainingMs":0{stage},"id":"{}"}}"#,
-            self.service,
-            self.address,
-            self.zone,
-            self.listed_id()
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"{version}","slots":6,"state":"{state}","coldRemainingMs":0{stage},"id":"{id}"}}"#,
+            self.service, self.address, self.zone
         )
     }
 }
