--- a/review/stand-in-2/cases.rs
+++ b/review/stand-in-2/cases.rs
@@ -440,3 +440,130 @@
     record.note(format!("{joined} of {sent} streams hold events of two versions; {whole} are whole"));
     joined > 2
 }
+
+/// Deployments that play the case on recovery side by side.
+const DEPLOYMENTS: u64 = 8;
+
+/// `recoveryS`.
+const RECOVERY_S: f64 = 12.0;
+
+/// RECOVER: workers end one after the other right after a final fault. Broken if it is in one of several
+/// deployments, which differ in the time of the first crash.
+pub fn crash_after_fault(record: &Record, has_trouble: bool) -> bool {
+    let deployments: Vec<_> = (0..DEPLOYMENTS)
+        .map(|number| {
+            let record = record.of_deployment(number);
+            let first = Duration::from_millis(50 + 30 * number);
+            thread::spawn(move || play_crash_after_fault(&record, has_trouble.then_some(first)))
+        })
+        .collect();
+    let results = deployments.into_iter().map(|d| d.join().unwrap_or(false));
+    let broken = results.filter(|is_broken| *is_broken).count();
+    record.note(format!("broken in {broken} of {DEPLOYMENTS} deployments"));
+    broken > 0
+}
+
+/// Plays one deployment; the first workers end `first` after the first run that follows the fault.
+fn play_crash_after_fault(record: &Record, first: Option<Duration>) -> bool {
+    let mut deployment = Deployment::new();
+    let seen = Seen::default();
+    let start = |index: usize| {
+        let stage = if index < 2 { "prefill" } else { "decode" };
+        let ip = deployment.worker_ip(index);
+        let run = plan(|_| Run::Stream(40));
+        Worker::start("guia-llm", Some(stage), ZONES[index % 3], ip, record, &seen, run)
+    };
+    let workers: Vec<Worker> = (0..12).map(start).collect();
+    let listed = workers.clone();
+    let list = serve_list(list_ip(&deployment), move || {
+        listed.iter().map(|w| w.entry("ready").into_bytes()).collect()
+    });
+    begin(&mut deployment, list, record);
+    let fronts = [deployment.front(0), deployment.front(1)];
+    let results: Arc<Mutex<Vec<(f64, bool)>>> = Arc::default();
+    // 13 streams a second for 30 s, as on the site's sheet.
+    let clients: Vec<_> = (0..390u64)
+        .map(|n| {
+            let (record, results) = (record.clone(), Arc::clone(&results));
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(n * 1_000 / 13));
+                let sent_at = record.now();
+                let is_served = send_twice(&record, fronts, n);
+                results.lock().unwrap().push((sent_at, is_served));
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(6));
+    record.note("the final fault: all processes are killed");
+    let fault_at = record.now();
+    let processes = deployment.keepers.iter_mut().chain(&mut deployment.gateways);
+    let mut processes: Vec<_> = processes.collect();
+    for process in &mut processes {
+        process.kill();
+    }
+    thread::sleep(Duration::from_millis(800));
+    for process in &mut processes {
+        process.restart();
+    }
+    let back_at = record.now();
+    record.note("all processes are back");
+    if let Some(first) = first {
+        let before = seen.arrivals.lock().unwrap().len();
+        let has_run = || seen.arrivals.lock().unwrap()[before..].iter().any(|a| a.runs);
+        while !has_run() && record.now() < back_at + RECOVERY_S {
+            thread::sleep(Duration::from_millis(5));
+        }
+        thread::sleep(first);
+        // Two of twelve at a time, for 2 s.
+        for pair in workers[2..8].chunks(2) {
+            for worker in pair.iter().cloned() {
+                let next = Incarnation {
+                    id: format!("{}-b", worker.listed().id),
+                    version: "v1",
+                };
+                record.note(format!("worker {} ends", worker.listed().id));
+                thread::spawn(move || worker.crash(Duration::from_secs(2), next));
+            }
+            thread::sleep(Duration::from_millis(150));
+        }
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    let results = results.lock().unwrap();
+    let count = |from: f64, until: f64| {
+        let sent: Vec<_> = results.iter().filter(|(at, _)| (from..until).contains(at)).collect();
+        (sent.iter().filter(|(_, is_served)| *is_served).count(), sent.len())
+    };
+    let (served_before, sent_before) = count(0.0, fault_at);
+    let (served, sent) = count(back_at + RECOVERY_S, f64::MAX);
+    record.note(format!(
+        "{served_before} of {sent_before} streams served before the fault, {served} of {sent} of those sent later \
+         than recoveryS"
+    ));
+    if served_before * 4 < sent_before {
+        fail("too few streams were served before the fault");
+    }
+    served * 4 < sent
+}
+
+/// Sends a stream's request, and once more after a failure, as clients do.
+fn send_twice(record: &Record, fronts: [SocketAddr; 2], n: u64) -> bool {
+    for attempt in 0..2 {
+        let path = format!("/chat/s{n}");
+        let request = client_request("POST", &path, n * 2 + attempt + 1, 14_000, b"x");
+        let to = fronts[(n + attempt) as usize % 2];
+        let answer = send(record, to, &request, &format!("stream {n}"));
+        if answer.as_ref().is_some_and(|a| a.status() == 200 && a.is_whole) {
+            return true;
+        }
+        let retry_after = answer.and_then(|a| a.header("retry-after")?.parse::<f64>().ok());
+        // A third of the time left at most.
+        let retry_after = retry_after.unwrap_or(0.2);
+        if retry_after > 14.0 / 3.0 {
+            return false;
+        }
+        thread::sleep(Duration::from_secs_f64(retry_after));
+    }
+    false
+}
--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -26,6 +26,7 @@
         "first-start" => cases::first_start(&record, has_trouble),
         "partial-entry" => cases::partial_entry(&record, has_trouble),
         "unknown-service" => cases::unknown_service(&record, has_trouble),
+        "crash-after-fault" => cases::crash_after_fault(&record, has_trouble),
         "reborn-version" => cases::reborn_version(&record, has_trouble),
         _ => net::fail("no such case"),
     };
--- a/review/stand-in-2/net.rs
+++ b/review/stand-in-2/net.rs
@@ -6,7 +6,7 @@
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime};
@@ -188,6 +188,8 @@
 pub struct Record {
     file: Arc<Mutex<File>>,
     pub begun: Instant,
+    /// What each line begins with after the time.
+    prefix: String,
 }
 
 impl Record {
@@ -195,6 +197,15 @@
         Self {
             file: Arc::new(Mutex::new(File::create(path).expect("record.txt"))),
             begun: Instant::now(),
+            prefix: String::new(),
+        }
+    }
+
+    /// Returns the record for one of several deployments.
+    pub fn of_deployment(&self, number: u64) -> Self {
+        Self {
+            prefix: format!("[{number}] "),
+            ..self.clone()
         }
     }
 
@@ -203,7 +214,7 @@
     }
 
     pub fn note(&self, line: impl AsRef<str>) {
-        let line = format!("{:9.3} {}\n", self.now(), line.as_ref());
+        let line = format!("{:9.3} {}{}\n", self.now(), self.prefix, line.as_ref());
         let _ = self.file.lock().unwrap().write_all(line.as_bytes());
     }
 }
@@ -286,9 +297,12 @@
     pub fn new() -> Self {
         let nanos = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let nanos = nanos.expect("a clock").as_nanos();
-        let folder = std::env::temp_dir().join(format!("review-2-{}-{nanos}", std::process::id()));
+        // Deployments that run side by side have different networks.
+        static NETS: AtomicU64 = AtomicU64::new(0);
+        let number = NETS.fetch_add(1, Ordering::SeqCst);
+        let net = 20 + ((nanos / 100_000_000 * 16 + u128::from(number)) % 200) as u8;
+        let folder = std::env::temp_dir().join(format!("review-2-{}-{number}", std::process::id()));
         fs::create_dir_all(&folder).unwrap_or_else(|e| fail(&format!("a folder: {e}")));
-        let net = 20 + (nanos / 1000 % 200) as u8;
         let names = ["front", "ready", "directory", "control"];
         let free = |ip: IpAddr| {
             let listener = TcpListener::bind((ip, 0));
