--- a/review/stand-in-2/cases.rs
+++ b/review/stand-in-2/cases.rs
@@ -33,9 +33,30 @@
     let routes = [
         route("r-chat", "/chat/", "streaming", llm, 14_000, stream),
         route("r-book", "/book/", "unsafe", booking, 1_500, once),
-        route("r-look", "/look/", "safe", r#""service":"lotes-app""#, 1_500, plain),
-        route("r-pay", "/pay/", "unsafe", r#""service":"pagos-app""#, 1_500, once),
-        route("r-fees", "/fees/", "safe", r#""service":"pagos-app""#, 1_500, plain),
+        route(
+            "r-look",
+            "/look/",
+            "safe",
+            r#""service":"lotes-app""#,
+            1_500,
+            plain,
+        ),
+        route(
+            "r-pay",
+            "/pay/",
+            "unsafe",
+            r#""service":"pagos-app""#,
+            1_500,
+            once,
+        ),
+        route(
+            "r-fees",
+            "/fees/",
+            "safe",
+            r#""service":"pagos-app""#,
+            1_500,
+            plain,
+        ),
     ];
     let engine = r#""engine":{"slots":64,"kvCapacityTokens":37952,"kvTokenBytes":163840,"linkMbps":1500000.0,"moves":true,"backups":true,"stride":12,"most":12,"handleTtlS":0.5,"switchS":6.0,"pinMs":4000.0,"holdMs":2000.0,"models":[{"name":"m"}]}"#;
     let service = |name: &str, rest: &str| {
@@ -86,7 +107,11 @@
         |a| {
             let whole = if a.is_whole { "whole" } else { "cut" };
             let retry = a.header("retry-after").unwrap_or("-");
-            format!("{}, {} bytes, {whole}, Retry-After {retry}", a.status(), a.body.len())
+            format!(
+                "{}, {} bytes, {whole}, Retry-After {retry}",
+                a.status(),
+                a.body.len()
+            )
         },
     );
     record.note(format!("client {name} at {to}: {told}"));
@@ -150,7 +175,12 @@
     });
     begin(&mut deployment, list, record);
     let (mut sent, mut served) = (0, 0);
-    let kinds = [("GET", "/look/2f"), ("POST", "/book/2f"), ("GET", "/fees/2f"), ("POST", "/pay/2f")];
+    let kinds = [
+        ("GET", "/look/2f"),
+        ("POST", "/book/2f"),
+        ("GET", "/fees/2f"),
+        ("POST", "/pay/2f"),
+    ];
     let until = Instant::now() + Duration::from_secs(30);
     let mut id = 1;
     while Instant::now() < until {
@@ -181,14 +211,27 @@
         POISON if has_trouble => Run::Crash(1_000),
         _ => Run::Stream(30),
     };
-    let stages = ["prefill", "decode", "decode", "decode", "decode", "decode", "decode"];
+    let stages = [
+        "prefill", "decode", "decode", "decode", "decode", "decode", "decode",
+    ];
     let workers = stages.into_iter().enumerate().map(|(index, stage)| {
         let ip = deployment.worker_ip(index);
-        Worker::start("guia-llm", Some(stage), ZONES[index % 3], ip, record, &seen, plan(run))
+        Worker::start(
+            "guia-llm",
+            Some(stage),
+            ZONES[index % 3],
+            ip,
+            record,
+            &seen,
+            plan(run),
+        )
     });
     let workers: Vec<Worker> = workers.collect();
     let list = serve_list(list_ip(&deployment), move || {
-        workers.iter().map(|w| w.entry("ready").into_bytes()).collect()
+        workers
+            .iter()
+            .map(|w| w.entry("ready").into_bytes())
+            .collect()
     });
     begin(&mut deployment, list, record);
     let fronts = [deployment.front(0), deployment.front(1)];
@@ -229,9 +272,9 @@
     let third = crashes.get(2).map(|(at, _)| *at);
     let arrivals = seen.arrivals.lock().unwrap().clone();
     let counted_from = third.map(|at| at + CONTACT.as_secs_f64());
-    let late = arrivals.iter().filter(|a| {
-        a.runs && a.path == POISON && counted_from.is_some_and(|from| a.at > from)
-    });
+    let late = arrivals
+        .iter()
+        .filter(|a| a.runs && a.path == POISON && counted_from.is_some_and(|from| a.at > from));
     let late = late.count();
     let (sent, whole) = *completed.lock().unwrap();
     record.note(format!(
@@ -249,7 +292,10 @@
     let seen = Seen::default();
     let lotes = plain_workers(&deployment, "lotes-app", 0, record, &seen);
     let list = serve_list(list_ip(&deployment), move || {
-        lotes.iter().map(|w| w.entry("ready").into_bytes()).collect()
+        lotes
+            .iter()
+            .map(|w| w.entry("ready").into_bytes())
+            .collect()
     });
     deployment.start_keeper(0, list);
     record.note("control member 0 starts");
@@ -268,7 +314,9 @@
     let first = config(1, self::lotes());
     let limit = Duration::from_secs(12);
     let (is_in_time, took) = acknowledge(&deployment, record, &first, limit);
-    record.note(format!("with members 1 and 2: acknowledged {is_in_time}, after {took} ms"));
+    record.note(format!(
+        "with members 1 and 2: acknowledged {is_in_time}, after {took} ms"
+    ));
     if is_in_time {
         return took > ACK_TIMEOUT.as_millis();
     }
@@ -282,7 +330,9 @@
     thread::sleep(CONTACT);
     let limit = Duration::from_secs(40);
     let (is_later, took) = acknowledge(&deployment, record, &first, limit);
-    record.note(format!("with all three: acknowledged {is_later}, after {took} ms"));
+    record.note(format!(
+        "with all three: acknowledged {is_later}, after {took} ms"
+    ));
     true
 }
 
@@ -296,7 +346,10 @@
 ) -> (bool, u128) {
     let begun = Instant::now();
     let answer = deployment.operate(record, "POST", REPLACE, config.as_bytes(), limit);
-    (answer.is_some_and(|a| a.status() == 200), begun.elapsed().as_millis())
+    (
+        answer.is_some_and(|a| a.status() == 200),
+        begun.elapsed().as_millis(),
+    )
 }
 
 /// ROUTE: an entry of another writer that lacks fields names a worker of another service.
@@ -332,12 +385,14 @@
         thread::sleep(Duration::from_millis(100));
     }
     let arrivals = seen.arrivals.lock().unwrap().clone();
-    let is_foreign = |a: &&crate::worker::Arrival| {
-        a.path.starts_with("/book/") && a.service != "lotes-app"
-    };
+    let is_foreign =
+        |a: &&crate::worker::Arrival| a.path.starts_with("/book/") && a.service != "lotes-app";
     let foreign: Vec<_> = arrivals.iter().filter(is_foreign).collect();
     if let Some(first) = foreign.first() {
-        record.note(format!("the first one: request {} at worker {}", first.request_id, first.worker));
+        record.note(format!(
+            "the first one: request {} at worker {}",
+            first.request_id, first.worker
+        ));
     }
     record.note(format!(
         "{} of {} bookings were run by a service that no configuration allows",
@@ -353,7 +408,10 @@
     let seen = Seen::default();
     let lotes = plain_workers(&deployment, "lotes-app", 0, record, &seen);
     let list = serve_list(list_ip(&deployment), move || {
-        lotes.iter().map(|w| w.entry("ready").into_bytes()).collect()
+        lotes
+            .iter()
+            .map(|w| w.entry("ready").into_bytes())
+            .collect()
     });
     begin(&mut deployment, list, record);
     let split = r#""trafficSplit":[{"service":"lotes-app","weight":1}]"#;
@@ -369,7 +427,9 @@
     let read = deployment.operate(record, "GET", read, b"", ten);
     let body = read.map(|a| String::from_utf8_lossy(&a.body).into_owned());
     let is_in_force = body.is_some_and(|b| b.contains("\"version\":5,"));
-    record.note(format!("version 5: {status}; it is read back: {is_in_force}"));
+    record.note(format!(
+        "version 5: {status}; it is read back: {is_in_force}"
+    ));
     if !has_trouble && (status != 200 || !is_in_force) {
         fail("a valid configuration was not acknowledged");
     }
@@ -381,16 +441,30 @@
     const EVENTS: u64 = 120;
     let mut deployment = Deployment::new();
     let seen = Seen::default();
-    let stages = ["prefill", "prefill", "decode", "decode", "decode", "decode", "decode", "decode", "decode", "decode"];
+    let stages = [
+        "prefill", "prefill", "decode", "decode", "decode", "decode", "decode", "decode", "decode",
+        "decode",
+    ];
     let workers = stages.into_iter().enumerate().map(|(index, stage)| {
         let ip = deployment.worker_ip(index);
         let run = plan(|_| Run::Stream(EVENTS));
-        Worker::start("guia-llm", Some(stage), ZONES[index % 3], ip, record, &seen, run)
+        Worker::start(
+            "guia-llm",
+            Some(stage),
+            ZONES[index % 3],
+            ip,
+            record,
+            &seen,
+            run,
+        )
     });
     let workers: Vec<Worker> = workers.collect();
     let listed = workers.clone();
     let list = serve_list(list_ip(&deployment), move || {
-        listed.iter().map(|w| w.entry("ready").into_bytes()).collect()
+        listed
+            .iter()
+            .map(|w| w.entry("ready").into_bytes())
+            .collect()
     });
     begin(&mut deployment, list, record);
     let fronts = [deployment.front(0), deployment.front(1)];
@@ -437,7 +511,9 @@
         let _ = client.join();
     }
     let (sent, whole, joined) = *joined.lock().unwrap();
-    record.note(format!("{joined} of {sent} streams hold events of two versions; {whole} are whole"));
+    record.note(format!(
+        "{joined} of {sent} streams hold events of two versions; {whole} are whole"
+    ));
     joined > 2
 }
 
@@ -471,12 +547,23 @@
         let stage = if index < 2 { "prefill" } else { "decode" };
         let ip = deployment.worker_ip(index);
         let run = plan(|_| Run::Stream(40));
-        Worker::start("guia-llm", Some(stage), ZONES[index % 3], ip, record, &seen, run)
+        Worker::start(
+            "guia-llm",
+            Some(stage),
+            ZONES[index % 3],
+            ip,
+            record,
+            &seen,
+            run,
+        )
     };
     let workers: Vec<Worker> = (0..12).map(start).collect();
     let listed = workers.clone();
     let list = serve_list(list_ip(&deployment), move || {
-        listed.iter().map(|w| w.entry("ready").into_bytes()).collect()
+        listed
+            .iter()
+            .map(|w| w.entry("ready").into_bytes())
+            .collect()
     });
     begin(&mut deployment, list, record);
     let fronts = [deployment.front(0), deployment.front(1)];
@@ -496,7 +583,10 @@
     thread::sleep(Duration::from_secs(6));
     record.note("the final fault: all processes are killed");
     let fault_at = record.now();
-    let processes = deployment.keepers.iter_mut().chain(&mut deployment.gateways);
+    let processes = deployment
+        .keepers
+        .iter_mut()
+        .chain(&mut deployment.gateways);
     let mut processes: Vec<_> = processes.collect();
     for process in &mut processes {
         process.kill();
@@ -509,7 +599,11 @@
     record.note("all processes are back");
     if let Some(first) = first {
         let before = seen.arrivals.lock().unwrap().len();
-        let has_run = || seen.arrivals.lock().unwrap()[before..].iter().any(|a| a.runs);
+        let has_run = || {
+            seen.arrivals.lock().unwrap()[before..]
+                .iter()
+                .any(|a| a.runs)
+        };
         while !has_run() && record.now() < back_at + RECOVERY_S {
             thread::sleep(Duration::from_millis(5));
         }
@@ -532,8 +626,14 @@
     }
     let results = results.lock().unwrap();
     let count = |from: f64, until: f64| {
-        let sent: Vec<_> = results.iter().filter(|(at, _)| (from..until).contains(at)).collect();
-        (sent.iter().filter(|(_, is_served)| *is_served).count(), sent.len())
+        let sent: Vec<_> = results
+            .iter()
+            .filter(|(at, _)| (from..until).contains(at))
+            .collect();
+        (
+            sent.iter().filter(|(_, is_served)| *is_served).count(),
+            sent.len(),
+        )
     };
     let (served_before, sent_before) = count(0.0, fault_at);
     let (served, sent) = count(back_at + RECOVERY_S, f64::MAX);
@@ -554,7 +654,10 @@
         let request = client_request("POST", &path, n * 2 + attempt + 1, 14_000, b"x");
         let to = fronts[(n + attempt) as usize % 2];
         let answer = send(record, to, &request, &format!("stream {n}"));
-        if answer.as_ref().is_some_and(|a| a.status() == 200 && a.is_whole) {
+        if answer
+            .as_ref()
+            .is_some_and(|a| a.status() == 200 && a.is_whole)
+        {
             return true;
         }
         let retry_after = answer.and_then(|a| a.header("retry-after")?.parse::<f64>().ok());
--- a/review/stand-in-2/net.rs
+++ b/review/stand-in-2/net.rs
@@ -76,11 +76,7 @@
 }
 
 /// Reads a request, or an answer if `is_answer`.
-pub fn read_message(
-    stream: &mut TcpStream,
-    buf: &mut Vec<u8>,
-    is_answer: bool,
-) -> Option<Message> {
+pub fn read_message(stream: &mut TcpStream, buf: &mut Vec<u8>, is_answer: bool) -> Option<Message> {
     let mut message = read_head(stream, buf)?;
     let is_chunked = message.header("transfer-encoding") == Some("chunked");
     let length = message.header("content-length").map(|l| l.parse::<usize>());
--- a/review/stand-in-2/worker.rs
+++ b/review/stand-in-2/worker.rs
@@ -140,7 +140,9 @@
             let listener = TcpListener::bind(worker.address);
             let listener = listener.unwrap_or_else(|e| fail(&format!("a worker: {e}")));
             worker.serve(listener);
-            worker.record.note(format!("worker {} is back as {next:?}", worker.address));
+            worker
+                .record
+                .note(format!("worker {} is back as {next:?}", worker.address));
             thread::sleep(LIST_LAG);
             worker.incarnations.lock().unwrap().1 = next;
         });
@@ -154,17 +156,21 @@
         let path = request.path().to_owned();
         if request.header("expect-instance").is_some_and(|e| e != id) {
             let head = head("421 Misdirected Request");
-            let answer = format!("{head}Instance-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            let answer =
+                format!("{head}Instance-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             return stream.write_all(answer.as_bytes()).is_ok();
         }
         if path == "/health" || path == "/buckthorncleat/report" {
-            let answer = format!("HTTP/1.1 200 OK\r\nInstance-Id: {id}\r\nContent-Length: 2\r\n\r\n{{}}");
+            let answer =
+                format!("HTTP/1.1 200 OK\r\nInstance-Id: {id}\r\nContent-Length: 2\r\n\r\n{{}}");
             return stream.write_all(answer.as_bytes()).is_ok();
         }
         let json = |body: &str| {
             let head = head("200 OK");
             let length = body.len();
-            format!("{head}Content-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}")
+            format!(
+                "{head}Content-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
+            )
         };
         if path.starts_with("/buckthorncleat/") {
             let hold = format!("{{\"hold\":\"{}\"}}", new_id());
@@ -173,10 +179,15 @@
         let is_prefill = request.header("serving-stage") == Some("prefill");
         if is_prefill != (self.stage == Some("prefill")) {
             let head = head("421 Misdirected Request");
-            let answer = format!("{head}Instance-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            let answer =
+                format!("{head}Instance-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             return stream.write_all(answer.as_bytes()).is_ok();
         }
-        let what = if is_prefill { "reads the prompt of" } else { "runs" };
+        let what = if is_prefill {
+            "reads the prompt of"
+        } else {
+            "runs"
+        };
         self.record.note(format!(
             "worker {id} ({}) {what} {} {path} request {request_id} from event {}",
             self.service,
@@ -193,7 +204,10 @@
         });
         if is_prefill {
             thread::sleep(Duration::from_millis(50));
-            let body = format!("{{\"kvHandle\":\"{}\",\"tokens\":1460,\"version\":1}}", new_id());
+            let body = format!(
+                "{{\"kvHandle\":\"{}\",\"tokens\":1460,\"version\":1}}",
+                new_id()
+            );
             return stream.write_all(json(&body).as_bytes()).is_ok();
         }
         let head = head("200 OK");
@@ -202,8 +216,9 @@
                 thread::sleep(Duration::from_millis(time_ms));
                 let body = format!("{id} {path}");
                 let length = body.len();
-                let answer =
-                    format!("{head}Response-Signature: s.{id}\r\nContent-Length: {length}\r\n\r\n{body}");
+                let answer = format!(
+                    "{head}Response-Signature: s.{id}\r\nContent-Length: {length}\r\n\r\n{body}"
+                );
                 stream.write_all(answer.as_bytes()).is_ok()
             }
             Run::Stream(events) => self.stream(request, stream, &head, version, events),
@@ -212,7 +227,8 @@
                 if !self.stream_events(request, stream, &head, version, events) {
                     return false;
                 }
-                self.record.note(format!("worker {id} ends under request {request_id}"));
+                self.record
+                    .note(format!("worker {id} ends under request {request_id}"));
                 self.crashes.lock().unwrap().push((self.record.now(), path));
                 let next = Incarnation {
                     id: new_id(),
@@ -244,7 +260,9 @@
         version: &str,
         events: u64,
     ) -> bool {
-        let after = request.header("last-event-id").and_then(|e| e.parse::<u64>().ok());
+        let after = request
+            .header("last-event-id")
+            .and_then(|e| e.parse::<u64>().ok());
         let first = after.unwrap_or(0) + 1;
         let head = format!(
             "{head}Response-Signature: s.{}\r\nContent-Type: text/event-stream\r\n\
@@ -268,9 +286,9 @@
     /// Returns the entry in the platform's list.
     pub fn entry(&self, state: &str) -> String {
         let stage = match self.stage {
-            Some(stage) => format!(
-                r#","stage":"{stage}","models":[{{"name":"m","version":1,"adapters":[]}}]"#
-            ),
+            Some(stage) => {
+                format!(r#","stage":"{stage}","models":[{{"name":"m","version":1,"adapters":[]}}]"#)
+            }
             None => String::new(),
         };
         let Incarnation { id, version } = self.listed();
@@ -286,7 +304,10 @@
 
 fn new_id() -> String {
     static NEXT: AtomicU64 = AtomicU64::new(1);
-    format!("i-{:08x}", 0x7f3a_0000 + NEXT.fetch_add(1, Ordering::SeqCst) * 2_713)
+    format!(
+        "i-{:08x}",
+        0x7f3a_0000 + NEXT.fetch_add(1, Ordering::SeqCst) * 2_713
+    )
 }
 
 /// Serves the platform's list; `instances` returns the bytes of its entries.
@@ -306,6 +327,11 @@
         );
         stream.write_all(&[head.as_bytes(), &body].concat()).is_ok()
     };
-    serve(listener, Arc::default(), Connections::default(), Arc::new(handler));
+    serve(
+        listener,
+        Arc::default(),
+        Connections::default(),
+        Arc::new(handler),
+    );
     address
 }
