Review: the stand-in moves into files beside the earlier one

Folders in review/ are cases only, so the stand-in of the second review is review/stand_in_2.rs with its modules, as review/stand_in.rs is the first one's.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/review-2 review/stand-in-2/main.rs
+rustc --edition 2024 -O -o target/review-2/review-2 review/stand_in_2.rs
--- a/review/stand-in-2/main.rs
+++ b/review/stand_in_2.rs
@@ -3,8 +3,11 @@
 //!
 //! Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case can't run.
 
+#[path = "stand_in_2_cases.rs"]
 mod cases;
+#[path = "stand_in_2_net.rs"]
 mod net;
+#[path = "stand_in_2_worker.rs"]
 mod worker;
 
 use std::panic;
