--- a/src/replica/core/election.rs
+++ b/src/replica/core/election.rs
@@ -13,7 +13,49 @@
 /// is safe: while a leader is active, the other members refuse the pre-vote.
 const FIRST_ELECTION_DIVISOR: u64 = 3;
 
+/// A member's search for a leader since its last contact with one.
+#[derive(Debug)]
+pub struct LeaderSearch {
+    /// When the last contact ended; before the first one, when the replica started.
+    pub since: clock::Millis,
+    /// The nodes that refused a pre-vote in this search, sorted.
+    refused_by: Vec<message::NodeId>,
+}
+
+impl LeaderSearch {
+    pub const fn new(now: clock::Millis) -> Self {
+        Self {
+            since: now,
+            refused_by: Vec::new(),
+        }
+    }
+
+    /// Iterates over the nodes that refused a pre-vote in this search.
+    pub fn refused_by(&self) -> impl Iterator<Item = &message::NodeId> {
+        self.refused_by.iter()
+    }
+
+    fn record_refusal(&mut self, from: message::NodeId) {
+        if let Err(at) = self.refused_by.binary_search(&from) {
+            self.refused_by.insert(at, from);
+        }
+    }
+}
+
 impl core::Replica {
+    /// Returns the search for a leader, or `None` while this member knows the leader or has no
+    /// group.
+    pub fn leader_search(&self) -> Option<&LeaderSearch> {
+        (self.joined.is_some() && self.leader().is_none()).then_some(&self.leader_search)
+    }
+
+    /// Records a refused pre-vote.
+    pub(super) fn record_pre_vote_refusal(&mut self, from: message::NodeId) {
+        if matches!(self.role, core::Role::PreCandidate(_)) {
+            self.leader_search.record_refusal(from);
+        }
+    }
+
     /// Schedules the first election after a start, sooner than a full election timeout: no earlier
     /// contact with a leader has to expire.
     pub(super) fn schedule_first_election(&mut self, now: clock::Millis) {
--- a/src/replica/core/follower.rs
+++ b/src/replica/core/follower.rs
@@ -6,6 +6,7 @@
 use crate::clock;
 use crate::id;
 use crate::replica::core;
+use crate::replica::core::election;
 use crate::replica::core::log;
 use crate::replica::core::message;
 
@@ -36,6 +37,7 @@
         self.known_leader.record(self.hard_state.term, from);
         self.role = core::Role::Follower;
         self.leader_contact_at = Some(now);
+        self.leader_search = election::LeaderSearch::new(now);
         self.reset_election_timer(now);
     }
 
--- a/src/replica/core/mod.rs
+++ b/src/replica/core/mod.rs
@@ -7,7 +7,7 @@
 //! identified by its instance name and the incarnation of its data folder. After the loss of its
 //! disk it is a new member, which has no vote until it has caught up.
 
-mod election;
+pub mod election;
 mod follower;
 mod formation;
 mod leader;
@@ -104,6 +104,7 @@
     known_leader: KnownLeader,
     /// When the last message of a leader arrived; reset when this member stops leading.
     leader_contact_at: Option<clock::Millis>,
+    leader_search: election::LeaderSearch,
     /// When the next pre-vote is due.
     election_at: clock::Millis,
     partial_snapshot: Option<follower::PartialSnapshot>,
@@ -172,6 +173,7 @@
             role: Role::Follower,
             known_leader: KnownLeader::default(),
             leader_contact_at: None,
+            leader_search: election::LeaderSearch::new(now),
             election_at: now,
             partial_snapshot: None,
             discovery: formation::Discovery::default(),
@@ -302,6 +304,7 @@
                 self.refuse(read.request, message::Refusal::NotLeader);
             }
             self.leader_contact_at = None;
+            self.leader_search = election::LeaderSearch::new(now);
         }
         self.reset_election_timer(now);
     }
--- a/src/replica/core/receive.rs
+++ b/src/replica/core/receive.rs
@@ -43,6 +43,9 @@
                 self.count_pre_vote(now, from, term);
                 return;
             }
+            Body::PreVoteResponse { granted: false } => {
+                self.record_pre_vote_refusal(from.clone());
+            }
             // While a leader is active, a vote request does not raise the term.
             Body::VoteRequest { .. }
                 if term > self.hard_state.term && self.has_leader_contact(now) =>
--- a/src/replica/group/driver.rs
+++ b/src/replica/group/driver.rs
@@ -26,6 +26,7 @@
 use crate::replica::group::Status;
 use crate::replica::group::disk;
 use crate::replica::group::peers;
+use crate::replica::group::standing;
 use crate::replica::group::versions;
 use crate::replica::storage;
 use crate::state::command;
@@ -53,6 +54,7 @@
     /// The term in which this member is the leader, as last logged.
     led_term: Option<id::Term>,
     versions: versions::Versions,
+    standing: standing::Standing,
     /// The feature level as last logged.
     feature_level: Option<command::FeatureLevel>,
 }
@@ -82,6 +84,7 @@
     ) -> Self {
         Self {
             versions: versions::Versions::new(&replica),
+            standing: standing::Standing::default(),
             feature_level: None,
             replica,
             shared,
@@ -353,6 +356,7 @@
         let leads = self.replica.is_leader().then(|| self.replica.term());
         self.record_leadership_change(leads);
         self.record_feature_level();
+        self.standing.record(&self.replica, self.clock.now());
         self.shared.view.send_if_modified(|view| {
             let changed = view.leader != leader || view.leads != leads;
             view.leader.clone_from(&leader);
--- a/src/replica/group/mod.rs
+++ b/src/replica/group/mod.rs
@@ -3,6 +3,7 @@
 mod disk;
 mod driver;
 mod peers;
+mod standing;
 mod versions;
 mod view;
 
