Replica: a voter that was removed while it was silent hears of it and joins again

A control member stands still for 4 s while a spare one is up, and never votes again, not after a restart either. After the planned removal of another member one lost disk ends the group: the acknowledged configuration is never read back and none is acknowledged again.

Cause: a member asks only its own log whether it is a voter. The leader replaced the silent one after 2.5 s and sends nothing to nodes that are no members, so the removal never reaches the log of the removed one. By that log it is a voter, so it asks for pre-votes, which are refused without a reason, and never asks to join. The same holds for a frozen leader, a killed member, a cut one, and one that an operator dismissed while it could not be reached (it went on asking for votes, and its status showed it among the voters).

Change: a voter that found no leader for four election timeouts sends join requests, two election timeouts apart, to the members of its log, its initial members and the leader that another node named. The leader admits a node that isn't a member, as any other that asks; with admission by operators it sends it the log until it has the membership that excludes it.

`status` shows whether a member votes by its own log.

--- a/src/cli/view.rs
+++ b/src/cli/view.rs
@@ -168,9 +168,10 @@
     let group = &status.group;
     let leader = group.leader.as_ref().map_or("unknown", |id| id.as_str());
     format!(
-        "{} term {} leader {leader} revision {} epoch {} committed {} applied {} claims {} \
+        "{} {} term {} leader {leader} revision {} epoch {} committed {} applied {} claims {} \
          level {} versions {}",
         group.instance,
+        standing(group),
         group.term,
         status.revision,
         status.epoch,
@@ -182,6 +183,17 @@
     )
 }
 
+/// Returns the standing of a member by its own log.
+fn standing(group: &group::Status) -> &'static str {
+    if group.voters.contains(&group.instance) {
+        "voter"
+    } else if group.learners.contains(&group.instance) {
+        "learner"
+    } else {
+        "no member"
+    }
+}
+
 /// Formats the protocol versions of the members, `?` for one that has sent no message yet.
 fn versions(group: &group::Status) -> String {
     let one = |(member, version): &(_, Option<trailer::ProtocolVersion>)| {
--- a/src/replica/core/formation.rs
+++ b/src/replica/core/formation.rs
@@ -34,6 +34,10 @@
     joining_nodes: sorted::Map<id::InstanceId, net::SocketAddr>,
 }
 
+/// The search for a leader after which a voter sends join requests, in shortest election timeouts:
+/// the time of two elections.
+const VOTER_JOIN_TIMEOUTS: u64 = 4;
+
 /// The maximum number of join request senders whose addresses are kept. A further one clears the
 /// others.
 const MAX_JOINING_NODES: usize = 64;
@@ -55,14 +59,21 @@
 }
 
 impl core::Replica {
-    /// Returns whether this node should send join requests: it is not a voter of a group and has no
-    /// contact with a leader. A learner without a leader asks too, since the entry that added it
-    /// may have been replaced in the log.
+    /// Returns whether this node should send join requests: it has no contact with a leader, and it
+    /// is not a voter by its own log or has searched for a leader for too long. A learner asks too,
+    /// since the entry that added it may have been replaced in the log. A voter that was removed
+    /// while it was unreachable is still a voter by its own log, and no leader sends to it.
     pub(super) fn should_join(&self, now: clock::Millis) -> bool {
-        let is_voter = self
-            .members()
-            .is_some_and(|m| m.is_voter(&self.settings.node));
-        !is_voter && !self.has_leader_contact(now)
+        if self.has_leader_contact(now) {
+            return false;
+        }
+        let patience = self.settings.election_timeout * VOTER_JOIN_TIMEOUTS;
+        !self.is_voter_by_log() || now >= self.leader_search.since + patience
+    }
+
+    fn is_voter_by_log(&self) -> bool {
+        let me = &self.settings.node;
+        self.members().is_some_and(|m| m.is_voter(me))
     }
 
     /// Returns whether the sender of a join request has no group or the same group as this member.
@@ -76,29 +87,43 @@
         if now < self.discovery.next_request_at {
             return;
         }
-        self.discovery.next_request_at = now + self.settings.heartbeat_interval * 2;
+        let interval = if self.is_voter_by_log() {
+            self.settings.election_timeout * 2
+        } else {
+            self.settings.heartbeat_interval * 2
+        };
+        self.discovery.next_request_at = now + interval;
         if self.joined.is_none() && self.can_form_group() {
             self.form_group();
             return;
         }
-        let mut recipients = self.settings.initial_members.clone();
-        if let core::Admission::Open { .. } = self.settings.admission {
-            recipients.extend(self.discovery.leader.clone());
-            recipients.sort_by(|a, b| a.instance.cmp(&b.instance));
-            recipients.dedup_by(|a, b| a.instance == b.instance);
-        }
         let address = self.settings.address;
-        for peer in recipients {
-            if peer.instance != self.settings.node.instance {
-                let to = message::NodeId {
-                    instance: peer.instance,
-                    incarnation: id::Incarnation::default(),
-                };
-                self.send(&to, Body::JoinRequest { address });
-            }
+        for instance in self.known_instances() {
+            let to = message::NodeId {
+                instance,
+                incarnation: id::Incarnation::default(),
+            };
+            self.send(&to, Body::JoinRequest { address });
         }
     }
 
+    /// Returns the other instances that may know the leader: the initial members, the members in
+    /// this node's log and the leader that another node named.
+    fn known_instances(&self) -> Vec<id::InstanceId> {
+        let initial = self.settings.initial_members.iter().map(|p| &p.instance);
+        let members = self
+            .members()
+            .into_iter()
+            .flat_map(|m| m.voters.keys().chain(m.learners.keys()));
+        let leader = self.discovery.leader.iter().map(|l| &l.instance);
+        let mut instances: Vec<id::InstanceId> =
+            initial.chain(members).chain(leader).cloned().collect();
+        instances.sort_unstable();
+        instances.dedup();
+        instances.retain(|i| *i != self.settings.node.instance);
+        instances
+    }
+
     fn can_form_group(&self) -> bool {
         if let core::Admission::Open {
             may_form_group: false,
@@ -141,14 +166,17 @@
         });
     }
 
-    /// Responds to a join request; a leader also considers the sender for admission.
+    /// Responds to a join request; a leader also considers the sender for admission. `is_in_group`
+    /// tells whether the sender has this member's group in its log.
     pub(super) fn handle_join_request(
         &mut self,
         now: clock::Millis,
         from: &message::NodeId,
         address: net::SocketAddr,
+        is_in_group: bool,
     ) {
-        if let core::Admission::Open { .. } = self.settings.admission {
+        let is_open = matches!(self.settings.admission, core::Admission::Open { .. });
+        if is_open || is_in_group {
             self.discovery.record_joining_node(&from.instance, address);
         }
         let formed = self.joined.is_some();
@@ -160,12 +188,15 @@
         // A leader sends its voters what they miss. Without a leader, the election may need the
         // vote of this voter, which was included when the group was formed but does not know of it
         // yet.
-        let is_unaware_voter = joined.log.members().is_voter(from) && self.leader().is_none();
-        if is_unaware_voter {
+        let is_unaware_voter = joined.log.members().is_voter(from) && !is_in_group;
+        if is_unaware_voter && self.leader().is_none() {
             let snapshot = message::Snapshot::clone(&joined.snapshot);
             self.send_after_sync(from, Body::GroupFormed(Box::new(snapshot)));
         }
         self.admit_joining_node(now, from);
+        if is_in_group {
+            self.inform_former_member(now, from);
+        }
     }
 
     fn leader_as_peer(&self) -> Option<core::Peer> {
--- a/src/replica/core/leader.rs
+++ b/src/replica/core/leader.rs
@@ -16,6 +16,9 @@
 pub struct Leadership {
     /// The replication progress of the other members.
     pub others: core::ProgressMap,
+    /// The former members that asked for admission in this term without knowing that they were
+    /// removed.
+    pub former: Vec<FormerMember>,
     pub reads: Vec<PendingRead>,
     /// The number of the newest heartbeat round.
     pub round: u64,
@@ -26,6 +29,14 @@
     started_at: clock::Millis,
 }
 
+/// A node that was removed from the group without hearing of it.
+#[derive(Debug)]
+pub struct FormerMember {
+    pub node: message::NodeId,
+    /// Whether its log has the membership that excludes it; until then it receives the log.
+    pub is_informed: bool,
+}
+
 /// A read that waits until a quorum has responded to its heartbeat round.
 #[derive(Debug)]
 pub struct PendingRead {
@@ -47,6 +58,7 @@
         let first_index = joined.log.last().index.next();
         self.role = core::Role::Leader(Leadership {
             others: core::ProgressMap::new(),
+            former: Vec::new(),
             reads: Vec::new(),
             round: 0,
             heartbeat_at: now,
@@ -115,6 +127,7 @@
             }
             AppendOutcome::NeedsSnapshot => (),
         }
+        self.record_informed(from);
         self.advance_commit(now);
         self.send_to(from, false);
     }
--- a/src/replica/core/membership_change.rs
+++ b/src/replica/core/membership_change.rs
@@ -3,11 +3,15 @@
 use crate::clock;
 use crate::id;
 use crate::replica::core;
+use crate::replica::core::leader;
 use crate::replica::core::members;
 use crate::replica::core::message;
 
 use message::{Output, Refusal};
 
+/// The maximum number of former members that a leader keeps; a further one replaces the oldest.
+const MAX_FORMER_MEMBERS: usize = 64;
+
 impl core::Replica {
     /// Handles a membership change requested by an operator.
     pub(super) fn change_members(
@@ -63,6 +67,51 @@
         self.send_entries(now);
     }
 
+    /// Sends the log to a former member until it has the membership that excludes it: with admission
+    /// by operators a removed member stays out, and must stop asking for votes. A node is informed
+    /// once in a term, unless it was a member again in between.
+    pub(super) fn inform_former_member(&mut self, now: clock::Millis, node: &message::NodeId) {
+        let Some((joined, leadership)) = self.as_leader() else {
+            return;
+        };
+        let members = joined.log.members();
+        let is_known = leadership.former.iter().any(|f| f.node == *node);
+        let is_member = members.is_voter(node) || members.is_learner(node);
+        if is_member || is_known || !self.may_change_members() {
+            return;
+        }
+        if let Some(leadership) = self.leadership_mut() {
+            if leadership.former.len() >= MAX_FORMER_MEMBERS {
+                leadership.former.remove(0);
+            }
+            leadership.former.push(leader::FormerMember {
+                node: node.clone(),
+                is_informed: false,
+            });
+        }
+        self.update_progress_map(now);
+        self.send_to(node, true);
+    }
+
+    /// Notes when the log of a former member has the current membership.
+    pub(super) fn record_informed(&mut self, node: &message::NodeId) {
+        let Some((joined, leadership)) = self.as_leader() else {
+            return;
+        };
+        let members_index = joined.log.members_index();
+        let matched = leadership.others.get(node).map(|p| p.match_index);
+        if matched < Some(members_index) {
+            return;
+        }
+        let Some(leadership) = self.leadership_mut() else {
+            return;
+        };
+        let former = leadership.former.iter_mut().find(|f| f.node == *node);
+        if let Some(former) = former {
+            former.is_informed = true;
+        }
+    }
+
     /// Returns whether a member of the same instance is active, or is this leader itself.
     pub(super) fn is_previous_incarnation_active(
         &self,
--- a/src/replica/core/message.rs
+++ b/src/replica/core/message.rs
@@ -96,8 +96,9 @@
 macros::data! {
     /// The content of a [`Message`].
     pub enum Body {
-        /// Asks to be admitted. Sent by a node without a group, or by one that is no voter and has
-        /// no contact with a leader.
+        /// Asks to be admitted. Sent by a node that has no group, or no contact with a leader. A
+        /// voter asks only after a long search, since it may have been removed; where it is still a
+        /// voter, the request changes nothing.
         JoinRequest {
             /// The address of the sender.
             address: net::SocketAddr,
--- a/src/replica/core/receive.rs
+++ b/src/replica/core/receive.rs
@@ -1,6 +1,7 @@
 //! Dispatch of received messages after checks of receiver, group and term.
 
 use crate::clock;
+use crate::id;
 use crate::replica::core;
 use crate::replica::core::follower;
 use crate::replica::core::message;
@@ -15,7 +16,8 @@
         }
         if let Body::JoinRequest { address } = message.body {
             if self.accepts_group(message.group) {
-                self.handle_join_request(now, &message.from, address);
+                let is_in_group = message.group != id::Incarnation::default();
+                self.handle_join_request(now, &message.from, address, is_in_group);
             }
             return;
         }
@@ -43,6 +45,13 @@
                 self.count_pre_vote(now, from, term);
                 return;
             }
+            // Voters that search for a leader ask each other. The answers must not end an election.
+            Body::JoinResponse { leader, .. } => {
+                if let Some(leader) = leader {
+                    self.record_named_leader(leader);
+                }
+                return;
+            }
             Body::PreVoteResponse { granted: false } => {
                 self.record_pre_vote_refusal(from.clone());
             }
@@ -92,10 +101,6 @@
             Body::AppendResponse { round, outcome } if current => {
                 self.handle_append_response(now, &from, round, outcome);
             }
-            Body::JoinResponse {
-                leader: Some(leader),
-                ..
-            } => self.record_named_leader(leader),
             Body::SnapshotChunkResponse { at, offset, round } if current => {
                 self.handle_chunk_response(now, &from, at, offset, round);
             }
--- a/src/replica/core/sending.rs
+++ b/src/replica/core/sending.rs
@@ -68,11 +68,14 @@
         };
         let last = joined.log.last().index;
         let me = &self.settings.node;
-        let nodes: Vec<message::NodeId> =
+        let mut nodes: Vec<message::NodeId> =
             joined.log.members().nodes().filter(|n| n != me).collect();
         let Some(leadership) = self.leadership_mut() else {
             return;
         };
+        leadership.former.retain(|f| !nodes.contains(&f.node));
+        let uninformed = leadership.former.iter().filter(|f| !f.is_informed);
+        nodes.extend(uninformed.map(|f| f.node.clone()));
         leadership.others.retain(|node, _| nodes.contains(node));
         for node in nodes {
             leadership
--- a/tests/replica_rules.rs
+++ b/tests/replica_rules.rs
@@ -330,3 +330,35 @@
         .collect();
     assert!(membership.len() == 3 && !membership.contains(&name(leader)));
 }
+
+/// CONFIG: a member that was dismissed while it was unreachable went on asking for votes, and its
+/// status still showed it among the voters.
+#[test]
+fn member_dismissed_while_isolated_learns_it_and_stays_out() {
+    let mut cluster = Cluster::formed();
+    let leader = cluster.leader().unwrap();
+    let dismissed = (leader + 1) % 3;
+    cluster.propose(leader);
+    cluster.run_until(|c| c.applied == MEMBERS);
+    let term = cluster.replicas[leader].as_ref().unwrap().term();
+    cluster.isolated = Some(dismissed);
+    let change = members::MemberChange::Dismiss(name(dismissed));
+    cluster.step(leader, Input::ChangeMembers { request: 2, change });
+    cluster.run_until(|c| c.now > ELECTION * 20);
+    cluster.isolated = None;
+    let votes = |c: &Cluster| {
+        let members = c.membership(dismissed);
+        members.is_some_and(|m| m.voters.contains(&name(dismissed)))
+    };
+    assert!(votes(&cluster));
+    cluster.run_until(|c| !votes(c));
+    for _ in 0..400 {
+        cluster.tick();
+        let asks = |m: &message::Message| matches!(m.body, Body::PreVoteRequest { .. });
+        assert!(!cluster.messages.iter().any(asks));
+    }
+    assert_eq!(cluster.leader(), Some(leader));
+    assert_eq!(cluster.replicas[leader].as_ref().unwrap().term(), term);
+    let members = cluster.membership(leader).unwrap();
+    assert_eq!((members.voters.len(), members.learners.len()), (2, 0));
+}
--- a/tests/replica_support/node.rs
+++ b/tests/replica_support/node.rs
@@ -26,6 +26,15 @@
     reads: collections::HashMap<u64, id::LogIndex>,
 }
 
+/// The settings that all nodes of a group share, but for their seeds and their permission to form it.
+#[derive(Clone)]
+pub struct GroupSettings {
+    pub initial_members: Vec<core::Peer>,
+    pub admission: core::Admission,
+    pub election_timeout: clock::Millis,
+    pub heartbeat_interval: clock::Millis,
+}
+
 /// The effects of one step of a node.
 #[derive(Default)]
 pub struct Effects {
@@ -61,18 +70,18 @@
     pub fn start(
         &mut self,
         now: clock::Millis,
-        initial_members: &[core::Peer],
+        group: &GroupSettings,
         oracle: &oracle::Oracle,
         rng: &mut impl rand::Rng,
     ) {
         self.offset = clock::Millis::new(rng.random_range(0..10_000));
         let settings = core::Settings {
             node: self.id(),
-            initial_members: initial_members.to_vec(),
+            initial_members: group.initial_members.clone(),
             address: ([127, 0, 0, 1], 999).into(),
-            admission: core::Admission::ByOperator,
-            election_timeout: clock::Millis::new(150),
-            heartbeat_interval: clock::Millis::new(30),
+            admission: group.admission,
+            election_timeout: group.election_timeout,
+            heartbeat_interval: group.heartbeat_interval,
             trailing_entries: SNAPSHOT_ENTRIES / 2,
             seed: rng.random(),
         };
--- a/tests/replica_support/world.rs
+++ b/tests/replica_support/world.rs
@@ -185,15 +185,13 @@
     }
 
     fn start(&mut self, node: usize) {
-        let Self {
-            rng,
-            now,
-            nodes,
-            initial,
-            oracle,
-            ..
-        } = self;
-        nodes[node].start(*now, initial, oracle, rng);
+        let group = node::GroupSettings {
+            initial_members: self.initial.clone(),
+            admission: core::Admission::ByOperator,
+            election_timeout: clock::Millis::new(150),
+            heartbeat_interval: clock::Millis::new(30),
+        };
+        self.nodes[node].start(self.now, &group, &self.oracle, &mut self.rng);
     }
 
     /// Loses a disk if a majority of all instances are voters with intact disks besides this one. A
