HTTP clients: a part of an early answer without a length is not complete

Here: reset in that moment, no path took the part for complete (router, relayed streams, requests passed on to another router, the client of the own interface). But a server that closed its side in that moment, as one that is stopped does, gave callers 200 with the part on plain routes and relayed streams, and in the own interface.

Cause: a body without a length ends with its connection, whatever the state of the request.

Change: the clients follow whether the request has been written to its connection (http::outgoing). A 2xx that ends with its connection before that is broken off: the server can't have received the request, so it can't have run it to its end. Answers whose length or last chunk marks the end count as before, and so do refusals: a server may refuse a long request early and close.

--- a/src/backend/client.rs
+++ b/src/backend/client.rs
@@ -17,6 +17,7 @@
 use crate::clock;
 use crate::http::allowance;
 use crate::http::memory;
+use crate::http::outgoing;
 use crate::http::progress;
 use crate::macros;
 
@@ -25,7 +26,7 @@
 /// The request body of a call.
 pub type Body = http_body_util::Full<Bytes>;
 
-type Io = rt::TokioIo<allowance::Bounded<tokio::net::TcpStream>>;
+type Io = rt::TokioIo<outgoing::Tracked<allowance::Bounded<tokio::net::TcpStream>>>;
 
 type Connection = http1::Connection<Io, Body>;
 
@@ -67,6 +68,7 @@
     pub status: hyper::StatusCode,
     pub headers: hyper::HeaderMap,
     progress: progress::Progress,
+    outgoing: outgoing::Outgoing,
     allowance: allowance::Allowance,
     body: body::Incoming,
     connection: pin::Pin<Box<Connection>>,
@@ -91,8 +93,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when the connection breaks before the end of the body, or a stream of events ends
-    /// inside one.
+    /// Fails when the connection breaks before the end of the body, a stream of events ends inside
+    /// one, or a successful answer ends with its connection before the request was written.
     pub async fn next(&mut self) -> Option<Result<Bytes, Failure>> {
         loop {
             let frame = tokio::select! {
@@ -104,8 +106,7 @@
                 }
             };
             let Some(frame) = frame else {
-                let broken = || Failure::Broken("the stream ended inside an event".into());
-                return (!self.progress.may_end()).then(|| Err(broken()));
+                return self.check_end().err().map(Err);
             };
             return match frame {
                 Ok(frame) => match frame.into_data() {
@@ -121,6 +122,22 @@
     }
 }
 
+impl Streaming {
+    /// Checks that the body may end here, where its framing ends it.
+    fn check_end(&self) -> Result<(), Failure> {
+        let is_written = self.outgoing.is_written();
+        if self.progress.may_end_with(self.status, is_written) {
+            return Ok(());
+        }
+        let why = if self.progress.may_end() {
+            "the connection ended before the request was written"
+        } else {
+            "the stream ended inside an event"
+        };
+        Err(Failure::Broken(why.to_owned()))
+    }
+}
+
 /// Sends a request and reads the complete response within `timeout`.
 ///
 /// # Errors
@@ -174,6 +191,7 @@
 ) -> Result<Streaming, Failure> {
     let stream = connect(address).await?;
     let (stream, allowance) = allowance::Bounded::new(stream);
+    let (stream, outgoing) = outgoing::Tracked::new(stream);
     let io = rt::TokioIo::new(stream);
     let (mut sender, connection) = http1::Builder::new()
         .max_buf_size(allowance::MAX_BUFFER_BYTES)
@@ -197,6 +215,7 @@
     Ok(Streaming {
         status: parts.status,
         progress: progress::Progress::new(&parts.headers),
+        outgoing,
         allowance,
         headers: parts.headers,
         body,
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -6,5 +6,6 @@
 pub mod caller;
 pub mod hop;
 pub mod memory;
+pub mod outgoing;
 pub mod progress;
 pub mod stop;
--- a/src/http/progress.rs
+++ b/src/http/progress.rs
@@ -89,6 +89,18 @@
         self.events.is_some_and(Position::is_inside_event)
     }
 
+    /// Returns whether a body that ends here by its framing is complete, when its request may not have
+    /// been written to its end.
+    ///
+    /// A server that has not received the whole request can't have answered it with success and
+    /// closed the connection; it was stopped.
+    pub fn may_end_with(&self, status: hyper::StatusCode, is_request_written: bool) -> bool {
+        let ends_with_connection = self.framing == Framing::UntilClose
+            && status.is_success()
+            && status != hyper::StatusCode::NO_CONTENT;
+        (is_request_written || !ends_with_connection) && self.may_end()
+    }
+
     /// Returns whether a body that ends here by its framing is complete.
     ///
     /// A stream that ends inside an event has been broken off. One that ends with its connection
--- a/src/router/upstream.rs
+++ b/src/router/upstream.rs
@@ -20,6 +20,7 @@
 use crate::http::body;
 use crate::http::hop;
 use crate::http::memory;
+use crate::http::outgoing;
 use crate::http::progress;
 use crate::router::balancer;
 use crate::router::request;
@@ -68,6 +69,7 @@
     pub status: hyper::StatusCode,
     pub headers: hyper::HeaderMap,
     progress: progress::Progress,
+    outgoing: outgoing::Outgoing,
     body: hyper_body::Incoming,
     _connection: Connection,
 }
@@ -150,6 +152,7 @@
     req: hyper::Request<http_body_util::Full<Bytes>>,
 ) -> Result<Answer, Failure> {
     let (stream, allowance) = allowance::Bounded::new(stream);
+    let (stream, outgoing) = outgoing::Tracked::new(stream);
     let handshake = http1::Builder::new()
         .max_buf_size(allowance::MAX_BUFFER_BYTES)
         .handshake(rt::TokioIo::new(stream))
@@ -168,6 +171,7 @@
     Ok(Answer {
         status: head.status,
         progress: progress::Progress::new(&head.headers),
+        outgoing,
         headers: head.headers,
         body,
         _connection: connection,
@@ -197,15 +201,21 @@
         self.progress.expect_events();
     }
 
+    fn may_end(&self) -> bool {
+        let is_written = self.outgoing.is_written();
+        self.progress.may_end_with(self.status, is_written)
+    }
+
     /// Returns the next chunk of the body, or `None` after its regular end.
     ///
     /// # Errors
     ///
-    /// Fails when the connection breaks before that, or a stream of events ends inside one.
+    /// Fails when the connection breaks before that, a stream of events ends inside one, or a
+    /// successful answer ends with its connection before the request was written.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
             match self.body.frame().await {
-                None if self.progress.may_end() => return Ok(None),
+                None if self.may_end() => return Ok(None),
                 None | Some(Err(_)) => return Err(Failure::Broken),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
