HTTP clients: an answer whose status HTTP doesn't have is no answer

Here: 000 and 099 were broken off before, on all paths. 101, 600 and 999 reached callers as the server's answer, through the router and through the client of the own interface.

Cause: the parser takes any three digits from 100 on, and nobody looked further.

Change: a head whose status isn't from 200 to 599 counts as a broken answer (router) or as a malformed one (own interface), so the request may have run.

--- a/src/backend/client.rs
+++ b/src/backend/client.rs
@@ -19,6 +19,7 @@
 use crate::http::memory;
 use crate::http::outgoing;
 use crate::http::progress;
+use crate::http::status;
 use crate::macros;
 
 const CONNECT_TIMEOUT: clock::Millis = clock::Millis::new(700);
@@ -210,6 +211,12 @@
     };
     let response = response.map_err(|e| Failure::Broken(e.to_string()))?;
     let (parts, body) = response.into_parts();
+    if !status::is_final(parts.status) {
+        return Err(Failure::Malformed(format!(
+            "status {} is not that of an answer",
+            parts.status.as_u16()
+        )));
+    }
     // What is kept of a whole body is bounded by whoever reads it.
     allowance.lift();
     Ok(Streaming {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -8,4 +8,5 @@
 pub mod memory;
 pub mod outgoing;
 pub mod progress;
+pub mod status;
 pub mod stop;
--- a/src/router/upstream.rs
+++ b/src/router/upstream.rs
@@ -22,6 +22,7 @@
 use crate::http::memory;
 use crate::http::outgoing;
 use crate::http::progress;
+use crate::http::status;
 use crate::router::balancer;
 use crate::router::request;
 
@@ -166,6 +167,9 @@
     let connection = Connection::new(tokio::spawn(driver));
     let response = sender.send_request(req).await;
     let (head, body) = response.map_err(|_| Failure::Broken)?.into_parts();
+    if !status::is_final(head.status) {
+        return Err(Failure::Broken);
+    }
     // What is kept of the body is bounded by whoever reads it.
     allowance.lift();
     Ok(Answer {
--- a/tests/early_answers.rs
+++ b/tests/early_answers.rs
@@ -1,4 +1,4 @@
-//! Servers that answer before they have read the request.
+//! Servers that answer before they have read the request, and answers whose status is none.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -158,3 +158,20 @@
         }
     }
 }
+
+/// MIXED: an answer with a status that HTTP doesn't have reached callers.
+#[tokio::test]
+async fn an_answer_whose_status_is_none_is_no_answer() {
+    for caller in CALLERS {
+        for status in ["000", "099", "101", "600", "999", "20", "2000", "abc"] {
+            let answer = format!("HTTP/1.1 {status} Odd\r\nContent-Length: 4\r\n\r\nfine");
+            let result = call(caller, &answer, Ending::CloseRead, 2).await;
+            assert!(result.is_err(), "{caller:?} {status}: {result:?}");
+        }
+        for status in [200, 299, 404, 500, 599] {
+            let answer = format!("HTTP/1.1 {status} Odd\r\nContent-Length: 4\r\n\r\nfine");
+            let result = call(caller, &answer, Ending::CloseRead, 2).await;
+            assert_eq!(result, Ok((status, Bytes::from("fine"))), "{caller:?}");
+        }
+    }
+}
