--- a/review/third/cases.rs
+++ b/review/third/cases.rs
@@ -371,7 +371,7 @@
             });
         }
         for number in 0..30 {
-            if record.now() > 95_000 {
+            if record.now() > 70_000 {
                 break;
             }
             let id = format!("x{number}");
