--- a/review/third/cases.rs
+++ b/review/third/cases.rs
@@ -19,6 +19,7 @@
         "late" => crashing_request(record, has_trouble, Crash::Late),
         "slow" => slow(record, has_trouble),
         "pieces" => pieces(record, has_trouble),
+        "torn" => torn(record, has_trouble),
         _ => Err("no such case".to_owned()),
     }
 }
@@ -576,3 +577,49 @@
     }
     Ok(missing > 0)
 }
+
+/// `recoveryS`.
+const RECOVERY_TIME: Duration = Duration::from_secs(12);
+
+/// Orders before and after a final fault that kills all processes. In that moment the record of another writer of
+/// the list is torn: its first half stands as the first entry, the other as the last one.
+fn torn(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
+    let mut fleet = Fleet::new(Arc::clone(record))?;
+    for _ in 0..5 {
+        fleet.add_server("kedai", None, 6, move |mut run| {
+            run.server.record.line(&format!("{} runs {}", run.server.id, id_of(&run)));
+            thread::sleep(WORK_TIME);
+            reply(&mut run, "200 OK", SIGNATURE, "recorded");
+        });
+    }
+    let routes = route("/orders/", "unsafe", "kedai", PLAIN_TIMES, 1, false);
+    fleet.start(&routes, PLAIN_SERVICE)?;
+    let send = |fleet: &Fleet, name: &str, count: u64| {
+        let mut served = 0;
+        for number in 0..count {
+            let id = format!("{name}{number}");
+            let to = fleet.gateways[number as usize % 2];
+            let bytes = request("POST", "/orders/2f", &id, PLAIN_DEADLINE, "", &id);
+            let status = http::call(to, &bytes, PLAIN_DEADLINE, PLAIN_DEADLINE).status();
+            fleet.record.line(&format!("{id} is answered {status}"));
+            served += u64::from(status == 200);
+            thread::sleep(Duration::from_millis(30));
+        }
+        served
+    };
+    let before = send(&fleet, "before", 60);
+    fleet.kill_all();
+    if has_trouble {
+        fleet.put_entry(0, r#"{"writer":"audit","seen":[{"at":1}"#);
+        fleet.put_entry(6, r#"{"at":2}]}"#);
+    }
+    thread::sleep(Duration::from_millis(1_500));
+    fleet.start_again()?;
+    thread::sleep(RECOVERY_TIME + Duration::from_millis(500));
+    let after = send(&fleet, "after", 100);
+    record.line(&format!("served: {before} of 60 before the fault, {after} of 100 later than recoveryS after it"));
+    if before < 50 {
+        return Err("too few orders were served before the fault".to_owned());
+    }
+    Ok(after < 25)
+}
--- a/review/third/fleet.rs
+++ b/review/third/fleet.rs
@@ -220,6 +220,7 @@
         wait_until(Duration::from_secs(15), is_ready).ok_or("the gateways are not ready")?;
         // The list of servers follows the configuration.
         thread::sleep(Duration::from_secs(2));
+        fs::write(self.folder.join("started"), "").map_err(|e| e.to_string())?;
         self.record.line("the deployment serves");
         Ok(())
     }
@@ -245,6 +246,7 @@
     }
 
     fn spawn(&mut self, is_gateway: bool, n: u8, seeds: &[SocketAddr]) -> Result<(), String> {
+        let is_first = !self.folder.join("started").exists();
         let (class, role, machine) = match is_gateway {
             true => ("front", "gateway", 10 + n),
             false => ("core", "keeper", 20 + n),
@@ -268,7 +270,7 @@
         };
         let seeds: Vec<_> = seeds.iter().map(|s| format!(r#""{s}""#)).collect();
         let settings = format!(
-            r#"{{"nodeName":"{name}","role":"{role}","machineClass":"{class}","serves":[{serves}],"ip":"{}","zone":"{zone}","region":"klang","zones":{{"klang-a":"klang","klang-b":"klang","klang-c":"klang"}},"listen":{{{listen}}},"internalPorts":[7600,7615],"seeds":[{}],"bootstrap":true,"countsAsLoss":{},"limits":{{"cpuShare":0.25,"cores":1,"memoryMb":256,"maxFds":4100,"linkMbps":1000.0,"diskMb":128}},"dataDir":{data},"discovery":"cloud","entry":"directory","heartbeatMs":1200,"contracts":["base","drain","config","cost","retry","recover","split","stream","engine","tenants","quota"],"faultTolerance":{{"machines":1,"zones":0,"regions":0}},"bounds":{{"seedLagS":3,"reuseAfterS":2,"contactMs":3000,"ackTimeoutMs":4000,"catchUpS":4,"drainMs":3000,"graceS":8,"lossSlackMs":200,"configApplyMs":2000,"rollbackSlackMs":250,"maxStretchMs":5000,"revokeFailClosed":false,"revokeMs":5000,"retryBudgetRatio":0.2,"budgetWindowS":10,"budgetSlack":58,"quotaWindowS":8,"quotaOverage":0.1,"quotaSlack":140000,"recoveryS":12,"transitMs":120,"retryAfterS":7.7,"requireFencing":true,"leaseMs":3000,"thawSlackMs":300,"ttl_max_s":5}},"configMode":"highest","cloud":{{"address":"{}","ratePerS":47.0,"duties":[],"maxLagMs":800}}}}"#,
+            r#"{{"nodeName":"{name}","role":"{role}","machineClass":"{class}","serves":[{serves}],"ip":"{}","zone":"{zone}","region":"klang","zones":{{"klang-a":"klang","klang-b":"klang","klang-c":"klang"}},"listen":{{{listen}}},"internalPorts":[7600,7615],"seeds":[{}],"bootstrap":{is_first},"countsAsLoss":{},"limits":{{"cpuShare":0.25,"cores":1,"memoryMb":256,"maxFds":4100,"linkMbps":1000.0,"diskMb":128}},"dataDir":{data},"discovery":"cloud","entry":"directory","heartbeatMs":1200,"contracts":["base","drain","config","cost","retry","recover","split","stream","engine","tenants","quota"],"faultTolerance":{{"machines":1,"zones":0,"regions":0}},"bounds":{{"seedLagS":3,"reuseAfterS":2,"contactMs":3000,"ackTimeoutMs":4000,"catchUpS":4,"drainMs":3000,"graceS":8,"lossSlackMs":200,"configApplyMs":2000,"rollbackSlackMs":250,"maxStretchMs":5000,"revokeFailClosed":false,"revokeMs":5000,"retryBudgetRatio":0.2,"budgetWindowS":10,"budgetSlack":58,"quotaWindowS":8,"quotaOverage":0.1,"quotaSlack":140000,"recoveryS":12,"transitMs":120,"retryAfterS":7.7,"requireFencing":true,"leaseMs":3000,"thawSlackMs":300,"ttl_max_s":5}},"configMode":"highest","cloud":{{"address":"{}","ratePerS":47.0,"duties":[],"maxLagMs":800}}}}"#,
             at(0).ip(),
             seeds.join(","),
             !is_gateway,
@@ -294,6 +296,34 @@
         Ok(())
     }
 
+    /// Kills all processes.
+    pub fn kill_all(&mut self) {
+        for child in &mut self.children {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.children.clear();
+        self.record.line("killed all processes");
+    }
+
+    /// Starts all processes again.
+    pub fn start_again(&mut self) -> Result<(), String> {
+        let seeds: Vec<_> = (0..3).map(|n| self.address(20 + n, CONTROL_PORT)).collect();
+        for n in 0..3 {
+            self.spawn(false, n, &seeds)?;
+        }
+        for n in 0..2 {
+            self.spawn(true, n, &seeds)?;
+        }
+        Ok(())
+    }
+
+    /// Puts an entry of another writer on the list.
+    pub fn put_entry(&self, at: usize, entry: &str) {
+        self.record.line(&format!("entry {at} of the list is now {entry}"));
+        self.list.lock().unwrap().insert(at, entry.to_owned());
+    }
+
     /// Sends the configuration as an operator does, until it is acknowledged.
     fn configure(&self, control: &[SocketAddr], configuration: &str) -> Result<(), String> {
         let request = format!(
