review: cases 11 and 14 stay below the share of the site file

Cause: one of seven and one of six servers are just above 0.14 and 0.16. Change: one sound server more in each; claims and records.

--- a/review/third/cases.rs
+++ b/review/third/cases.rs
@@ -98,13 +98,13 @@
 const WORK_TIME: Duration = Duration::from_millis(60);
 const PLAIN_DEADLINE: Duration = Duration::from_millis(1500);
 
-/// Orders, which run at most once. One of seven servers fails part of its requests (`srv_grey`, share 0.14,
+/// Orders, which run at most once. One of eight servers fails part of its requests (`srv_grey`, share 0.125,
 /// x 0.45, 6.5 s): it runs them, and then answers 503 without `Not-Executed`.
 fn refused(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
     let mut fleet = Fleet::new(Arc::clone(record))?;
     let ran: Arc<Mutex<Vec<(String, String)>>> = Arc::default();
     let trouble = Trouble::new(has_trouble, Duration::from_millis(6_500));
-    for number in 0..7 {
+    for number in 0..8 {
         let (ran, trouble) = (Arc::clone(&ran), Arc::clone(&trouble));
         let count = AtomicU64::new(0);
         fleet.add_server("kedai", None, 6, move |mut run| {
@@ -120,7 +120,7 @@
     }
     let routes = route("/orders/", "unsafe", "kedai", PLAIN_TIMES, 1, false);
     fleet.start(&routes, PLAIN_SERVICE)?;
-    trouble.begin(record, "one server of seven fails nine of twenty requests");
+    trouble.begin(record, "one server of eight fails nine of twenty requests");
     let promised: Mutex<Vec<String>> = Mutex::default();
     let served = AtomicU64::new(0);
     thread::scope(|scope| {
@@ -402,7 +402,7 @@
 }
 
 /// The pause between two events of a server that is not slow, and how many times longer it is at a slow one
-/// (`srv_slow`, share 0.16, x 5, 6.5 s).
+/// (`srv_slow`, share 0.14, x 5, 6.5 s).
 const PAUSE: Duration = Duration::from_millis(310);
 const SLOWNESS: u32 = 5;
 
@@ -418,13 +418,13 @@
     }
 }
 
-/// Streams that may be resumed. One of six servers is slow for a time. Five servers drop a request when its
+/// Streams that may be resumed. One of seven servers is slow for a time. Six servers drop a request when its
 /// connection closes; the slow one does not.
 fn slow(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
     let mut fleet = Fleet::new(Arc::clone(record))?;
     let runs: Arc<Mutex<Vec<RunTimes>>> = Arc::default();
     let trouble = Trouble::new(has_trouble, Duration::from_millis(6_500));
-    for server in 0..6 {
+    for server in 0..7 {
         let (runs, trouble) = (Arc::clone(&runs), Arc::clone(&trouble));
         let holds = AtomicU64::new(0);
         fleet.add_server("dapur", Some("decode"), 64, move |mut run| {
@@ -455,7 +455,7 @@
     }
     let routes = route("/adapt/", "streaming", "dapur", STREAM_TIMES, 2, true);
     fleet.start(&routes, MODEL_SERVICE)?;
-    trouble.begin(record, "one server of six works five times as long");
+    trouble.begin(record, "one server of seven works five times as long");
     let served = AtomicU64::new(0);
     thread::scope(|scope| {
         for client in 0..8 {
